--- a/source/core/admin/admin_body.cc
+++ b/source/core/admin/admin_body.cc
@@ -177,6 +177,7 @@
 http::Response MembersResponse(const control::ControlView& view) {
   json body;
   body["leader"] = view.leader;
+  body["replicas_settled"] = view.replicas_settled;
   body["replicas"] = json::array();
   for (const std::string& id : view.replicas.voters)
     body["replicas"].push_back({{"id", id}, {"voter", true}});
--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -91,6 +91,9 @@
   const protocol::Configuration& configuration() const {
     return configuration_;
   }
+  /// On the leader: true if the configuration is committed, so that it holds
+  /// whatever is lost next.
+  bool ConfigurationSettled() const;
 
  private:
   struct Progress {
@@ -137,7 +140,6 @@
   void OnAppendReply(const protocol::PeerMessage& message, Time now);
   void AdvanceCommit();
   void LeaderTick(Time now);
-  bool ConfigurationSettled() const;
   void ChangeConfiguration(const protocol::Configuration& configuration,
                            Time now);
 
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -241,9 +241,10 @@
       if (!state_.Load(taken.restore->state))
         On(StorageFailed{}, clock);
     }
-    ApplyCommitted(taken.committed, clock);
+    // Before applying, which may add the write of a snapshot.
     for (consensus::WriteRequest& write : taken.writes)
       actions_.writes.push_back(std::move(write));
+    ApplyCommitted(taken.committed, clock);
     for (consensus::OutboundMessage& message : taken.messages) {
       std::string to(protocol::InstanceOf(message.message.to));
       held_.push_back(
--- a/source/core/control/control_node_admin.cc
+++ b/source/core/control/control_node_admin.cc
@@ -106,6 +106,7 @@
     view.term = replica_->term();
     view.commit_index = replica_->commit_index();
     view.replicas = replica_->configuration();
+    view.replicas_settled = replica_->ConfigurationSettled();
   }
   return view;
 }
--- a/source/core/control/control_view.h
+++ b/source/core/control/control_view.h
@@ -24,6 +24,9 @@
   std::uint64_t revision = 0;
   std::shared_ptr<const settings::Tree> tree;
   protocol::Configuration replicas;
+  /// False while a change of the replicas is under way: until it is committed,
+  /// a replica that is being admitted doesn't yet count.
+  bool replicas_settled = false;
   /// Entry instances alive, with the revision in force on each.
   std::vector<protocol::EntryStatus> entries;
   std::vector<protocol::AuditRecord> audit;
--- /dev/null
+++ b/source/unit_tests/control/control_cluster_test.cc
@@ -0,0 +1,336 @@
+#include "unit_tests/support/control_cluster.h"
+
+#include <algorithm>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "core/common/hash.h"
+
+namespace jacinth::control {
+namespace {
+
+using protocol::ClaimVerdict;
+using test::ControlCluster;
+
+/// One step of a generated history: what happens, where, and for how long.
+struct Fault {
+  int kind = 0;
+  std::size_t machine = 0;
+  std::size_t other = 0;
+  int amount = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Fault& fault) {
+  return out << "{" << fault.kind << "," << fault.machine << "," << fault.other
+             << "," << fault.amount << "}";
+}
+
+rc::Gen<Fault> AnyFault() {
+  return rc::gen::build<Fault>(
+      rc::gen::set(&Fault::kind, rc::gen::inRange(0, 20)),
+      rc::gen::set(&Fault::machine, rc::gen::inRange<std::size_t>(0, 3)),
+      rc::gen::set(&Fault::other, rc::gen::inRange<std::size_t>(0, 3)),
+      rc::gen::set(&Fault::amount, rc::gen::inRange(1, 100)));
+}
+
+/// Plays callers and operators against a cluster and knows, as a simple oracle,
+/// what they were promised.
+class Oracle {
+ public:
+  explicit Oracle(std::uint64_t seed) : cluster_(seed) {
+    cluster_.on_entry_message = [this](const std::string&,
+                                       const protocol::Envelope& envelope) {
+      OnEntryMessage(envelope);
+    };
+    cluster_.on_admin_reply = [this](const AdminReply& reply) {
+      OnAdminReply(reply);
+    };
+    cluster_.check = [this](ControlCluster&) { CheckAlways(); };
+  }
+
+  void Play(const Fault& fault) {
+    switch (fault.kind) {
+      case 0:
+        cluster_.Crash(fault.machine);
+        break;
+      case 1:
+      case 2:
+        cluster_.Restart(fault.machine);
+        break;
+      case 3:
+        MaybeLoseDisk(fault.machine);
+        break;
+      case 4:
+        cluster_.Freeze(fault.machine, 10 * fault.amount * 1ms);
+        break;
+      case 5:
+        cluster_.Cut(fault.machine, fault.other);
+        break;
+      case 6:
+        for (std::size_t i = 0; i < cluster_.size(); ++i) {
+          cluster_.Cut(fault.machine, i);
+          cluster_.Cut(i, fault.machine);
+        }
+        break;
+      case 7:
+      case 8:
+        cluster_.HealAll();
+        break;
+      case 9:
+        cluster_.Give(fault.machine, StopRequested{});
+        break;
+      case 10:
+      case 11:
+      case 12:
+        Change(fault);
+        break;
+      case 13:
+      case 14:
+      case 15:
+        Claim(fault);
+        break;
+      case 16:
+        Finish(fault);
+        break;
+      default:
+        cluster_.Run(4 * fault.amount * 1ms);
+        break;
+    }
+    cluster_.Run(fault.amount * 1ms);
+  }
+
+  /// Mends everything; afterwards the system must serve again.
+  void CheckRecovers() {
+    cluster_.HealAll();
+    cluster_.loss_percent = 0;
+    for (std::size_t i = 0; i < cluster_.size(); ++i) {
+      cluster_.Restart(i);
+    }
+    cluster_.Run(6s);
+    if (!cluster_.Leader())
+      RC_FAIL(cluster_.Describe());
+    const std::size_t accepted = accepted_.size();
+    const std::size_t leader = *cluster_.Leader();
+    ++last_key_;
+    SendChange(leader, cluster_.node(leader)->state().revision());
+    cluster_.Run(1s);
+    RC_ASSERT(accepted_.size() == accepted + 1);
+    for (std::size_t i = 0; i < cluster_.size(); ++i) {
+      if (!cluster_.IsCaughtUp(i))
+        RC_FAIL(cluster_.Describe());
+    }
+  }
+
+  ControlCluster& cluster() { return cluster_; }
+
+ private:
+  // At most one replica may be without its disk's contents at a time: losing a
+  // quorum of disks can't be survived by any system.
+  void MaybeLoseDisk(std::size_t machine) {
+    for (std::size_t i = 0; i < cluster_.size(); ++i) {
+      if (i != machine && !cluster_.IsCaughtUp(i))
+        return;
+    }
+    if (cluster_.IsCaughtUp(machine))
+      cluster_.LoseDisk(machine);
+  }
+
+  void Change(const Fault& fault) {
+    // Mostly the current revision, as racing operators send it.
+    const std::uint64_t revision =
+        acked_revision_ + (fault.amount % 5 == 0 ? 1 : 0);
+    ChangeAt(fault.machine, revision);
+    if (fault.amount % 3 == 0)
+      ChangeAt(fault.other, revision);
+  }
+
+  // Every fourth change is a resend of the one before.
+  void ChangeAt(std::size_t machine, std::uint64_t revision) {
+    if (last_key_ == 0 || last_ticket_ % 4 != 3)
+      ++last_key_;
+    SendChange(machine, revision);
+  }
+
+  void SendChange(std::size_t machine, std::uint64_t revision) {
+    ChangeRequested request;
+    request.ticket = ++last_ticket_;
+    request.caller.name = "op";
+    request.caller.branches = {"*"};
+    request.change.operator_name = "op";
+    request.change.idempotency_key = std::to_string(last_key_);
+    const auto first = sent_revision_.emplace(last_key_, revision).first;
+    request.change.if_revision = first->second;
+    request.change.fingerprint = last_key_;
+    request.change.changes.push_back(
+        {"", {{"ttl_ms", std::to_string(100 + last_key_)}}});
+    ticket_key_[request.ticket] = last_key_;
+    cluster_.Give(machine, request);
+  }
+
+  void Claim(const Fault& fault) {
+    protocol::ClaimRequest request;
+    const std::uint64_t key = static_cast<std::uint64_t>(fault.amount) % 6;
+    // A new attempt, or a repeat of the last one for the key.
+    if (fault.other != 0 || last_attempt_.count(key) == 0)
+      last_attempt_[key] = "a" + std::to_string(++last_attempt_number_);
+    request.attempt = last_attempt_[key];
+    request.key = {"svc/", std::to_string(key)};
+    request.fingerprint = key;
+    request.budget_ms = 200;
+    attempt_key_[request.attempt] = key;
+    for (std::size_t i = 0; i < cluster_.size(); ++i)
+      cluster_.SendFromEntry("e1", i, request);
+  }
+
+  void Finish(const Fault& fault) {
+    const std::uint64_t key = static_cast<std::uint64_t>(fault.amount) % 6;
+    const auto attempt = last_attempt_.find(key);
+    if (attempt == last_attempt_.end())
+      return;
+    protocol::FinishRequest request;
+    request.attempt = attempt->second;
+    request.key = {"svc/", std::to_string(key)};
+    const bool granted = holder_[key] == attempt->second;
+    request.outcome =
+        granted && fault.other != 0 ? Outcome::kRan : Outcome::kNotRun;
+    request.answer = {200, "t", attempt->second, false};
+    // An entry ends an attempt one way only.
+    const auto ended = ended_.emplace(attempt->second, request.outcome).first;
+    if (ended->second != request.outcome)
+      return;
+    for (std::size_t i = 0; i < cluster_.size(); ++i)
+      cluster_.SendFromEntry("e1", i, request);
+  }
+
+  void OnEntryMessage(const protocol::Envelope& envelope) {
+    if (const auto* reply = std::get_if<protocol::ClaimReply>(&envelope)) {
+      if (reply->decided)
+        OnClaimReply(*reply);
+      return;
+    }
+    if (const auto* reply = std::get_if<protocol::FinishReply>(&envelope)) {
+      const auto ended = ended_.find(reply->attempt);
+      RC_ASSERT(ended != ended_.end());
+      const std::uint64_t key = attempt_key_.at(reply->attempt);
+      if (ended->second == Outcome::kRan && holder_[key] == reply->attempt)
+        ran_[key] = reply->attempt;
+    }
+  }
+
+  void OnClaimReply(const protocol::ClaimReply& reply) {
+    const std::uint64_t key = attempt_key_.at(reply.attempt);
+    if (reply.verdict == ClaimVerdict::kRan) {
+      RC_ASSERT(reply.answer.body == holder_[key]);
+      return;
+    }
+    if (reply.verdict != ClaimVerdict::kGranted)
+      return;
+    const auto ended = ended_.find(reply.attempt);
+    const bool late = ended != ended_.end();
+    if (late && ended->second == Outcome::kNotRun)
+      return;  // The entry has given up and ignores the grant.
+    std::string& holder = holder_[key];
+    if (!holder.empty() && holder != reply.attempt) {
+      // Granted to another attempt: only after the first one gave the key up.
+      const auto before = ended_.find(holder);
+      RC_ASSERT(before != ended_.end());
+      RC_ASSERT(before->second == Outcome::kNotRun);
+    }
+    const auto ran = ran_.find(key);
+    const bool ran_elsewhere =
+        ran != ran_.end() && ran->second != reply.attempt;
+    RC_ASSERT_FALSE(ran_elsewhere);
+    holder = reply.attempt;
+  }
+
+  void OnAdminReply(const AdminReply& reply) {
+    const std::uint64_t key = ticket_key_.at(reply.ticket);
+    const auto* accepted = std::get_if<ChangeAccepted>(&reply.body);
+    if (accepted == nullptr) {
+      const auto& refused = std::get<CallRefused>(reply.body);
+      if (refused.error.kind == ErrorKind::kRevisionConflict)
+        RC_ASSERT(accepted_.count(key) == 0);
+      return;
+    }
+    const auto [row, added] = accepted_.emplace(key, accepted->revision);
+    RC_ASSERT(row->second == accepted->revision);
+    if (added) {
+      // Exactly one change makes each revision.
+      RC_ASSERT(revisions_.insert(accepted->revision).second);
+      RC_ASSERT(accepted->revision == sent_revision_.at(key) + 1);
+    }
+    acked_revision_ = std::max(acked_revision_, accepted->revision);
+  }
+
+  void CheckAlways() {
+    std::size_t leases = 0;
+    for (std::size_t i = 0; i < cluster_.size(); ++i) {
+      const ControlNode* node = cluster_.node(i);
+      if (node == nullptr || node->replica() == nullptr)
+        continue;
+      // Equal positions in the log give equal states.
+      const std::uint64_t applied = node->replica()->applied_index();
+      if (applied != seen_applied_[i]) {
+        seen_applied_[i] = applied;
+        const std::uint64_t hash = Hash64(node->state().Save());
+        const auto row = states_.emplace(applied, hash).first;
+        if (row->second != hash)
+          RC_FAIL(cluster_.Describe());
+      }
+      if (!cluster_.HoldsLease(i))
+        continue;
+      ++leases;
+      // A read under the lease sees every change answered before it.
+      RC_ASSERT(node->state().revision() >= acked_revision_);
+    }
+    RC_ASSERT(leases <= 1);
+  }
+
+  ControlCluster cluster_;
+  std::uint64_t last_ticket_ = 0;
+  std::uint64_t last_key_ = 0;
+  std::map<std::uint64_t, std::uint64_t> sent_revision_;
+  std::map<AdminTicket, std::uint64_t> ticket_key_;
+  std::map<std::uint64_t, std::uint64_t> accepted_;
+  std::set<std::uint64_t> revisions_;
+  std::uint64_t acked_revision_ = 0;
+  int last_attempt_number_ = 0;
+  std::map<std::uint64_t, std::string> last_attempt_;
+  std::map<std::string, std::uint64_t> attempt_key_;
+  std::map<std::uint64_t, std::string> holder_;
+  std::map<std::uint64_t, std::string> ran_;
+  std::map<std::string, Outcome> ended_;
+  std::map<std::size_t, std::uint64_t> seen_applied_;
+  std::map<std::uint64_t, std::uint64_t> states_;
+};
+
+}  // namespace
+
+TEST_CASE("A group forms and accepts changes") {
+  const bool ok = rc::check("formation", [](std::uint64_t seed) {
+    Oracle oracle(seed);
+    oracle.CheckRecovers();
+  });
+  CHECK(ok);
+}
+
+TEST_CASE("Promises of the control state hold under any faults") {
+  const bool ok = rc::check("faults", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto faults = *rc::gen::container<std::vector<Fault>>(
+        150, rc::gen::resize(rc::kNominalSize, AnyFault()));
+    Oracle oracle(seed);
+    oracle.cluster().Run(2s);
+    for (const Fault& fault : faults)
+      oracle.Play(fault);
+    oracle.CheckRecovers();
+  });
+  CHECK(ok);
+}
+
+}  // namespace jacinth::control
--- /dev/null
+++ b/source/unit_tests/control/control_state_test.cc
@@ -0,0 +1,82 @@
+#include "core/control/control_state.h"
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::control {
+namespace {
+
+protocol::Command Change(std::uint64_t if_revision,
+                         const std::string& key,
+                         const std::string& ttl) {
+  protocol::ChangeSettings change;
+  change.operator_name = "alice";
+  change.idempotency_key = key;
+  change.fingerprint = if_revision;
+  change.if_revision = if_revision;
+  change.changes = {{"service/a", {{"ttl_ms", ttl}}}};
+  return {1'000, 1, change};
+}
+
+ChangeOutcome Apply(ControlState& state, const protocol::Command& command) {
+  return std::get<ChangeOutcome>(state.Apply(command));
+}
+
+}  // namespace
+
+TEST_CASE("Of operators racing under one revision exactly one wins") {
+  ControlState state;
+  CHECK(Apply(state, Change(0, "a", "500")).accepted);
+  const ChangeOutcome lost = Apply(state, Change(0, "b", "600"));
+  CHECK_FALSE(lost.accepted);
+  CHECK(lost.revision == 1);
+  CHECK(state.tree().Effective("service/a", "ttl_ms")->value == "500");
+}
+
+TEST_CASE("A resent change gets the first answer and changes nothing") {
+  ControlState state;
+  Apply(state, Change(0, "a", "500"));
+  Apply(state, Change(1, "b", "600"));
+  const ChangeOutcome again = Apply(state, Change(0, "a", "500"));
+  CHECK(again.accepted);
+  CHECK(again.revision == 1);
+  CHECK(state.revision() == 2);
+  CHECK(state.audit().size() == 2);
+}
+
+TEST_CASE("A key resent with another change is refused") {
+  ControlState state;
+  Apply(state, Change(0, "a", "500"));
+  const ChangeOutcome other = Apply(state, Change(1, "a", "500"));
+  CHECK_FALSE(other.accepted);
+  CHECK(other.refusal == ErrorKind::kKeyReused);
+}
+
+TEST_CASE("A saved state answers as the original does") {
+  ControlState state;
+  Apply(state, Change(0, "a", "500"));
+  state.Apply({2'000, 2, protocol::ClaimRequest{"t", {"c", "k"}, 1, 100, ""}});
+  ControlState copy;
+  REQUIRE(copy.Load(state.Save()));
+  CHECK(copy.Save() == state.Save());
+  CHECK(copy.revision() == 1);
+  CHECK(Apply(copy, Change(0, "a", "500")).accepted);
+}
+
+TEST_CASE("Damaged state is refused") {
+  ControlState state;
+  CHECK_FALSE(state.Load("nonsense"));
+}
+
+TEST_CASE("The log's time never goes back") {
+  ControlState state;
+  state.Apply(
+      {900'000'000, 1, protocol::ClaimRequest{"a", {"c", "k"}, 1, 10, ""}});
+  // A leader whose clock is behind: the attempt's deadline stays passed.
+  state.Apply(
+      {900'000'100, 2, protocol::ClaimRequest{"x", {"c", "j"}, 1, 10, ""}});
+  const auto result = std::get<ClaimResult>(state.Apply(
+      {800'000'000, 3, protocol::ClaimRequest{"b", {"c", "k"}, 1, 10, ""}}));
+  CHECK(result.verdict == protocol::ClaimVerdict::kUnknown);
+}
+
+}  // namespace jacinth::control
--- /dev/null
+++ b/source/unit_tests/entry/control_session_test.cc
@@ -0,0 +1,89 @@
+#include "core/entry/control_session.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "core/common/hash.h"
+
+namespace jacinth::entry {
+namespace {
+
+constexpr Time kStart{100s};
+constexpr Duration kTimeout = 1s;
+
+ControlSession MakeSession() {
+  protocol::EntryStatus self;
+  self.id = "e1";
+  return {self, 100ms, kTimeout};
+}
+
+protocol::HeartbeatReply Reply(std::uint64_t sequence, std::uint64_t revision) {
+  const std::string text = "ttl_ms = " + std::to_string(100 + revision) + "\n";
+  protocol::HeartbeatReply reply;
+  reply.sequence = sequence;
+  reply.leader = true;
+  reply.leader_hint = "c1";
+  reply.revision = revision;
+  reply.update = {revision, text, Hash64(text)};
+  return reply;
+}
+
+}  // namespace
+
+TEST_CASE("The first settings come only from a leader asked in time") {
+  ControlSession session = MakeSession();
+  const auto beat = session.OnTick(kStart);
+  REQUIRE(beat);
+  SECTION("a replica that doesn't lead") {
+    protocol::HeartbeatReply reply = Reply(beat->sequence, 5);
+    reply.leader = false;
+    session.OnReply(reply, kStart);
+    CHECK(session.fleet() == nullptr);
+  }
+  SECTION("a push that answers nothing") {
+    session.OnReply(Reply(0, 5), kStart);
+    CHECK(session.fleet() == nullptr);
+  }
+  SECTION("a leader that answers too late, as after a freeze") {
+    session.OnReply(Reply(beat->sequence, 5), kStart + 2s);
+    CHECK(session.fleet() == nullptr);
+    CHECK_FALSE(session.InContact(kStart + 2s));
+  }
+  SECTION("a leader that answers in time") {
+    session.OnReply(Reply(beat->sequence, 5), kStart + 50ms);
+    REQUIRE(session.fleet() != nullptr);
+    CHECK(session.fleet()->revision == 5);
+  }
+}
+
+TEST_CASE("The revision in force only rises") {
+  ControlSession session = MakeSession();
+  const auto beat = session.OnTick(kStart);
+  session.OnReply(Reply(beat->sequence, 5), kStart);
+  session.OnReply(Reply(beat->sequence, 4), kStart);
+  CHECK(session.fleet()->revision == 5);
+  session.OnReply(Reply(0, 6), kStart);
+  CHECK(session.fleet()->revision == 6);
+}
+
+TEST_CASE("Damaged settings are not taken") {
+  ControlSession session = MakeSession();
+  const auto beat = session.OnTick(kStart);
+  protocol::HeartbeatReply reply = Reply(beat->sequence, 5);
+  reply.update.text += "x";
+  session.OnReply(reply, kStart);
+  CHECK(session.fleet() == nullptr);
+}
+
+TEST_CASE("Contact counts from when the answered heartbeat was sent") {
+  ControlSession session = MakeSession();
+  const auto beat = session.OnTick(kStart);
+  session.OnReply(Reply(beat->sequence, 1), kStart + 900ms);
+  CHECK(session.InContact(kStart + 950ms));
+  CHECK_FALSE(session.InContact(kStart + 1s));
+  // Settings stay in force without contact.
+  CHECK(session.fleet() != nullptr);
+}
+
+}  // namespace jacinth::entry
--- /dev/null
+++ b/source/unit_tests/storage/log_store_test.cc
@@ -0,0 +1,232 @@
+#include "core/storage/log_store.h"
+
+#include <csignal>
+#include <fstream>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <sys/resource.h>
+
+#include "core/storage/file.h"
+#include "core/storage/log_batches.h"
+#include "core/storage/snapshot_file.h"
+#include "unit_tests/support/temporary_folder.h"
+
+namespace jacinth::storage {
+namespace {
+
+using protocol::LogBatch;
+using protocol::LogEntry;
+
+LogBatch Batch(std::uint64_t first, std::uint64_t last, std::uint64_t term) {
+  LogBatch batch;
+  batch.hard_state = protocol::HardState{term, "c1#1"};
+  for (std::uint64_t index = first; index <= last; ++index) {
+    batch.entries.push_back({index, term, protocol::LogEntryKind::kCommand,
+                             "entry " + std::to_string(index)});
+  }
+  return batch;
+}
+
+RecoveredLog Reopen(const std::filesystem::path& folder) {
+  RecoveredLog recovered;
+  const auto store = LogStore::Open(folder, recovered);
+  REQUIRE(store);
+  return recovered;
+}
+
+std::filesystem::path Segment(const std::filesystem::path& folder,
+                              std::uint64_t number) {
+  return folder / LogSegment::FileName(number);
+}
+
+void WriteBytes(const std::filesystem::path& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+// Three batches in one segment.
+void Fill(const std::filesystem::path& folder) {
+  RecoveredLog recovered;
+  auto store = LogStore::Open(folder, recovered);
+  REQUIRE(store);
+  REQUIRE(store->Append(Batch(1, 3, 1)));
+  REQUIRE(store->Append(Batch(4, 6, 1)));
+  REQUIRE(store->Append(Batch(7, 9, 2)));
+}
+
+}  // namespace
+
+TEST_CASE("What was appended is there after a restart") {
+  const test::TemporaryFolder folder;
+  Fill(folder.path());
+  const RecoveredLog recovered = Reopen(folder.path());
+  CHECK(recovered.entries.size() == 9);
+  CHECK(recovered.hard_state.term == 2);
+  CHECK(recovered.torn_bytes == 0);
+}
+
+TEST_CASE("Later entries replace earlier ones of the same index") {
+  const test::TemporaryFolder folder;
+  {
+    RecoveredLog recovered;
+    auto store = LogStore::Open(folder.path(), recovered);
+    REQUIRE(store->Append(Batch(1, 5, 1)));
+    REQUIRE(store->Append(Batch(3, 4, 2)));
+  }
+  const RecoveredLog recovered = Reopen(folder.path());
+  REQUIRE(recovered.entries.size() == 4);
+  CHECK(recovered.entries[1].term == 1);
+  CHECK(recovered.entries[2].term == 2);
+}
+
+TEST_CASE("A torn tail is cut off at any byte and said so") {
+  const test::TemporaryFolder folder;
+  Fill(folder.path());
+  const std::string whole = *ReadFile(Segment(folder.path(), 1));
+  RecoveredLog before;
+  std::uint64_t two_batches = 0;
+  {
+    const test::TemporaryFolder other;
+    auto store = LogStore::Open(other.path(), before);
+    REQUIRE(store->Append(Batch(1, 3, 1)));
+    REQUIRE(store->Append(Batch(4, 6, 1)));
+    two_batches = store->segment_size();
+  }
+  for (std::size_t size = two_batches; size < whole.size(); ++size) {
+    WriteBytes(Segment(folder.path(), 1), whole.substr(0, size));
+    const RecoveredLog recovered = Reopen(folder.path());
+    REQUIRE(recovered.entries.size() == 6);
+    REQUIRE(recovered.torn_bytes == size - two_batches);
+    // Appending goes on after the cut.
+    RecoveredLog ignored;
+    auto store = LogStore::Open(folder.path(), ignored);
+    REQUIRE(store->Append(Batch(7, 7, 3)));
+    REQUIRE(Reopen(folder.path()).entries.size() == 7);
+  }
+}
+
+TEST_CASE("Damage before the tail is refused") {
+  const test::TemporaryFolder folder;
+  Fill(folder.path());
+  const std::string whole = *ReadFile(Segment(folder.path(), 1));
+  // Any byte of the first record; its header stands after the segment's.
+  constexpr std::size_t kSegmentHeader = 16;
+  for (std::size_t at = kSegmentHeader; at < kSegmentHeader + 60; ++at) {
+    std::string damaged = whole;
+    damaged[at] = static_cast<char>(damaged[at] ^ 0x40);
+    WriteBytes(Segment(folder.path(), 1), damaged);
+    RecoveredLog recovered;
+    const auto store = LogStore::Open(folder.path(), recovered);
+    REQUIRE_FALSE(store);
+    REQUIRE(store.error().kind == ErrorKind::kCorruptData);
+  }
+}
+
+TEST_CASE("A snapshot replaces the log before it") {
+  const test::TemporaryFolder folder;
+  {
+    RecoveredLog recovered;
+    auto store = LogStore::Open(folder.path(), recovered);
+    REQUIRE(store->Append(Batch(1, 9, 1)));
+    REQUIRE(
+        store->SaveSnapshot({7, 1, {{"c1#1"}, {}}, "state"}, Batch(8, 9, 1)));
+    REQUIRE(store->Append(Batch(10, 10, 1)));
+  }
+  CHECK_FALSE(std::filesystem::exists(Segment(folder.path(), 1)));
+  const RecoveredLog recovered = Reopen(folder.path());
+  REQUIRE(recovered.snapshot);
+  CHECK(recovered.snapshot->state == "state");
+  REQUIRE(recovered.entries.size() == 3);
+  CHECK(recovered.entries.front().index == 8);
+}
+
+TEST_CASE("A crash at any point of saving a snapshot loses nothing") {
+  const test::TemporaryFolder folder;
+  Fill(folder.path());
+  SECTION("only the snapshot file was written") {
+    REQUIRE(WriteSnapshot(folder.path(), {4, 1, {}, "state"}));
+  }
+  SECTION("the next segment was created and is empty") {
+    REQUIRE(WriteSnapshot(folder.path(), {4, 1, {}, "state"}));
+    REQUIRE(LogSegment::Create(folder.path(), 2));
+  }
+  SECTION("a temporary file was left behind") {
+    WriteBytes(folder.path() / "snapshot-4.snap.tmp", "half");
+  }
+  const RecoveredLog recovered = Reopen(folder.path());
+  CHECK(recovered.entries.back().index == 9);
+  CHECK(recovered.hard_state.term == 2);
+  const std::uint64_t base = recovered.snapshot ? 4 : 0;
+  CHECK(recovered.entries.front().index == base + 1);
+}
+
+TEST_CASE("A missing or damaged snapshot is refused") {
+  const test::TemporaryFolder folder;
+  {
+    RecoveredLog recovered;
+    auto store = LogStore::Open(folder.path(), recovered);
+    REQUIRE(store->SaveSnapshot({7, 1, {}, "state"}, Batch(8, 9, 1)));
+  }
+  const auto path = folder.path() / SnapshotFileName(7);
+  SECTION("missing") {
+    std::filesystem::remove(path);
+  }
+  SECTION("damaged") {
+    std::string bytes = *ReadFile(path);
+    bytes.back() = static_cast<char>(bytes.back() ^ 1);
+    WriteBytes(path, bytes);
+  }
+  RecoveredLog recovered;
+  const auto store = LogStore::Open(folder.path(), recovered);
+  REQUIRE_FALSE(store);
+  CHECK(store.error().kind == ErrorKind::kCorruptData);
+}
+
+TEST_CASE("A full disk fails the write and keeps what was acknowledged") {
+  const test::TemporaryFolder folder;
+  std::uint64_t acknowledged = 0;
+  rlimit before{};
+  getrlimit(RLIMIT_FSIZE, &before);
+  std::signal(SIGXFSZ, SIG_IGN);
+  {
+    RecoveredLog recovered;
+    auto store = LogStore::Open(folder.path(), recovered);
+    rlimit limit = before;
+    limit.rlim_cur = 2'000;
+    setrlimit(RLIMIT_FSIZE, &limit);
+    while (store->Append(Batch(acknowledged + 1, acknowledged + 1, 1)))
+      ++acknowledged;
+  }
+  setrlimit(RLIMIT_FSIZE, &before);
+  std::signal(SIGXFSZ, SIG_DFL);
+  CHECK(acknowledged > 0);
+  const RecoveredLog recovered = Reopen(folder.path());
+  CHECK(recovered.entries.size() == acknowledged);
+}
+
+TEST_CASE("Merged batches store what the single ones would") {
+  const bool ok = rc::check("merge", [] {
+    LogBatch merged;
+    std::vector<LogEntry> log;
+    std::uint64_t term = 0;
+    const int batches = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < batches; ++i) {
+      const auto first = *rc::gen::inRange<std::uint64_t>(1, log.size() + 2);
+      const auto count = *rc::gen::inRange<std::uint64_t>(0, 4);
+      const LogBatch batch = Batch(first, first + count, ++term);
+      MergeBatch(merged, batch);
+      OverwriteEntries(log, batch.entries);
+    }
+    std::vector<LogEntry> stored;
+    OverwriteEntries(stored, merged.entries);
+    RC_ASSERT(stored.back().index == log.back().index);
+    for (const LogEntry& entry : stored)
+      RC_ASSERT(log[entry.index - 1] == entry);
+    RC_ASSERT(merged.hard_state->term == term);
+  });
+  CHECK(ok);
+}
+
+}  // namespace jacinth::storage
--- /dev/null
+++ b/source/unit_tests/support/temporary_folder.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+namespace jacinth::test {
+
+/// A folder that is removed with the object.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "jacinth-XXXXXX").string();
+    path_ = mkdtemp(pattern.data());
+  }
+  ~TemporaryFolder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+}  // namespace jacinth::test
