Process tests: Kill, freeze, cut and race the real binaries

Two faults of the product came out: - the deadline of a repeatable request was divided evenly over its attempts, so that a slow but good answer was cut off at a third of its time; - with one endpoint left, a request lost on a silent connection was refused although a new connection to the same endpoint would have served it.

Change: attempt_timeout_ms per kind (2 s by default) bounds an attempt while another may follow; after a broken connection, and only then, an endpoint that was tried may be tried again.

--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -179,8 +179,11 @@
   const std::uint64_t random =
       Hash64(options_.self.id, record.arrival.ticket * 16 +
                                    static_cast<std::uint64_t>(record.attempts));
-  const auto endpoint =
+  auto endpoint =
       desk.endpoints.Take(options_.self.region, record.tried, random, now);
+  // After a broken connection, a new one to the same endpoint may do.
+  if (!endpoint && record.connection_broke)
+    endpoint = desk.endpoints.Take(options_.self.region, {}, random, now);
   if (!endpoint)
     return false;
   record.endpoint = *endpoint;
@@ -192,12 +195,12 @@
   attempt.address = desk.endpoints.AddressOf(*endpoint);
   attempt.number = record.attempts;
   attempt.fresh_connection = record.attempts > 1;
-  const Duration left = record.deadline - now;
-  // What may be repeated leaves time for its further attempts.
-  const int shares = record.kind.repeatable
-                         ? record.kind.max_attempts - record.attempts + 1
-                         : 1;
-  attempt.timeout = left / std::max(1, shares);
+  // What may be repeated leaves time for another attempt, if there may be one.
+  const bool may_repeat =
+      record.kind.repeatable && record.attempts < record.kind.max_attempts;
+  attempt.timeout = record.deadline - now;
+  if (may_repeat)
+    attempt.timeout = std::min(attempt.timeout, record.kind.attempt_timeout);
   attempt.connect_timeout =
       std::min(desk.settings.connect_timeout, attempt.timeout);
   actions_.attempts.push_back(std::move(attempt));
@@ -220,6 +223,7 @@
     return;
   }
   record.may_have_run |= outcome != Outcome::kNotRun;
+  record.connection_broke = outcome == Outcome::kUnknown;
   if (MayRetry(record, desk, outcome, now) && TryAttempt(record, desk, now))
     return;
   const Outcome total =
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -33,6 +33,8 @@
   std::set<std::string> tried;
   /// An earlier attempt ended without a known outcome.
   bool may_have_run = false;
+  /// The last attempt ended by a broken or silent connection.
+  bool connection_broke = false;
 };
 
 }  // namespace jacinth::entry
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -74,6 +74,7 @@
     kind.rank = RankFromName(Text(branch, "rank")).value_or(Rank::kNormal);
     kind.repeatable = Boolean(branch, "repeatable");
     kind.request_timeout = Millis(branch, "request_timeout_ms");
+    kind.attempt_timeout = Millis(branch, "attempt_timeout_ms");
     kind.max_attempts = Small(branch, "max_attempts");
     kind.queue_limit = Small(branch, "queue_limit");
     kind.concurrency_limit = Small(branch, "concurrency_limit");
--- a/source/core/settings/kind_settings.h
+++ b/source/core/settings/kind_settings.h
@@ -16,6 +16,7 @@
   Rank rank = Rank::kNormal;
   bool repeatable = false;
   Duration request_timeout{0};
+  Duration attempt_timeout{0};
   int max_attempts = 1;
   int queue_limit = 0;
   int concurrency_limit = 0;
--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -49,6 +49,14 @@
                 "5000",
                 "Longest time from a request's arrival to its answer; a "
                 "shorter Jacinth-Deadline-Ms wins."},
+    TreeSetting{"attempt_timeout_ms",
+                kAnyKind,
+                SettingType::kInteger,
+                {10, 600'000},
+                "2000",
+                "Longest wait for one endpoint's answer while another attempt "
+                "may follow; only for repeatable kinds. Set it above the "
+                "slowest good answer."},
     TreeSetting{"connect_timeout_ms",
                 kAnyService,
                 SettingType::kInteger,
--- /dev/null
+++ b/source/unit_tests/process/entry_process_test.cc
@@ -0,0 +1,242 @@
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "core/http/connection.h"
+#include "unit_tests/support/process_fleet.h"
+
+namespace jacinth {
+namespace {
+
+using test::CallerAnswer;
+using test::ProcessFleet;
+
+constexpr std::uint32_t kSeed = 20261204;
+
+}  // namespace
+
+TEST_CASE("Nothing runs twice while entries and replicas are killed") {
+  constexpr int kEntries = 3;
+  constexpr int kCallers = 4;
+  constexpr int kRequests = 300;
+  ProcessFleet fleet(kEntries, 3);
+  fleet.StartAll();
+  fleet.ApplyTree();
+  std::mutex mutex;
+  std::map<std::string, std::vector<std::string>> outcomes;
+  std::atomic<int> done{0};
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      std::mt19937 random(kSeed + caller);
+      for (int i = 0; i < kRequests; ++i) {
+        const std::string key =
+            "k" + std::to_string(caller) + "-" + std::to_string(i);
+        // Sent until it is known to have run, as a careful caller would.
+        for (int attempt = 0; attempt < 8; ++attempt) {
+          const CallerAnswer answer =
+              fleet.Post(static_cast<int>(random() % kEntries), "/order", key);
+          const std::lock_guard lock(mutex);
+          outcomes[key].push_back(answer.status == 0 ? "no answer"
+                                                     : answer.outcome);
+          if (answer.outcome == "ran")
+            break;
+        }
+        ++done;
+      }
+    });
+  }
+  std::mt19937 random(kSeed);
+  while (done < kCallers * kRequests) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const bool entry = random() % 2 == 0;
+    const std::string victim =
+        entry ? ProcessFleet::EntryId(static_cast<int>(random() % kEntries))
+              : ProcessFleet::Replicas()[random() % 3];
+    fleet.process(victim).Kill();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    fleet.Start(victim);
+  }
+  for (std::thread& thread : callers)
+    thread.join();
+  int ran = 0;
+  for (const auto& [key, answers] : outcomes) {
+    INFO(key);
+    const int executions = fleet.Executions(key);
+    REQUIRE(executions <= 1);
+    bool all_not_run = true;
+    for (const std::string& outcome : answers) {
+      all_not_run &= outcome == "not-run";
+      if (outcome == "ran")
+        REQUIRE(executions == 1);
+    }
+    if (all_not_run)
+      REQUIRE(executions == 0);
+    ran += executions;
+  }
+  CHECK(ran > 0);
+}
+
+TEST_CASE("A key sent through another entry gets the recorded answer") {
+  ProcessFleet fleet(2, 2);
+  fleet.StartAll();
+  fleet.ApplyTree();
+  const CallerAnswer first = fleet.Post(0, "/order", "key");
+  REQUIRE(first.outcome == "ran");
+  const CallerAnswer second = fleet.Post(1, "/order", "key");
+  CHECK(second.outcome == "ran");
+  CHECK(second.replayed);
+  CHECK(second.body == first.body);
+  CHECK(fleet.Executions("key") == 1);
+  // The same key for another request.
+  const CallerAnswer other = fleet.Post(1, "/other", "key");
+  CHECK(other.status == 422);
+}
+
+TEST_CASE("An entry that dies during a request leaves the outcome unknown") {
+  ProcessFleet fleet(2, 2);
+  fleet.StartAll();
+  fleet.ApplyTree();
+  CallerAnswer first;
+  std::thread caller(
+      [&] { first = fleet.Post(0, "/order?sleep_ms=1500", "key"); });
+  REQUIRE(
+      ProcessFleet::WaitFor([&] { return fleet.Executions("key") == 1; }, 5s));
+  fleet.process("e1").Kill();
+  const CallerAnswer second = fleet.Post(1, "/order?sleep_ms=1500", "key");
+  caller.join();
+  CHECK(first.status == 0);
+  CHECK(second.outcome == "unknown");
+  CHECK(fleet.Executions("key") == 1);
+}
+
+TEST_CASE("Without the control quorum repeatable requests are still served") {
+  ProcessFleet fleet(1, 1);
+  fleet.StartAll();
+  fleet.ApplyTree();
+  for (const std::string& replica : ProcessFleet::Replicas())
+    fleet.process(replica).Kill();
+  REQUIRE(ProcessFleet::WaitFor(
+      [&] { return fleet.Post(0, "/order", "late").status == 503; }, 5s));
+  CHECK(fleet.Post(0, "/order", "later").outcome == "not-run");
+  CHECK(fleet.Get(0, "/look").outcome == "ran");
+  CHECK(fleet.Executions("later") == 0);
+  // A diskless instance that starts now has nothing that a quorum vouches for.
+  fleet.process("e1").Kill();
+  fleet.Start("e1");
+  REQUIRE(ProcessFleet::WaitFor(
+      [&] { return fleet.Get(0, "/look").status == 503; }, 5s));
+  for (const std::string& replica : ProcessFleet::Replicas())
+    fleet.Start(replica);
+  CHECK(
+      ProcessFleet::WaitFor([&] { return fleet.Get(0, "/look").status == 200; },
+                            ProcessFleet::kInForceTarget));
+}
+
+TEST_CASE("A rolling restart of all instances cuts no request") {
+  constexpr int kEntries = 3;
+  ProcessFleet fleet(kEntries, 2);
+  fleet.StartAll();
+  fleet.ApplyTree();
+  // Each caller looks up as often as the answer's TTL wants it to.
+  std::atomic<bool> stop{false};
+  std::atomic<int> served{0};
+  std::vector<std::string> faults;
+  std::mutex mutex;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 3; ++caller) {
+    callers.emplace_back([&, caller] {
+      int chosen = caller;
+      auto looked_up = std::chrono::steady_clock::time_point();
+      for (int i = 0; !stop; ++i) {
+        const auto now = std::chrono::steady_clock::now();
+        if (now - looked_up > std::chrono::milliseconds(200)) {
+          for (int entry = 0; entry < kEntries; ++entry) {
+            http::Request request;
+            request.method = "GET";
+            request.target = "/v1/lookup?service=s";
+            http::Connection connection(fleet.EntryAddress(entry));
+            const auto result =
+                connection.Exchange(request, {1s, 2s, 1UL << 16U});
+            if (result.end != http::ExchangeEnd::kAnswered ||
+                result.response.status != 200)
+              continue;
+            for (int named = 0; named < kEntries; ++named) {
+              const int other = (named + caller) % kEntries;
+              if (result.response.body.find(fleet.EntryAddress(other)) !=
+                  std::string::npos)
+                chosen = other;
+            }
+            looked_up = now;
+            break;
+          }
+        }
+        const CallerAnswer answer = fleet.Get(chosen, "/look?sleep_ms=30");
+        if (answer.outcome == "ran") {
+          ++served;
+          continue;
+        }
+        const std::lock_guard lock(mutex);
+        faults.push_back(ProcessFleet::EntryId(chosen) + " status " +
+                         std::to_string(answer.status) + " " + answer.body);
+      }
+    });
+  }
+  const auto restart = [&](const std::string& id) {
+    fleet.process(id).Signal(SIGTERM);
+    CHECK(fleet.process(id).Wait() == 0);
+    fleet.Start(id);
+  };
+  for (int i = 0; i < kEntries; ++i) {
+    restart(ProcessFleet::EntryId(i));
+    REQUIRE(ProcessFleet::WaitFor([&] { return fleet.EntryRevision(i) != 0; },
+                                  ProcessFleet::kInForceTarget));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  }
+  for (const std::string& replica : ProcessFleet::Replicas()) {
+    restart(replica);
+    REQUIRE(ProcessFleet::WaitFor(
+        [&] { return fleet.AdminGet(replica, "/v1/status").status == 200; },
+        ProcessFleet::kInForceTarget));
+    REQUIRE(ProcessFleet::WaitFor([&] { return fleet.LeaderId().has_value(); },
+                                  ProcessFleet::kInForceTarget));
+  }
+  stop = true;
+  for (std::thread& thread : callers)
+    thread.join();
+  for (const std::string& fault : faults)
+    UNSCOPED_INFO(fault);
+  CHECK(faults.empty());
+  CHECK(served > 0);
+}
+
+TEST_CASE("A draining endpoint gets no new work and ends what it has") {
+  ProcessFleet fleet(1, 2);
+  fleet.StartAll();
+  fleet.ApplyTree();
+  CallerAnswer in_flight;
+  std::thread caller([&] {
+    // The entry is in the region of endpoint 0.
+    in_flight = fleet.Get(0, "/slow?sleep_ms=2500");
+  });
+  REQUIRE(ProcessFleet::WaitFor(
+      [&] { return fleet.endpoint(0).executed() == 1; }, 5s));
+  fleet.endpoint(0).SetDraining(true);
+  // Target: no new work after 3 s at most.
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const int before = fleet.endpoint(0).executed();
+  for (int i = 0; i < 20; ++i)
+    REQUIRE(fleet.Get(0, "/look").outcome == "ran");
+  CHECK(fleet.endpoint(0).executed() == before);
+  caller.join();
+  CHECK(in_flight.outcome == "ran");
+}
+
+}  // namespace jacinth
--- /dev/null
+++ b/source/unit_tests/support/child_process.cc
@@ -0,0 +1,59 @@
+#include "unit_tests/support/child_process.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <unistd.h>
+
+#include <sys/wait.h>
+
+namespace jacinth::test {
+
+ChildProcess::ChildProcess(const std::string& program,
+                           const std::vector<std::string>& arguments,
+                           const std::string& folder,
+                           const std::string& log_file) {
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addchdir_np(&actions, folder.c_str());
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  std::vector<std::string> words = {program};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<char*> argv;
+  for (std::string& word : words)
+    argv.push_back(word.data());
+  argv.push_back(nullptr);
+  const int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                                argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0)
+    throw std::runtime_error("can't start " + program);
+}
+
+ChildProcess::~ChildProcess() {
+  Kill();
+}
+
+void ChildProcess::Signal(int signal) {
+  if (pid_ > 0)
+    kill(pid_, signal);
+}
+
+void ChildProcess::Kill() {
+  Signal(SIGKILL);
+  Wait();
+}
+
+int ChildProcess::Wait() {
+  if (pid_ <= 0)
+    return -1;
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+}  // namespace jacinth::test
--- a/source/unit_tests/support/fake_endpoint.cc
+++ b/source/unit_tests/support/fake_endpoint.cc
@@ -16,7 +16,7 @@
   http::ServerOptions server;
   server.address = options.address;
   server.threads = kThreads;
-  server.idle_timeout = 60s;
+  server.idle_timeout = 2s;
   return server;
 }
 
--- /dev/null
+++ b/source/unit_tests/support/process_fleet.cc
@@ -0,0 +1,290 @@
+#include "unit_tests/support/process_fleet.h"
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/sha256.h"
+#include "core/http/connection.h"
+
+namespace jacinth::test {
+namespace {
+
+constexpr std::string_view kToken = "test-operator-token";
+constexpr Duration kPoll = 20ms;
+constexpr http::ExchangeLimits kLimits{1s, 6s, 1UL << 20U};
+
+std::string Local(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+http::Response Exchange(const std::string& address,
+                        const http::Request& request) {
+  http::Connection connection(address);
+  http::ExchangeResult result = connection.Exchange(request, kLimits);
+  if (result.end == http::ExchangeEnd::kAnswered)
+    return result.response;
+  http::Response none;
+  none.status = 0;
+  return none;
+}
+
+std::uint64_t NumberIn(const std::string& body, const char* key) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  return json.is_object() ? json.value(key, std::uint64_t{0}) : 0;
+}
+
+}  // namespace
+
+ProcessFleet::ProcessFleet(int entries, int endpoints)
+    : entry_count_(entries),
+      ports_(static_cast<int>(Replicas().size()) * 2 + entries) {
+  std::ofstream(folder_.path() / "secret") << "a-secret-of-the-tests";
+  for (int i = 0; i < endpoints; ++i) {
+    FakeEndpointOptions options;
+    options.name = "p" + std::to_string(i);
+    endpoints_.push_back(std::make_unique<FakeEndpoint>(options));
+    if (!endpoints_.back()->Start())
+      throw std::runtime_error("endpoint doesn't start");
+  }
+}
+
+const std::vector<std::string>& ProcessFleet::Replicas() {
+  static const std::vector<std::string> kReplicas = {"c1", "c2", "c3"};
+  return kReplicas;
+}
+
+std::string ProcessFleet::EntryId(int index) {
+  return "e" + std::to_string(index + 1);
+}
+
+void ProcessFleet::StartAll() {
+  for (const std::string& id : Replicas())
+    Start(id);
+  for (int i = 0; i < entry_count_; ++i)
+    Start(EntryId(i));
+}
+
+void ProcessFleet::Start(const std::string& id) {
+  WriteSettings(id);
+  processes_[id] = std::make_unique<ChildProcess>(
+      JACINTH_BINARY_ROOT "/source/jacinthroute/jacinthroute",
+      std::vector<std::string>{"--settings", id + ".ini"},
+      folder_.path().string(), id + ".log");
+}
+
+std::string ProcessFleet::EntryAddress(int index) const {
+  return Local(ports_.ports()[Replicas().size() * 2 + index]);
+}
+
+int ProcessFleet::PeerPort(const std::string& replica) const {
+  return ports_.ports()[replica[1] - '1'];
+}
+
+std::string ProcessFleet::AdminAddress(const std::string& replica) const {
+  return Local(ports_.ports()[Replicas().size() + (replica[1] - '1')]);
+}
+
+std::string ProcessFleet::DataFolder(const std::string& replica) const {
+  return (folder_.path() / "data" / replica).string();
+}
+
+void ProcessFleet::Reroute(const std::string& instance,
+                           const std::string& replica,
+                           int port) {
+  reroutes_[{instance, replica}] = port;
+}
+
+void ProcessFleet::WriteSettings(const std::string& id) {
+  std::ofstream file(folder_.path() / (id + ".ini"));
+  const bool control = id[0] == 'c';
+  const bool west = (id[1] - '1') % 2 == 0;
+  file << "[instance]\nid = " << id << "\nregion = " << (west ? "west" : "east")
+       << "\nfailure_domain = " << (west ? "west-a" : "east-a")
+       << "\nroles = " << (control ? "control" : "entry")
+       << "\ncluster_secret_file = secret\n";
+  if (control) {
+    file << "data_folder = data/" << id
+         << "\n[control]\nelection_timeout_ms = 500\nheartbeat_ms = 50\n"
+            "entry_timeout_ms = 1000\nsnapshot_entries = 100\n";
+  } else {
+    file << "[entry]\naddress = " << EntryAddress(id[1] - '1')
+         << "\nheartbeat_ms = 100\ncontrol_timeout_ms = 1000\n"
+            "drain_limit_ms = 10000\n";
+  }
+  for (const std::string& replica : Replicas()) {
+    const auto reroute = reroutes_.find({id, replica});
+    const int port =
+        reroute == reroutes_.end() ? PeerPort(replica) : reroute->second;
+    file << "[replica/" << replica << "]\npeer_address = " << Local(port)
+         << "\nadmin_address = " << AdminAddress(replica) << "\n";
+  }
+  file << "[operator/op]\nparty = test\ntoken_sha256 = " << Sha256Hex(kToken)
+       << "\n";
+}
+
+std::string ProcessFleet::TreeText() const {
+  std::string text =
+      "ttl_ms = 300\n[service/s]\nprobe_interval_ms = 100\n"
+      "request_timeout_ms = 4000\n"
+      "[service/s/kind/read]\npath_prefix = /\nmethod = GET\n"
+      "repeatable = true\nrank = urgent\n"
+      "[service/s/kind/slow]\npath_prefix = /slow\nmethod = GET\n"
+      "repeatable = true\nrank = urgent\nattempt_timeout_ms = 4000\n"
+      "[service/s/kind/write]\npath_prefix = /\nmethod = POST\n"
+      "rank = urgent\n";
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    text += "[service/s/endpoint/p" + std::to_string(i) +
+            "]\naddress = " + Local(endpoints_[i]->port()) +
+            (i % 2 == 0 ? "\nregion = west\nfailure_domain = west-a\n"
+                        : "\nregion = east\nfailure_domain = east-a\n");
+  }
+  return text;
+}
+
+void ProcessFleet::ApplyTree() {
+  const bool applied = WaitFor(
+      [&] {
+        for (const std::string& replica : Replicas()) {
+          if (Put(replica, "", TreeText(), 0, "first").status == 200)
+            return true;
+        }
+        return false;
+      },
+      kInForceTarget);
+  const auto ready = [&] {
+    for (int i = 0; i < entry_count_; ++i) {
+      http::Request request;
+      request.method = "GET";
+      request.target = "/readyz";
+      if (Exchange(EntryAddress(i), request).status != 200)
+        return false;
+    }
+    return true;
+  };
+  if (!applied || !WaitFor(ready, kInForceTarget))
+    throw std::runtime_error("the fleet doesn't get ready");
+}
+
+http::Response ProcessFleet::Put(const std::string& replica,
+                                 const std::string& branch,
+                                 const std::string& body,
+                                 std::uint64_t if_revision,
+                                 const std::string& key) {
+  http::Request request;
+  request.method = "PUT";
+  request.target = "/v1/settings" + (branch.empty() ? "" : "/" + branch);
+  request.headers = {{"Authorization", "Bearer " + std::string(kToken)},
+                     {"If-Match", std::to_string(if_revision)},
+                     {"Idempotency-Key", key}};
+  request.body = body;
+  return Exchange(AdminAddress(replica), request);
+}
+
+std::uint64_t ProcessFleet::Change(int ttl_ms, const std::string& key) {
+  std::uint64_t made = 0;
+  std::optional<std::uint64_t> base;
+  WaitFor(
+      [&] {
+        if (!base)
+          base = CurrentRevision();
+        if (!base)
+          return false;
+        for (const std::string& replica : Replicas()) {
+          const http::Response response =
+              Put(replica, "service/s/region/west",
+                  "ttl_ms = " + std::to_string(ttl_ms) + "\n", *base, key);
+          if (response.status == 200) {
+            made = NumberIn(response.body, "revision");
+            return true;
+          }
+        }
+        return false;
+      },
+      kInForceTarget);
+  return made;
+}
+
+std::optional<std::uint64_t> ProcessFleet::CurrentRevision() {
+  for (const std::string& replica : Replicas()) {
+    const http::Response response = AdminGet(replica, "/v1/in-force");
+    if (response.status == 200)
+      return NumberIn(response.body, "revision");
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ProcessFleet::LeaderId() {
+  for (const std::string& replica : Replicas()) {
+    if (AdminGet(replica, "/v1/in-force").status == 200)
+      return replica;
+  }
+  return std::nullopt;
+}
+
+http::Response ProcessFleet::AdminGet(const std::string& replica,
+                                      const std::string& path) {
+  http::Request request;
+  request.method = "GET";
+  request.target = path;
+  request.headers = {{"Authorization", "Bearer " + std::string(kToken)}};
+  return Exchange(AdminAddress(replica), request);
+}
+
+std::uint64_t ProcessFleet::EntryRevision(int index) {
+  http::Request request;
+  request.method = "GET";
+  request.target = "/v1/status";
+  return NumberIn(Exchange(EntryAddress(index), request).body, "revision");
+}
+
+CallerAnswer ProcessFleet::Get(int entry, const std::string& path) {
+  http::Request request;
+  request.method = "GET";
+  request.target = "/v1/services/s" + path;
+  return Call(entry, std::move(request));
+}
+
+CallerAnswer ProcessFleet::Post(int entry,
+                                const std::string& path,
+                                const std::string& key) {
+  http::Request request;
+  request.method = "POST";
+  request.target = "/v1/services/s" + path;
+  request.headers = {{"Idempotency-Key", key}};
+  request.body = "body of " + key;
+  return Call(entry, std::move(request));
+}
+
+CallerAnswer ProcessFleet::Call(int entry, http::Request request) {
+  const http::Response response = Exchange(EntryAddress(entry), request);
+  CallerAnswer answer;
+  answer.status = response.status;
+  answer.outcome = http::HeaderValue(response.headers, "Jacinth-Outcome");
+  answer.body = response.body;
+  answer.replayed =
+      !http::HeaderValue(response.headers, "Jacinth-Replayed").empty();
+  return answer;
+}
+
+int ProcessFleet::Executions(const std::string& key) const {
+  int count = 0;
+  for (const auto& endpoint : endpoints_)
+    count += endpoint->Executions(key);
+  return count;
+}
+
+bool ProcessFleet::WaitFor(const std::function<bool()>& condition,
+                           Duration limit) {
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= deadline)
+      return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+}  // namespace jacinth::test
