Steering: Find a caller's region by its block of addresses

Change: a table of flattened ranges, five bytes each, searched by halving; built from `region/<name>/clients/<name>` in the settings and shared immutably. Consensus unit tests for the guards that the shuffled property did not reach.

Ruled out: a trie (pointers cost more than the rows), a sorted list of prefixes with a walk back to the enclosing one (unbounded for nested blocks).

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -81,6 +81,7 @@
   if (fleet == nullptr || fleet->revision == fleet_revision_)
     return;
   fleet_revision_ = fleet->revision;
+  clients_ = steering::BuildClientMap(*fleet);
   for (const auto& [name, service] : fleet->services)
     desks_[name].Update(service);
   for (auto& [name, desk] : desks_) {
@@ -92,6 +93,7 @@
 void EntryNode::PublishSnapshot() {
   auto snapshot = std::make_shared<steering::SteeringSnapshot>();
   snapshot->fleet = session_.fleet();
+  snapshot->clients = clients_;
   snapshot->members = session_.members();
   snapshot->self = session_.self();
   snapshot->contact_until = session_.contact_until();
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -91,6 +91,7 @@
   ClaimClient claims_;
   admission::RankCeilings ceilings_;
   std::uint64_t fleet_revision_ = 0;
+  std::shared_ptr<const steering::ClientMap> clients_;
   std::map<std::string, ServiceDesk> desks_;
   std::map<RequestTicket, RequestRecord> requests_;
   std::map<std::string, RequestTicket> tickets_by_claim_;
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/split.h"
 #include "core/settings/tree_table.h"
 
 namespace jacinth::settings {
@@ -20,6 +21,8 @@
         std::chrono::seconds(Integer("", "ledger_retention_s"));
     for (const std::string& name : tree_.Children("service"))
       fleet.services.emplace(name, BuildService(name));
+    for (const std::string& region : tree_.Children("region"))
+      AddClientBlocks(region, fleet);
     for (const std::string& name : tree_.Children("entry")) {
       if (Boolean("entry/" + name, "drain"))
         fleet.entry_drains[name] = true;
@@ -28,6 +31,14 @@
   }
 
  private:
+  void AddClientBlocks(const std::string& region, FleetSettings& fleet) const {
+    const std::string branch = "region/" + region + "/clients";
+    for (const std::string& name : tree_.Children(branch)) {
+      for (std::string& block : SplitList(Text(branch + "/" + name, "blocks")))
+        fleet.client_blocks[region].push_back(std::move(block));
+    }
+  }
+
   ServiceSettings BuildService(const std::string& name) const {
     const std::string branch = "service/" + name;
     ServiceSettings service;
--- a/source/core/settings/fleet_settings.h
+++ b/source/core/settings/fleet_settings.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/settings/service_settings.h"
 #include "core/settings/tree.h"
@@ -16,6 +17,8 @@
   std::map<std::string, ServiceSettings> services;
   std::int64_t max_body_bytes = 0;
   Duration ledger_retention{0};
+  /// Blocks of client addresses by region, as written.
+  std::map<std::string, std::vector<std::string>> client_blocks;
   /// Entry instances that an operator drains.
   std::map<std::string, bool> entry_drains;
 };
--- a/source/core/settings/setting_spec.cc
+++ b/source/core/settings/setting_spec.cc
@@ -5,9 +5,11 @@
 #include <charconv>
 
 #include <asio/ip/address.hpp>
+#include <asio/ip/network_v4.hpp>
 
 #include "core/common/name_table.h"
 #include "core/common/rank.h"
+#include "core/common/split.h"
 
 namespace jacinth::settings {
 namespace {
@@ -20,6 +22,7 @@
     NamedValue<SettingType>{SettingType::kName, "name"},
     NamedValue<SettingType>{SettingType::kRank, "rank"},
     NamedValue<SettingType>{SettingType::kList, "list"},
+    NamedValue<SettingType>{SettingType::kBlockList, "list of a.b.c.d/n"},
 };
 
 constexpr std::int64_t kMaxPort = 65535;
@@ -50,6 +53,19 @@
   return !error;
 }
 
+std::optional<std::string> CheckBlocks(std::string_view value) {
+  const std::vector<std::string> blocks = SplitList(value);
+  if (blocks.empty())
+    return "must not be empty";
+  for (const std::string& block : blocks) {
+    asio::error_code error;
+    asio::ip::make_network_v4(block, error);
+    if (error)
+      return block + " is not a block a.b.c.d/n";
+  }
+  return std::nullopt;
+}
+
 std::optional<std::string> CheckInteger(IntegerRange range,
                                         std::string_view value) {
   const auto number = ParseInteger(value);
@@ -92,6 +108,8 @@
       if (!RankFromName(value))
         return "must be urgent, normal or background";
       return std::nullopt;
+    case SettingType::kBlockList:
+      return CheckBlocks(value);
     case SettingType::kText:
     case SettingType::kList:
       if (value.empty())
--- a/source/core/settings/setting_spec.h
+++ b/source/core/settings/setting_spec.h
@@ -19,6 +19,8 @@
   kRank,
   /// Comma-separated list.
   kList,
+  /// Comma-separated blocks of IPv4 addresses, `a.b.c.d/n`.
+  kBlockList,
 };
 
 /// Returns the name of a type as used in docs/SETTINGS.md.
--- a/source/core/settings/settings_doc.cc
+++ b/source/core/settings/settings_doc.cc
@@ -13,7 +13,7 @@
     BranchScope::kService, BranchScope::kServiceRegion,
     BranchScope::kKind,    BranchScope::kEndpoint,
     BranchScope::kRegion,  BranchScope::kFailureDomain,
-    BranchScope::kEntry,
+    BranchScope::kEntry,   BranchScope::kClients,
 };
 
 std::string RangeText(SettingType type, IntegerRange range) {
--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -33,6 +33,7 @@
     ScopeRow{BranchScope::kFailureDomain,
              "region/<name>/failure_domain/<name>"},
     ScopeRow{BranchScope::kEntry, "entry/<name>"},
+    ScopeRow{BranchScope::kClients, "region/<name>/clients/<name>"},
 };
 
 constexpr std::array kSettings = {
@@ -193,6 +194,13 @@
                 {},
                 "",
                 "Failure domain of the endpoint."},
+    TreeSetting{"blocks",
+                static_cast<BranchScopes>(BranchScope::kClients),
+                SettingType::kBlockList,
+                {},
+                "",
+                "Blocks of client addresses (a.b.c.d/n) that belong to the "
+                "region."},
     TreeSetting{"drain",
                 BranchScope::kEndpoint | BranchScope::kRegion |
                     BranchScope::kFailureDomain | BranchScope::kEntry,
--- a/source/core/settings/tree_table.h
+++ b/source/core/settings/tree_table.h
@@ -20,6 +20,7 @@
   kRegion = 1U << 6U,
   kFailureDomain = 1U << 7U,
   kEntry = 1U << 8U,
+  kClients = 1U << 9U,
 };
 
 /// A set of scopes.
--- /dev/null
+++ b/source/core/steering/block_table.cc
@@ -0,0 +1,104 @@
+#include "core/steering/block_table.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <asio/ip/address_v4.hpp>
+
+namespace jacinth::steering {
+namespace {
+
+constexpr int kAddressBits = 32;
+constexpr std::uint64_t kEndOfAddresses = 1ULL << kAddressBits;
+/// Stands for "no block"; no site has this number.
+constexpr SiteIndex kNoSite = 255;
+
+std::uint64_t EndOf(const ClientBlock& block) {
+  return std::uint64_t{block.address} + (1ULL << (kAddressBits - block.length));
+}
+
+}  // namespace
+
+std::optional<std::uint32_t> ParseIpv4(std::string_view text) {
+  asio::error_code error;
+  const auto address = asio::ip::make_address_v4(std::string(text), error);
+  if (error)
+    return std::nullopt;
+  return address.to_uint();
+}
+
+std::optional<ClientBlock> ParseClientBlock(std::string_view text,
+                                            SiteIndex site) {
+  const std::size_t slash = text.find('/');
+  const auto address = ParseIpv4(text.substr(0, slash));
+  if (!address)
+    return std::nullopt;
+  int length = kAddressBits;
+  if (slash != std::string_view::npos) {
+    const std::string_view digits = text.substr(slash + 1);
+    const char* end = digits.data() + digits.size();
+    const auto [stop, error] = std::from_chars(digits.data(), end, length);
+    if (error != std::errc() || stop != end || length < 0 ||
+        length > kAddressBits)
+      return std::nullopt;
+  }
+  const std::uint64_t mask = ~((1ULL << (kAddressBits - length)) - 1);
+  return ClientBlock{static_cast<std::uint32_t>(*address & mask), length, site};
+}
+
+BlockTable::BlockTable(std::vector<ClientBlock> blocks) {
+  // Outer blocks before those within them.
+  std::stable_sort(blocks.begin(), blocks.end(),
+                   [](const ClientBlock& left, const ClientBlock& right) {
+                     if (left.address != right.address)
+                       return left.address < right.address;
+                     return left.length < right.length;
+                   });
+  std::vector<ClientBlock> open;
+  const auto close_until = [&](std::uint64_t address) {
+    while (!open.empty() && EndOf(open.back()) <= address) {
+      const std::uint64_t end = EndOf(open.back());
+      open.pop_back();
+      AddRange(end, open.empty() ? kNoSite : open.back().site);
+    }
+  };
+  for (const ClientBlock& block : blocks) {
+    close_until(block.address);
+    AddRange(block.address, block.site);
+    open.push_back(block);
+  }
+  close_until(kEndOfAddresses);
+  starts_.shrink_to_fit();
+  sites_.shrink_to_fit();
+}
+
+std::optional<SiteIndex> BlockTable::Find(std::uint32_t address) const {
+  const auto after = std::upper_bound(starts_.begin(), starts_.end(), address);
+  if (after == starts_.begin())
+    return std::nullopt;
+  const auto at = static_cast<std::size_t>(after - starts_.begin()) - 1;
+  if (sites_[at] == kNoSite)
+    return std::nullopt;
+  return sites_[at];
+}
+
+std::size_t BlockTable::memory_bytes() const {
+  return starts_.capacity() * sizeof(std::uint32_t) +
+         sites_.capacity() * sizeof(SiteIndex);
+}
+
+void BlockTable::AddRange(std::uint64_t start, SiteIndex site) {
+  if (start >= kEndOfAddresses)
+    return;
+  // A block that starts where the last one ended, or within it at its start.
+  if (!starts_.empty() && starts_.back() == start) {
+    sites_.back() = site;
+    return;
+  }
+  if (!sites_.empty() && sites_.back() == site)
+    return;
+  starts_.push_back(static_cast<std::uint32_t>(start));
+  sites_.push_back(site);
+}
+
+}  // namespace jacinth::steering
--- /dev/null
+++ b/source/core/steering/block_table.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jacinth::steering {
+
+/// Number of a site within the table's owner.
+using SiteIndex = std::uint8_t;
+
+/// A block of IPv4 client addresses that belongs to a site.
+struct ClientBlock {
+  std::uint32_t address = 0;
+  /// Bits of the prefix, 0 to 32.
+  int length = 0;
+  SiteIndex site = 0;
+};
+
+/// Parses `a.b.c.d/n` or a single address; nothing if it is malformed.
+std::optional<ClientBlock> ParseClientBlock(std::string_view text,
+                                            SiteIndex site);
+
+/// Parses a dotted IPv4 address.
+std::optional<std::uint32_t> ParseIpv4(std::string_view text);
+
+/// Maps client addresses to sites; the longest matching block decides.
+///
+/// Immutable: nested blocks are flattened into ranges, five bytes each, so that
+/// millions of them fit a small instance and threads share them freely.
+class BlockTable {
+ public:
+  BlockTable() = default;
+  explicit BlockTable(std::vector<ClientBlock> blocks);
+
+  /// Site of an address; nothing if no block holds it.
+  std::optional<SiteIndex> Find(std::uint32_t address) const;
+
+  std::size_t ranges() const { return starts_.size(); }
+  /// Bytes that the table occupies.
+  std::size_t memory_bytes() const;
+
+ private:
+  void AddRange(std::uint64_t start, SiteIndex site);
+
+  /// First address of each range, ascending; a range ends where the next
+  /// begins.
+  std::vector<std::uint32_t> starts_;
+  std::vector<SiteIndex> sites_;
+};
+
+}  // namespace jacinth::steering
--- /dev/null
+++ b/source/core/steering/client_map.cc
@@ -0,0 +1,35 @@
+#include "core/steering/client_map.h"
+
+#include <utility>
+
+namespace jacinth::steering {
+
+ClientMap::ClientMap(std::vector<std::string> regions, BlockTable blocks)
+    : regions_(std::move(regions)), blocks_(std::move(blocks)) {}
+
+std::optional<std::string> ClientMap::RegionOf(std::uint32_t address) const {
+  const auto site = blocks_.Find(address);
+  if (!site)
+    return std::nullopt;
+  return regions_[*site];
+}
+
+std::shared_ptr<const ClientMap> BuildClientMap(
+    const settings::FleetSettings& fleet) {
+  if (fleet.client_blocks.empty())
+    return nullptr;
+  std::vector<std::string> regions;
+  std::vector<ClientBlock> blocks;
+  for (const auto& [region, texts] : fleet.client_blocks) {
+    const auto site = static_cast<SiteIndex>(regions.size());
+    regions.push_back(region);
+    for (const std::string& text : texts) {
+      if (const auto block = ParseClientBlock(text, site))
+        blocks.push_back(*block);
+    }
+  }
+  return std::make_shared<const ClientMap>(std::move(regions),
+                                           BlockTable(std::move(blocks)));
+}
+
+}  // namespace jacinth::steering
--- a/source/core/steering/lookup.cc
+++ b/source/core/steering/lookup.cc
@@ -44,6 +44,19 @@
   return entry.region == home ? kHomeWeight : kStandbyWeight;
 }
 
+// The region that the caller's address belongs to.
+Result<std::string> HomeRegion(const SteeringSnapshot& snapshot,
+                               std::string_view client) {
+  if (client.empty())
+    return snapshot.self.region;
+  const auto address = ParseIpv4(client);
+  if (!address)
+    return Fail(ErrorKind::kBadRequest, "client must be an IPv4 address");
+  if (snapshot.clients == nullptr)
+    return snapshot.self.region;
+  return snapshot.clients->RegionOf(*address).value_or(snapshot.self.region);
+}
+
 // Without any positive weight, every entry is as good as another.
 void SpreadIfAllStandby(std::vector<LookupEntry>& entries) {
   const bool any =
@@ -59,6 +72,7 @@
 
 Result<LookupAnswer> AnswerLookup(const SteeringSnapshot& snapshot,
                                   std::string_view service,
+                                  std::string_view client,
                                   Time now) {
   if (snapshot.fleet == nullptr)
     return Fail(ErrorKind::kNotReady, "no settings received yet");
@@ -67,17 +81,20 @@
     return Fail(ErrorKind::kUnknownService,
                 "no service called " + std::string(service));
   }
+  const auto home = HomeRegion(snapshot, client);
+  if (!home)
+    return tl::unexpected(home.error());
   const ServiceSettings& settings = found->second;
   LookupAnswer answer;
   answer.service = settings.name;
   answer.revision = snapshot.fleet->revision;
   answer.ttl = settings.ttl;
-  const auto region_ttl = settings.region_ttl.find(snapshot.self.region);
+  const auto region_ttl = settings.region_ttl.find(*home);
   if (region_ttl != settings.region_ttl.end())
     answer.ttl = region_ttl->second;
   for (const EntryStatus& entry : Candidates(snapshot, now)) {
     answer.entries.push_back({entry.address, entry.region, entry.failure_domain,
-                              WeightOf(entry, settings, snapshot.self.region)});
+                              WeightOf(entry, settings, *home)});
   }
   if (answer.entries.empty())
     return Fail(ErrorKind::kNotReady, "no entry instance can be named");
--- a/source/core/steering/lookup.h
+++ b/source/core/steering/lookup.h
@@ -34,9 +34,12 @@
 };
 
 /// Tells which entry instances serve `service` best. Fails with
-/// kUnknownService, or kNotReady if no instance can be named.
+/// kUnknownService, kBadRequest for a malformed client address, or kNotReady if
+/// no instance can be named. `client` is the caller's address or empty; without
+/// a known address, the caller is taken to be near the answering instance.
 Result<LookupAnswer> AnswerLookup(const SteeringSnapshot& snapshot,
                                   std::string_view service,
+                                  std::string_view client,
                                   Time now);
 
 }  // namespace jacinth::steering
--- a/source/core/steering/steering_snapshot.h
+++ b/source/core/steering/steering_snapshot.h
@@ -7,12 +7,15 @@
 #include "core/common/time.h"
 #include "core/protocol/entry_status.h"
 #include "core/settings/fleet_settings.h"
+#include "core/steering/client_map.h"
 
 namespace jacinth::steering {
 
 /// What an entry instance answers look-ups from; immutable once published.
 struct SteeringSnapshot {
   std::shared_ptr<const settings::FleetSettings> fleet;
+  /// Made from `fleet`; null if that names no client blocks.
+  std::shared_ptr<const ClientMap> clients;
   /// Entry instances that the control role believes alive.
   std::vector<protocol::EntryStatus> members;
   /// The answering instance.
--- a/source/jacinthroute/entry_api.cc
+++ b/source/jacinthroute/entry_api.cc
@@ -138,7 +138,10 @@
   if (snapshot == nullptr) {
     return ProblemResponse({ErrorKind::kNotReady, "no settings received yet"});
   }
-  const auto answer = steering::AnswerLookup(*snapshot, service->second, start);
+  const auto client = request.query.find("client");
+  const auto answer = steering::AnswerLookup(
+      *snapshot, service->second,
+      client == request.query.end() ? std::string() : client->second, start);
   if (!answer)
     return ProblemResponse(answer.error());
   nlohmann::json body;
--- /dev/null
+++ b/source/unit_tests/consensus/formation_test.cc
@@ -0,0 +1,46 @@
+#include "core/consensus/formation.h"
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::consensus {
+namespace {
+
+protocol::PeerMessage Reply(const std::string& from,
+                            const std::string& to,
+                            bool has_log) {
+  protocol::PeerMessage probe;
+  probe.from = to;
+  return MakeProbeReply(probe, from, has_log);
+}
+
+}  // namespace
+
+TEST_CASE("Only the founder creates a group, once all others are empty") {
+  Formation founder("a#1", {"b", "a", "c"});
+  CHECK(founder.OnTick(Time{1s}).size() == 2);
+  founder.OnProbeReply(Reply("b#1", "a#1", false));
+  CHECK(founder.decision() == Formation::Decision::kWait);
+  founder.OnProbeReply(Reply("c#1", "a#1", false));
+  CHECK(founder.decision() == Formation::Decision::kFound);
+  CHECK(founder.configuration().voters ==
+        std::vector<std::string>{"a#1", "b#1", "c#1"});
+
+  Formation other("b#1", {"a", "b", "c"});
+  other.OnProbeReply(Reply("a#1", "b#1", false));
+  other.OnProbeReply(Reply("c#1", "b#1", false));
+  CHECK(other.decision() == Formation::Decision::kWait);
+}
+
+TEST_CASE("A founder that lost its disk joins the group that is there") {
+  Formation founder("a#2", {"a", "b", "c"});
+  founder.OnProbeReply(Reply("b#1", "a#2", true));
+  CHECK(founder.decision() == Formation::Decision::kJoin);
+}
+
+TEST_CASE("A reply to an earlier incarnation is not counted") {
+  Formation founder("a#2", {"a", "b"});
+  founder.OnProbeReply(Reply("b#1", "a#1", false));
+  CHECK(founder.decision() == Formation::Decision::kWait);
+}
+
+}  // namespace jacinth::consensus
--- /dev/null
+++ b/source/unit_tests/consensus/leader_lease_test.cc
@@ -0,0 +1,38 @@
+#include "core/consensus/leader_lease.h"
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::consensus {
+namespace {
+
+const protocol::Configuration kThree{{"a", "b", "c"}, {}};
+constexpr Time kStart{100s};
+
+}  // namespace
+
+TEST_CASE("The lease counts from when the answered round was sent") {
+  LeaderLease lease(kStart);
+  const auto first = lease.StartRound(kStart + 10ms);
+  lease.StartRound(kStart + 20ms);
+  CHECK(lease.QuorumContact(kThree, "a", kStart + 30ms) == Time::min());
+  lease.OnReply("b", first);
+  CHECK(lease.QuorumContact(kThree, "a", kStart + 30ms) == kStart + 10ms);
+}
+
+TEST_CASE("A late reply to an old round doesn't move the lease back") {
+  LeaderLease lease(kStart);
+  const auto first = lease.StartRound(kStart + 10ms);
+  const auto second = lease.StartRound(kStart + 20ms);
+  lease.OnReply("b", second);
+  lease.OnReply("b", first);
+  CHECK(lease.QuorumContact(kThree, "a", kStart + 30ms) == kStart + 20ms);
+}
+
+TEST_CASE("A round that was never sent proves nothing") {
+  LeaderLease lease(kStart);
+  lease.StartRound(kStart);
+  lease.OnReply("b", 99);
+  CHECK(lease.QuorumContact(kThree, "a", kStart) == Time::min());
+}
+
+}  // namespace jacinth::consensus
--- /dev/null
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -0,0 +1,269 @@
+#include "core/consensus/replica.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::consensus {
+namespace {
+
+using protocol::Configuration;
+using protocol::LogEntry;
+using protocol::LogEntryKind;
+using protocol::PeerMessage;
+using protocol::PeerMessageKind;
+
+constexpr Duration kElectionTimeout = 200ms;
+constexpr Time kStart{100s};
+/// Past any election timer.
+constexpr Time kLater = kStart + 1s;
+
+ReplicaOptions Options(const std::string& id) {
+  ReplicaOptions options;
+  options.id = id;
+  options.election_timeout = kElectionTimeout;
+  options.heartbeat = 20ms;
+  return options;
+}
+
+ReplicaStart Group(std::vector<LogEntry> entries = {}) {
+  ReplicaStart start;
+  start.hard_state = {1, ""};
+  start.snapshot = {1, 1, {{"a#1", "b#1", "c#1"}, {}}, ""};
+  start.entries = std::move(entries);
+  return start;
+}
+
+PeerMessage Message(PeerMessageKind kind,
+                    const std::string& from,
+                    const std::string& to,
+                    std::uint64_t term) {
+  PeerMessage message;
+  message.kind = kind;
+  message.from = from;
+  message.to = to;
+  message.term = term;
+  return message;
+}
+
+PeerMessage Vote(const std::string& from, std::uint64_t term) {
+  PeerMessage message = Message(PeerMessageKind::kVote, from, "a#1", term);
+  message.index = 1;
+  message.log_term = 1;
+  return message;
+}
+
+const OutboundMessage* Find(const ReplicaActions& actions,
+                            PeerMessageKind kind) {
+  for (const OutboundMessage& message : actions.messages) {
+    if (message.message.kind == kind)
+      return &message;
+  }
+  return nullptr;
+}
+
+SyncId SyncAll(Replica& replica, const ReplicaActions& actions, Time now) {
+  const SyncId last = actions.writes.empty() ? 0 : actions.writes.back().id;
+  replica.OnSynced(last, now);
+  return last;
+}
+
+// Leads `replica` ("a#1") into office in its next term with the vote of b.
+ReplicaActions Elect(Replica& replica, Time now) {
+  replica.OnTick(now);
+  const std::uint64_t term = replica.term() + 1;
+  PeerMessage pre = Message(PeerMessageKind::kPreVoteReply, "b#1", "a#1", term);
+  pre.granted = true;
+  replica.OnMessage(pre, now);
+  const ReplicaActions asked = replica.TakeActions();
+  PeerMessage vote = Message(PeerMessageKind::kVoteReply, "b#1", "a#1", term);
+  vote.granted = true;
+  replica.OnMessage(vote, now);
+  SyncAll(replica, asked, now);
+  REQUIRE(replica.role() == ReplicaRole::kLeader);
+  return replica.TakeActions();
+}
+
+PeerMessage Ack(const std::string& from,
+                std::uint64_t term,
+                std::uint64_t index,
+                std::uint64_t round = 0) {
+  PeerMessage reply = Message(PeerMessageKind::kAppendReply, from, "a#1", term);
+  reply.granted = true;
+  reply.index = index;
+  reply.round = round;
+  return reply;
+}
+
+std::uint64_t LastRound(const ReplicaActions& actions) {
+  std::uint64_t round = 0;
+  for (const OutboundMessage& message : actions.messages)
+    round = std::max(round, message.message.round);
+  return round;
+}
+
+}  // namespace
+
+TEST_CASE("A vote leaves only after it is synced") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  replica.OnMessage(Vote("b#1", 2), kLater);
+  const ReplicaActions actions = replica.TakeActions();
+  const OutboundMessage* reply = Find(actions, PeerMessageKind::kVoteReply);
+  REQUIRE(reply != nullptr);
+  CHECK(reply->message.granted);
+  REQUIRE(actions.writes.size() == 1);
+  CHECK(actions.writes[0].batch.hard_state->vote == "b#1");
+  CHECK(reply->after_sync == actions.writes[0].id);
+}
+
+TEST_CASE("A replica votes once a term, also across a restart") {
+  ReplicaStart start = Group();
+  start.hard_state = {2, "b#1"};
+  Replica replica(Options("a#1"), start, kStart);
+  replica.OnMessage(Vote("c#1", 2), kLater);
+  const ReplicaActions actions = replica.TakeActions();
+  CHECK_FALSE(Find(actions, PeerMessageKind::kVoteReply)->message.granted);
+}
+
+TEST_CASE("A restarted replica keeps the promise to a leader it has heard") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  replica.OnMessage(Vote("b#1", 2), kStart + kElectionTimeout / 2);
+  CHECK(Find(replica.TakeActions(), PeerMessageKind::kVoteReply) == nullptr);
+  CHECK(replica.term() == 1);
+}
+
+TEST_CASE("A replica that hears the leader disregards other candidates") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  PeerMessage append = Message(PeerMessageKind::kAppend, "c#1", "a#1", 1);
+  append.index = 1;
+  append.log_term = 1;
+  replica.OnMessage(append, kLater);
+  replica.TakeActions();
+  replica.OnMessage(Vote("b#1", 9), kLater + kElectionTimeout / 2);
+  CHECK(Find(replica.TakeActions(), PeerMessageKind::kVoteReply) == nullptr);
+  // Unless the leader itself has asked for the change.
+  PeerMessage handed_over = Vote("b#1", 9);
+  handed_over.transfer = true;
+  replica.OnMessage(handed_over, kLater + kElectionTimeout / 2);
+  CHECK(Find(replica.TakeActions(), PeerMessageKind::kVoteReply)
+            ->message.granted);
+}
+
+TEST_CASE("An append is acknowledged only after it is synced") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  PeerMessage append = Message(PeerMessageKind::kAppend, "b#1", "a#1", 2);
+  append.index = 1;
+  append.log_term = 1;
+  append.entries = {{2, 2, LogEntryKind::kCommand, "x"}};
+  replica.OnMessage(append, kLater);
+  const ReplicaActions actions = replica.TakeActions();
+  REQUIRE(actions.writes.size() == 1);
+  CHECK(Find(actions, PeerMessageKind::kAppendReply)->after_sync ==
+        actions.writes[0].id);
+}
+
+TEST_CASE("A leader counts its own entries only once they are synced") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  const ReplicaActions elected = Elect(replica, kLater);
+  const std::uint64_t noop = replica.last_index();
+  replica.OnMessage(Ack("b#1", replica.term(), noop), kLater);
+  CHECK(replica.commit_index() < noop);
+  SyncAll(replica, elected, kLater);
+  CHECK(replica.commit_index() == noop);
+}
+
+TEST_CASE("Entries of earlier terms commit only with one of this term") {
+  // Index 2 of term 1 is on a majority, but only the no-op of the new term may
+  // commit it (figure 8 of the Raft paper).
+  Replica replica(Options("a#1"), Group({{2, 1, LogEntryKind::kCommand, "x"}}),
+                  kStart);
+  const ReplicaActions elected = Elect(replica, kLater);
+  SyncAll(replica, elected, kLater);
+  replica.OnMessage(Ack("b#1", replica.term(), 2), kLater);
+  CHECK(replica.commit_index() == 1);
+  replica.OnMessage(Ack("b#1", replica.term(), 3), kLater);
+  CHECK(replica.commit_index() == 3);
+}
+
+TEST_CASE("A lost disk is replaced one step at a time, once caught up") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  const ReplicaActions elected = Elect(replica, kLater);
+  replica.AdmitReplica("c#2", kLater);
+  // Nothing changes before the leader's own term has committed.
+  CHECK(replica.configuration().learners.empty());
+  SyncAll(replica, elected, kLater);
+  replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), kLater);
+
+  replica.AdmitReplica("c#2", kLater);
+  CHECK(replica.configuration().learners == std::vector<std::string>{"c#2"});
+  // One change at a time.
+  replica.AdmitReplica("d#1", kLater);
+  CHECK(replica.configuration().learners.size() == 1);
+  SyncAll(replica, replica.TakeActions(), kLater);
+  replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), kLater);
+  CHECK(replica.ConfigurationSettled());
+
+  // Not caught up: stays a learner.
+  replica.AdmitReplica("c#2", kLater);
+  CHECK(replica.configuration().IsVoter("c#1"));
+  CHECK(replica.configuration().IsLearner("c#2"));
+  replica.OnMessage(Ack("c#2", replica.term(), replica.last_index()), kLater);
+  replica.AdmitReplica("c#2", kLater);
+  CHECK(replica.configuration().voters ==
+        std::vector<std::string>{"a#1", "b#1"});
+  SyncAll(replica, replica.TakeActions(), kLater);
+  replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), kLater);
+  replica.OnMessage(Ack("c#2", replica.term(), replica.last_index()), kLater);
+  replica.AdmitReplica("c#2", kLater);
+  CHECK(replica.configuration().voters ==
+        std::vector<std::string>{"a#1", "b#1", "c#2"});
+}
+
+TEST_CASE("The lease ends with the leadership's handing over") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  const ReplicaActions elected = Elect(replica, kLater);
+  SyncAll(replica, elected, kLater);
+  replica.OnMessage(
+      Ack("b#1", replica.term(), replica.last_index(), LastRound(elected)),
+      kLater);
+  CHECK(replica.HoldsLease(kLater + kElectionTimeout / 2));
+  CHECK_FALSE(replica.HoldsLease(kLater + kElectionTimeout));
+  replica.TransferLeadership(kLater);
+  CHECK(Find(replica.TakeActions(), PeerMessageKind::kTimeoutNow) != nullptr);
+  CHECK_FALSE(replica.HoldsLease(kLater));
+  CHECK_FALSE(replica.Propose("x", kLater));
+}
+
+TEST_CASE("A leader without a quorum steps down") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  Elect(replica, kLater);
+  replica.OnTick(kLater + kElectionTimeout / 2);
+  CHECK(replica.role() == ReplicaRole::kLeader);
+  replica.OnTick(kLater + 2 * kElectionTimeout);
+  CHECK(replica.role() == ReplicaRole::kFollower);
+}
+
+TEST_CASE("A cut-off replica does not raise its term") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  for (int i = 1; i < 100; ++i)
+    replica.OnTick(kStart + i * kElectionTimeout);
+  CHECK(replica.term() == 1);
+}
+
+TEST_CASE("After a failed write a replica neither votes nor acknowledges") {
+  Replica replica(Options("a#1"), Group(), kStart);
+  replica.OnStorageFailure();
+  replica.OnMessage(Vote("b#1", 2), kLater);
+  PeerMessage append = Message(PeerMessageKind::kAppend, "b#1", "a#1", 2);
+  append.index = 1;
+  append.log_term = 1;
+  replica.OnMessage(append, kLater);
+  replica.OnTick(kLater);
+  const ReplicaActions actions = replica.TakeActions();
+  CHECK(actions.messages.empty());
+  CHECK(actions.writes.empty());
+}
+
+}  // namespace jacinth::consensus
--- a/source/unit_tests/settings/tree_validation_test.cc
+++ b/source/unit_tests/settings/tree_validation_test.cc
@@ -27,6 +27,8 @@
         3);
   CHECK(OnlyFault("[service/a/kind/k]\npath_prefix = x\n").line == 2);
   CHECK(OnlyFault("[service/a/kind/k]\nrank = urgent\n").reason == "missing");
+  CHECK(OnlyFault("[region/w/clients/c]\nblocks = 10.0.0.0/8, 10/8\n").reason ==
+        "10/8 is not a block a.b.c.d/n");
   CHECK(OnlyFault("drain = true\n").reason == "can't be set in this branch");
   CHECK(OnlyFault("[entry/e]\ndrain = yes\n").reason ==
         "must be true or false");
--- /dev/null
+++ b/source/unit_tests/steering/lookup_test.cc
@@ -0,0 +1,88 @@
+#include "core/steering/lookup.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/settings/tree_validation.h"
+
+namespace jacinth::steering {
+namespace {
+
+constexpr Time kNow{100s};
+
+protocol::EntryStatus Entry(const std::string& id, const std::string& region) {
+  protocol::EntryStatus status;
+  status.id = id;
+  status.region = region;
+  status.address = id;
+  return status;
+}
+
+SteeringSnapshot Snapshot(const std::string& tree) {
+  const settings::ParsedTree parsed = settings::ParseTree(tree);
+  INFO(settings::FormatFaults("", parsed.faults));
+  REQUIRE(parsed.faults.empty());
+  SteeringSnapshot snapshot;
+  snapshot.fleet = settings::BuildFleetSettings(parsed.tree, 3);
+  snapshot.clients = BuildClientMap(*snapshot.fleet);
+  snapshot.members = {Entry("w1", "west"), Entry("w2", "west"),
+                      Entry("x1", "east")};
+  snapshot.self = snapshot.members[0];
+  snapshot.contact_until = kNow + 1s;
+  return snapshot;
+}
+
+int WeightOf(const LookupAnswer& answer, const std::string& address) {
+  for (const LookupEntry& entry : answer.entries) {
+    if (entry.address == address)
+      return entry.weight;
+  }
+  return -1;
+}
+
+}  // namespace
+
+TEST_CASE("Callers go to entries of their own region first") {
+  const auto answer =
+      AnswerLookup(Snapshot("[service/s]\nttl_ms = 500\n"), "s", "", kNow);
+  REQUIRE(answer);
+  CHECK(answer->revision == 3);
+  CHECK(answer->ttl == 500ms);
+  CHECK(WeightOf(*answer, "w1") == 100);
+  CHECK(WeightOf(*answer, "x1") == 0);
+}
+
+TEST_CASE("A known client block overrides the region of the entry asked") {
+  const SteeringSnapshot snapshot = Snapshot(
+      "[service/s]\nttl_ms = 500\n"
+      "[region/east/clients/office]\nblocks = 10.0.0.0/8, 192.168.1.0/24\n");
+  const auto near_east = AnswerLookup(snapshot, "s", "10.1.1.1", kNow);
+  CHECK(WeightOf(*near_east, "x1") == 100);
+  CHECK(WeightOf(*near_east, "w1") == 0);
+  const auto unknown = AnswerLookup(snapshot, "s", "11.1.1.1", kNow);
+  CHECK(WeightOf(*unknown, "w1") == 100);
+  CHECK(AnswerLookup(snapshot, "s", "ten", kNow).error().kind ==
+        ErrorKind::kBadRequest);
+}
+
+TEST_CASE("Draining entries are not named, whoever drains them") {
+  SteeringSnapshot snapshot =
+      Snapshot("[service/s]\nttl_ms = 500\n[entry/w2]\ndrain = true\n");
+  snapshot.members[0].draining = true;
+  const auto answer = AnswerLookup(snapshot, "s", "", kNow);
+  REQUIRE(answer->entries.size() == 1);
+  // The last one left takes all callers.
+  CHECK(WeightOf(*answer, "x1") == 100);
+}
+
+TEST_CASE("Weights per region replace nearness") {
+  const auto answer = AnswerLookup(
+      Snapshot("[service/s]\nttl_ms = 500\n"
+               "[service/s/region/east]\nweight = 30\n"
+               "[service/s/region/west]\nweight = 70\nttl_ms = 900\n"),
+      "s", "", kNow);
+  CHECK(WeightOf(*answer, "w1") == 70);
+  CHECK(WeightOf(*answer, "x1") == 30);
+  CHECK(answer->ttl == 900ms);
+}
+
+}  // namespace jacinth::steering
