--- /dev/null
+++ b/source/benchmarks/control_benchmark.cc
@@ -0,0 +1,241 @@
+#include <string>
+
+#include <benchmark/benchmark.h>
+
+#include "core/control/control_node.h"
+#include "core/control/ledger.h"
+#include "core/settings/fleet_settings.h"
+#include "core/settings/tree_validation.h"
+#include "core/wire/command_codec.h"
+#include "core/wire/envelope_codec.h"
+
+namespace jacinth::control {
+namespace {
+
+// A single replica that leads and holds its lease.
+class Leader {
+ public:
+  Leader() : node_(*ControlNode::Create(Options(), {}, clock_)) {
+    for (int i = 0; i < 200; ++i) {
+      clock_.now += 20ms;
+      Step(Tick{});
+    }
+  }
+
+  ControlActions Step(const ControlEvent& event) {
+    ControlActions actions = node_.Step(event, clock_);
+    for (std::size_t i = 0; i < actions.writes.size(); ++i) {
+      ControlActions more =
+          node_.Step(WritesSynced{actions.writes[i].id}, clock_);
+      for (auto& write : more.writes)
+        actions.writes.push_back(std::move(write));
+      for (auto& message : more.messages)
+        actions.messages.push_back(std::move(message));
+    }
+    return actions;
+  }
+
+  void Advance(Duration duration) { clock_.now += duration; }
+
+  void Change(const protocol::BranchChange& change) {
+    ChangeRequested request;
+    request.caller.branches = {"*"};
+    request.change.idempotency_key = std::to_string(++changes_);
+    request.change.if_revision = node_.state().revision();
+    request.change.changes = {change};
+    Step(request);
+  }
+
+  const ControlNode& node() const { return node_; }
+
+ private:
+  static ControlOptions Options() {
+    ControlOptions options;
+    options.replica.id = "c1#1";
+    options.replica.election_timeout = 200ms;
+    options.replica.heartbeat = 20ms;
+    options.instances = {"c1"};
+    options.entry_timeout = 2s;
+    options.snapshot_entries = 1'000'000;
+    return options;
+  }
+
+  ClockReading clock_{Time{1000s}, 1'000'000};
+  ControlNode node_;
+  std::uint64_t changes_ = 0;
+};
+
+protocol::Heartbeat Beat(std::int64_t entry, std::uint64_t revision) {
+  protocol::Heartbeat heartbeat;
+  heartbeat.status.id = "entry-" + std::to_string(entry);
+  heartbeat.status.incarnation = 123456789;
+  heartbeat.status.region = "region-1";
+  heartbeat.status.failure_domain = "region-1-domain-2";
+  heartbeat.status.address = "10.123.123.123:8080";
+  heartbeat.status.revision = revision;
+  heartbeat.sequence = 1000;
+  return heartbeat;
+}
+
+// One heartbeat of one of `range(0)` entries, with the encoding both ways.
+void HeartbeatAtLeader(benchmark::State& state) {
+  Leader leader;
+  std::int64_t next = 0;
+  std::size_t sent = 0;
+  std::size_t received = 0;
+  std::uint64_t members = 0;
+  const auto beat = [&] {
+    protocol::Heartbeat heartbeat = Beat(next++ % state.range(0), 0);
+    heartbeat.members_version = members;
+    const std::string bytes = wire::EncodeEnvelope(heartbeat);
+    const auto actions = leader.Step(
+        MessageReceived{heartbeat.status.id, *wire::DecodeEnvelope(bytes)});
+    received += bytes.size();
+    for (const auto& message : actions.messages) {
+      sent += wire::EncodeEnvelope(message.envelope).size();
+      const auto* reply =
+          std::get_if<protocol::HeartbeatReply>(&message.envelope);
+      if (reply != nullptr && reply->members.version != 0)
+        members = reply->members.version;
+    }
+  };
+  for (std::int64_t i = 0; i < state.range(0); ++i)
+    beat();
+  leader.Advance(2s);
+  leader.Step(Tick{});
+  for (std::int64_t i = 0; i < state.range(0); ++i)
+    beat();
+  sent = 0;
+  received = 0;
+  std::size_t beats = 0;
+  for (auto unused : state) {
+    beat();
+    ++beats;
+  }
+  state.counters["bytes_in"] = static_cast<double>(received / beats);
+  state.counters["bytes_out"] = static_cast<double>(sent / beats);
+}
+BENCHMARK(HeartbeatAtLeader)->Arg(10)->Arg(100)->Arg(920);
+
+// Size of the member list for `range(0)` entries.
+void MemberListBytes(benchmark::State& state) {
+  protocol::HeartbeatReply reply;
+  reply.members.version = 1;
+  for (std::int64_t i = 0; i < state.range(0); ++i)
+    reply.members.entries.push_back(Beat(i, 1).status);
+  std::size_t bytes = 0;
+  for (auto unused : state)
+    bytes = wire::EncodeEnvelope(reply).size();
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(MemberListBytes)->Arg(10)->Arg(100)->Arg(920);
+
+// A change of settings with `range(0)` endpoints in the tree, and its update.
+void SettingsUpdate(benchmark::State& state) {
+  settings::Tree tree;
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    const std::string branch = "service/s" + std::to_string(i % 40) +
+                               "/endpoint/endpoint-" + std::to_string(i);
+    tree.Set(branch, "address",
+             "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250) +
+                 ":8080");
+    tree.Set(branch, "region", "region-1");
+    tree.Set(branch, "failure_domain", "region-1-domain-2");
+  }
+  std::size_t bytes = 0;
+  for (auto unused : state) {
+    protocol::HeartbeatReply reply;
+    reply.update = {1, tree.ToIni(), 1};
+    bytes = wire::EncodeEnvelope(reply).size();
+    const auto parsed = settings::ParseTree(reply.update.text);
+    benchmark::DoNotOptimize(settings::BuildFleetSettings(parsed.tree, 1));
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(SettingsUpdate)
+    ->Arg(48)
+    ->Arg(480)
+    ->Arg(4'800)
+    ->Unit(benchmark::kMillisecond);
+
+// Bytes in the log for one change and for one claim with its end.
+void CommandBytes(benchmark::State& state) {
+  protocol::ChangeSettings change;
+  change.operator_name = "operator";
+  change.idempotency_key = "01a24040-7a04-7ab1-be8d-b17a5db9a0ca";
+  change.changes = {{"service/rounds", {{"ttl_ms", "700"}, {"slots", "6"}}}};
+  protocol::ClaimRequest claim{"entry-1/123456789/1000",
+                               {"visits/", change.idempotency_key},
+                               1ULL << 60U,
+                               5'000,
+                               ""};
+  protocol::FinishRequest finish{
+      claim.attempt,
+      claim.key,
+      Outcome::kRan,
+      {200, "text/plain", std::string(64, 'x'), false}};
+  std::size_t change_bytes = 0;
+  std::size_t claim_bytes = 0;
+  for (auto unused : state) {
+    change_bytes =
+        wire::EncodeCommand({1ULL << 40U, 1ULL << 60U, change}).size();
+    claim_bytes =
+        wire::EncodeCommand({1ULL << 40U, 1ULL << 60U, claim}).size() +
+        wire::EncodeCommand({1ULL << 40U, 1ULL << 60U, finish}).size();
+  }
+  state.counters["change_bytes"] = static_cast<double>(change_bytes);
+  state.counters["claim_bytes"] = static_cast<double>(claim_bytes);
+}
+BENCHMARK(CommandBytes);
+
+// A claim and its end at a single replica that holds `range(0)` rows.
+void ClaimAndFinish(benchmark::State& state) {
+  Ledger ledger;
+  std::int64_t next = 0;
+  const auto claim = [&] {
+    const std::string key =
+        "01a24040-7a04-4ab1-be8d-b17a" + std::to_string(10'000'000 + next);
+    const std::string attempt = "entry-1/123456789/" + std::to_string(next++);
+    ledger.Claim({attempt, {"visits/", key}, 1, 5'000, ""}, 1'000);
+    ledger.Finish({attempt,
+                   {"visits/", key},
+                   Outcome::kRan,
+                   {200, "text/plain", std::string(64, 'x'), false}},
+                  1'000);
+  };
+  for (std::int64_t i = 0; i < state.range(0); ++i)
+    claim();
+  for (auto unused : state)
+    claim();
+}
+BENCHMARK(ClaimAndFinish)->Arg(1'000)->Arg(10'000)->Arg(100'000);
+
+// Bytes of a snapshot with `range(0)` rows in the ledger.
+void SnapshotBytes(benchmark::State& state) {
+  ControlState control;
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    const protocol::ClaimKey key{"visits/", "01a24040-7a04-4ab1-be8d-b17a" +
+                                                std::to_string(10'000'000 + i)};
+    const std::string attempt = "entry-1/123456789/" + std::to_string(i);
+    control.Apply(
+        {1'000, 1, protocol::ClaimRequest{attempt, key, 1, 5'000, ""}});
+    control.Apply({1'000, 2,
+                   protocol::FinishRequest{
+                       attempt,
+                       key,
+                       Outcome::kRan,
+                       {200, "text/plain", std::string(64, 'x'), false}}});
+  }
+  std::size_t bytes = 0;
+  for (auto unused : state)
+    bytes = control.Save().size();
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(SnapshotBytes)
+    ->Arg(1'000)
+    ->Arg(10'000)
+    ->Arg(100'000)
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace jacinth::control
--- /dev/null
+++ b/source/benchmarks/storage_benchmark.cc
@@ -0,0 +1,78 @@
+#include <filesystem>
+#include <string>
+
+#include <benchmark/benchmark.h>
+
+#include "core/storage/log_store.h"
+
+namespace jacinth::storage {
+namespace {
+
+class Folder {
+ public:
+  Folder() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "jacinth-XXXXXX").string();
+    path_ = mkdtemp(pattern.data());
+  }
+  ~Folder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+protocol::LogBatch Batch(std::uint64_t first, std::int64_t entries) {
+  protocol::LogBatch batch;
+  for (std::int64_t i = 0; i < entries; ++i) {
+    batch.entries.push_back({first + static_cast<std::uint64_t>(i), 1,
+                             protocol::LogEntryKind::kCommand,
+                             std::string(200, 'x')});
+  }
+  return batch;
+}
+
+// One synced write of `range(0)` entries.
+void AppendBatch(benchmark::State& state) {
+  const Folder folder;
+  RecoveredLog recovered;
+  auto store = LogStore::Open(folder.path(), recovered);
+  std::uint64_t next = 1;
+  for (auto unused : state) {
+    benchmark::DoNotOptimize(store->Append(Batch(next, state.range(0))));
+    next += static_cast<std::uint64_t>(state.range(0));
+  }
+  state.counters["entries_per_s"] = benchmark::Counter(
+      static_cast<double>(next - 1), benchmark::Counter::kIsRate);
+}
+BENCHMARK(AppendBatch)->Arg(1)->Arg(16)->Arg(256)->UseRealTime();
+
+// Reading the folder after `range(0)` changes.
+void Recover(benchmark::State& state) {
+  const Folder folder;
+  std::uint64_t bytes = 0;
+  {
+    RecoveredLog recovered;
+    auto store = LogStore::Open(folder.path(), recovered);
+    for (std::int64_t i = 0; i < state.range(0); i += 100)
+      benchmark::DoNotOptimize(
+          store->Append(Batch(static_cast<std::uint64_t>(i) + 1, 100)));
+    bytes = store->segment_size();
+  }
+  for (auto unused : state) {
+    RecoveredLog recovered;
+    benchmark::DoNotOptimize(LogStore::Open(folder.path(), recovered));
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(Recover)->Arg(1'000)->Arg(10'000)->Arg(100'000)->Unit(
+    benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace jacinth::storage
