Entry: Skip the choice of a request when none waits

Cause: EntryTick took 194 ms with 4,800 endpoints; after each probe the node counted the usable slots of all endpoints, though no request waited. Ruled out: the scan for due probes itself (one pass a tick). Change: the queue is asked first.

--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -160,7 +160,7 @@
 }
 
 void EntryNode::Pump(ServiceDesk& desk, Time now) {
-  while (desk.endpoints.HasFreeSlot(now)) {
+  while (desk.queue.waiting() != 0 && desk.endpoints.HasFreeSlot(now)) {
     const auto ticket = desk.queue.TakeNext(desk.endpoints.UsableSlots(now));
     if (!ticket)
       return;
