Http: Hold a thread for each request, not for each connection

Each of 300 idle connections held one of an entry's 128 threads for its idle time; the others waited behind them, whatever their rank.

Ruled out: the endpoints (round robin reaches them at once), the decisions (p50 of what was served is the service time), the control thread (idle).

Change: the server's connections are parked on one Asio thread while idle and take a pool thread only when bytes are there; a request must arrive as a whole within the read timeout; open connections are bounded and the excess is refused. It overrides the library's own hook for a connection, as its TLS server does.

In floods requests are still refused by endpoints whose slots other entries have filled; that is the next cause to look at.

--- a/source/core/http/server.cc
+++ b/source/core/http/server.cc
@@ -1,6 +1,9 @@
 #include "core/http/server.h"
 
+#include <atomic>
+#include <chrono>
 #include <httplib.h>
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -8,7 +11,9 @@
 
 #include "core/http/address.h"
 #include "core/http/bounded_pool.h"
+#include "core/http/connection_parker.h"
 #include "core/http/problem.h"
+#include "core/http/server_connection.h"
 
 namespace jacinth::http {
 namespace {
@@ -71,22 +76,84 @@
   }
 }
 
+Time Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+// Takes a thread for each request instead of each connection.
+class ParkingServer : public httplib::Server {
+ public:
+  ParkingServer(const ServerOptions& options, BoundedPool& pool)
+      : options_(options),
+        pool_(pool),
+        parker_(options.idle_timeout,
+                [this](std::shared_ptr<ServerConnection> connection) {
+                  Dispatch(std::move(connection));
+                }) {}
+
+  /// Requests from now on are the last ones of their connections.
+  void BeginStop() {
+    stopping_ = true;
+    parker_.Stop();
+  }
+
+  bool IsFull() const { return open_connections_ > options_.max_connections; }
+
+ private:
+  bool process_and_close_socket(socket_t socket) override {
+    Continue(std::make_shared<ServerConnection>(socket, options_.read_timeout,
+                                                open_connections_));
+    return true;
+  }
+
+  void Dispatch(std::shared_ptr<ServerConnection> connection) {
+    pool_.Add(
+        [this, connection = std::move(connection)] { Serve(connection); });
+  }
+
+  // Serves what is there or waits, without a thread, for more.
+  void Continue(std::shared_ptr<ServerConnection> connection) {
+    if (stopping_)
+      return;
+    if (connection->HasInput())
+      Serve(connection);
+    else
+      parker_.Park(std::move(connection));
+  }
+
+  void Serve(const std::shared_ptr<ServerConnection>& connection) {
+    connection->StartRequest(Now());
+    const bool last = stopping_ || IsFull() || BoundedPool::IsOverflowThread();
+    bool closed = false;
+    const bool served = process_request(*connection, last, closed, nullptr);
+    if (!served || closed || last || stopping_)
+      return;
+    if (connection->HasInput())
+      Dispatch(connection);
+    else
+      parker_.Park(connection);
+  }
+
+  const ServerOptions& options_;
+  BoundedPool& pool_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::size_t> open_connections_{0};
+  ConnectionParker parker_;
+};
+
 }  // namespace
 
 struct Server::Impl {
   Impl(ServerOptions server_options, Handler server_handler)
       : options(std::move(server_options)),
         handler(std::move(server_handler)),
-        pool(options.threads, options.max_waiting) {}
+        pool(options.threads, options.max_waiting),
+        server(options, pool) {}
 
   void Configure() {
     server.new_task_queue = [this] { return new PoolQueue(pool); };
     server.set_keep_alive_max_count(kMaxKeptRequests);
-    server.set_keep_alive_timeout(
-        std::chrono::duration_cast<std::chrono::seconds>(options.idle_timeout)
-            .count());
-    server.set_read_timeout(options.read_timeout);
-    server.set_write_timeout(options.read_timeout);
     server.set_payload_max_length(options.max_body_bytes);
     server.set_tcp_nodelay(true);
     // The library would also set SO_REUSEPORT, which lets a second process
@@ -152,9 +219,8 @@
              httplib::Response& out) {
     // Whole answers only: the library would cut out the ranges asked for.
     const_cast<httplib::Request&>(in).ranges.clear();
-    if (BoundedPool::IsOverflowThread()) {
+    if (BoundedPool::IsOverflowThread() || server.IsFull()) {
       out.set_header("Retry-After", "1");
-      out.set_header("Connection", "close");
       Fill(out,
            ProblemResponse({ErrorKind::kOverloaded, "too many connections"}));
       return;
@@ -171,7 +237,7 @@
   ServerOptions options;
   Handler handler;
   BoundedPool pool;
-  httplib::Server server;
+  ParkingServer server;
   std::thread accept_thread;
   int port = 0;
 };
@@ -207,6 +273,7 @@
 void Server::Stop() {
   if (!impl_->accept_thread.joinable())
     return;
+  impl_->server.BeginStop();
   impl_->server.stop();
   impl_->accept_thread.join();
 }
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -15,14 +15,16 @@
 struct ServerOptions {
   /// `ip:port`; port 0 lets the system choose.
   std::string address;
-  /// Connections served at once; each holds a thread.
+  /// Requests served at once. An idle connection holds no thread.
   std::size_t threads = 16;
-  /// Connections that may wait for a thread before new ones are refused.
+  /// Requests that may wait for a thread before further ones are refused.
   std::size_t max_waiting = 64;
+  /// Connections open at once; on further ones, one request is refused.
+  std::size_t max_connections = 4'096;
   std::size_t max_body_bytes = 1UL << 20U;
   /// Idle time after which a kept connection is closed.
   Duration idle_timeout = 5s;
-  /// Longest silence within a request.
+  /// Longest time for a request to arrive as a whole.
   Duration read_timeout = 5s;
 };
 
@@ -45,7 +47,7 @@
   /// Port bound.
   int port() const;
 
-  /// Connections that wait for a thread.
+  /// Requests that wait for a thread.
   std::size_t waiting() const;
 
  private:
--- /dev/null
+++ b/source/unit_tests/load/load_main.cc
@@ -0,0 +1,142 @@
+#include <atomic>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/http/connection.h"
+#include "unit_tests/load/open_loop.h"
+#include "unit_tests/support/process_fleet.h"
+
+// Service by rank in a calm and in floods, through the system and, as the
+// baseline, by plain round robin over the endpoints without admission.
+
+namespace jacinth::test {
+namespace {
+
+constexpr int kEntries = 3;
+constexpr int kEndpoints = 6;
+constexpr int kSlots = 6;
+constexpr Duration kServiceTime = 40ms;
+constexpr Duration kDeadline = 500ms;
+constexpr Duration kLength = 6s;
+constexpr int kWorkers = 300;
+/// Requests a second that all slots together can run.
+constexpr int kCapacity = kEndpoints * kSlots * 25;
+constexpr std::array<int, kRankCount> kWorth = {10, 3, 1};
+
+std::string ServiceText() {
+  std::string text =
+      "ttl_ms = 300\n[service/s]\nprobe_interval_ms = 200\nslots = 6\n"
+      "request_timeout_ms = 500\nattempt_timeout_ms = 400\n";
+  for (const Rank rank : kRanks) {
+    const std::string name(RankName(rank));
+    text += "[service/s/kind/" + name + "]\npath_prefix = /" + name +
+            "\nrepeatable = true\nrank = " + name + "\n";
+  }
+  return text;
+}
+
+struct Scenario {
+  const char* name;
+  RankRates rates;
+};
+
+/// One worker's kept connections to each target.
+class Sender {
+ public:
+  explicit Sender(const std::vector<std::string>& targets) {
+    for (const std::string& target : targets)
+      connections_.push_back(std::make_unique<http::Connection>(target));
+  }
+
+  bool Send(std::size_t target, const std::string& path) {
+    http::Request request;
+    request.method = "GET";
+    request.target = path;
+    request.headers = {{"Jacinth-Deadline-Ms", "500"}};
+    const auto result =
+        connections_[target]->Exchange(request, {250ms, 1s, 1UL << 16U});
+    return result.end == http::ExchangeEnd::kAnswered &&
+           result.response.status == 200;
+  }
+
+ private:
+  std::vector<std::unique_ptr<http::Connection>> connections_;
+};
+
+void Report(const Scenario& scenario,
+            const char* way,
+            const std::vector<RankReport>& reports) {
+  int worth = 0;
+  int offered_worth = 0;
+  std::printf("| %s | %s |", scenario.name, way);
+  for (const Rank rank : kRanks) {
+    const RankReport& report = reports[RankIndex(rank)];
+    worth += report.in_time * kWorth[RankIndex(rank)];
+    offered_worth += report.offered * kWorth[RankIndex(rank)];
+    std::printf(" %d/%d, %ld/%ld ms |", report.in_time, report.offered,
+                ToMillis(report.latency.Quantile(0.5)),
+                ToMillis(report.latency.Quantile(0.99)));
+  }
+  std::printf(" %d %% |\n", 100 * worth / std::max(1, offered_worth));
+  std::fflush(stdout);
+}
+
+void Run(const Scenario& scenario,
+         const char* way,
+         const std::vector<std::string>& targets,
+         const std::string& prefix) {
+  std::vector<std::unique_ptr<Sender>> senders;
+  for (int i = 0; i < kWorkers; ++i)
+    senders.push_back(std::make_unique<Sender>(targets));
+  std::atomic<std::size_t> next{0};
+  const auto reports = RunOpenLoop(
+      scenario.rates, kLength, kDeadline, kWorkers, [&](int worker, Rank rank) {
+        return senders[worker]->Send(
+            next++ % targets.size(),
+            prefix + "/" + std::string(RankName(rank)));
+      });
+  Report(scenario, way, reports);
+}
+
+int Main() {
+  FakeEndpointOptions options;
+  options.slots = kSlots;
+  options.service_time = kServiceTime;
+  options.server_threads = kWorkers;
+  ProcessFleet fleet(kEntries, kEndpoints, options, ServiceText());
+  fleet.StartAll();
+  fleet.ApplyTree();
+  std::vector<std::string> entries;
+  for (int i = 0; i < kEntries; ++i)
+    entries.push_back(fleet.EntryAddress(i));
+  std::vector<std::string> endpoints;
+  for (int i = 0; i < kEndpoints; ++i)
+    endpoints.push_back("127.0.0.1:" +
+                        std::to_string(fleet.endpoint(i).port()));
+  const std::vector<Scenario> scenarios = {
+      {"calm, 60 %", {kCapacity / 5, kCapacity / 5, kCapacity / 5}},
+      {"background flood, 200 %",
+       {kCapacity / 5, kCapacity / 5, 8 * kCapacity / 5}},
+      {"urgent flood, 200 %",
+       {8 * kCapacity / 5, kCapacity / 5, kCapacity / 5}},
+  };
+  std::printf("capacity %d requests/s; in time/offered, p50/p99 of those\n\n",
+              kCapacity);
+  std::printf(
+      "| load | way | urgent | normal | background | worth served |\n"
+      "|---|---|---|---|---|---|\n");
+  for (const Scenario& scenario : scenarios) {
+    Run(scenario, "round robin", endpoints, "");
+    Run(scenario, "jacinthroute", entries, "/v1/services/s");
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace jacinth::test
+
+int main() {
+  return jacinth::test::Main();
+}
--- a/source/unit_tests/support/fake_endpoint.cc
+++ b/source/unit_tests/support/fake_endpoint.cc
@@ -10,12 +10,11 @@
 namespace {
 
 constexpr int kUnavailable = 503;
-constexpr std::size_t kThreads = 64;
 
 http::ServerOptions MakeServerOptions(const FakeEndpointOptions& options) {
   http::ServerOptions server;
   server.address = options.address;
-  server.threads = kThreads;
+  server.threads = static_cast<std::size_t>(options.server_threads);
   server.idle_timeout = 2s;
   return server;
 }
--- a/source/unit_tests/support/fake_endpoint.h
+++ b/source/unit_tests/support/fake_endpoint.h
@@ -17,6 +17,8 @@
   std::string name = "endpoint";
   std::string address = "127.0.0.1:0";
   int slots = 4;
+  /// Connections served at once.
+  int server_threads = 64;
   Duration service_time = 5ms;
   /// Extra time of each of the first `cold_requests` requests.
   Duration cold_time{0};
--- a/source/unit_tests/support/process_fleet.cc
+++ b/source/unit_tests/support/process_fleet.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <fstream>
 #include <thread>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -36,14 +37,29 @@
   return json.is_object() ? json.value(key, std::uint64_t{0}) : 0;
 }
 
+std::string DefaultServiceText() {
+  return "ttl_ms = 300\n[service/s]\nprobe_interval_ms = 100\n"
+         "request_timeout_ms = 4000\n"
+         "[service/s/kind/read]\npath_prefix = /\nmethod = GET\n"
+         "repeatable = true\nrank = urgent\n"
+         "[service/s/kind/slow]\npath_prefix = /slow\nmethod = GET\n"
+         "repeatable = true\nrank = urgent\nattempt_timeout_ms = 4000\n"
+         "[service/s/kind/write]\npath_prefix = /\nmethod = POST\n"
+         "rank = urgent\n";
+}
+
 }  // namespace
 
-ProcessFleet::ProcessFleet(int entries, int endpoints)
+ProcessFleet::ProcessFleet(int entries,
+                           int endpoints,
+                           FakeEndpointOptions endpoint_options,
+                           std::string service_text)
     : entry_count_(entries),
+      service_text_(std::move(service_text)),
       ports_(static_cast<int>(Replicas().size()) * 2 + entries) {
   std::ofstream(folder_.path() / "secret") << "a-secret-of-the-tests";
   for (int i = 0; i < endpoints; ++i) {
-    FakeEndpointOptions options;
+    FakeEndpointOptions options = endpoint_options;
     options.name = "p" + std::to_string(i);
     endpoints_.push_back(std::make_unique<FakeEndpoint>(options));
     if (!endpoints_.back()->Start())
@@ -127,14 +143,7 @@
 
 std::string ProcessFleet::TreeText() const {
   std::string text =
-      "ttl_ms = 300\n[service/s]\nprobe_interval_ms = 100\n"
-      "request_timeout_ms = 4000\n"
-      "[service/s/kind/read]\npath_prefix = /\nmethod = GET\n"
-      "repeatable = true\nrank = urgent\n"
-      "[service/s/kind/slow]\npath_prefix = /slow\nmethod = GET\n"
-      "repeatable = true\nrank = urgent\nattempt_timeout_ms = 4000\n"
-      "[service/s/kind/write]\npath_prefix = /\nmethod = POST\n"
-      "rank = urgent\n";
+      service_text_.empty() ? DefaultServiceText() : service_text_;
   for (std::size_t i = 0; i < endpoints_.size(); ++i) {
     text += "[service/s/endpoint/p" + std::to_string(i) +
             "]\naddress = " + Local(endpoints_[i]->port()) +
--- a/source/unit_tests/support/process_fleet.h
+++ b/source/unit_tests/support/process_fleet.h
@@ -30,7 +30,11 @@
 /// entries in two regions, and fake endpoints within the test.
 class ProcessFleet {
  public:
-  ProcessFleet(int entries, int endpoints);
+  /// `service_text` replaces the kinds of the tests' service `s`.
+  ProcessFleet(int entries,
+               int endpoints,
+               FakeEndpointOptions endpoint_options = {},
+               std::string service_text = {});
 
   void StartAll();
   void Start(const std::string& id);
@@ -90,6 +94,7 @@
 
   TemporaryFolder folder_;
   int entry_count_;
+  std::string service_text_;
   PortReservation ports_;
   std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
   std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
