Entry: Let what endpoints refuse wait its turn by rank

Cause: in floods an entry took every slot of an endpoint for free that other entries had filled. Endpoints refused the attempts, the retry budget ran out, and urgent requests were refused while background ones ran.

Ruled out: the queue's order (nothing waited in it: p50 and p99 of what was served were both the service time), the load generator (with 300 workers it limited the second experiment; 900 do not).

Change: a request that an endpoint refused waits again at the head of its kind instead of failing, and does not count as a retry; the number of requests that an entry runs at an endpoint falls by 0.7 with a refusal and rises by one for each round of answers, up to the endpoint's slots; a refusing endpoint is left alone for 10 ms. A request that has spent most of its time waiting and can't be expected to end in time is refused rather than sent.

Tests: the check that a second refusal ends a request is replaced by stricter ones: the request is served as soon as an endpoint takes it, is refused as not run if none does until its deadline, and its key is free again; after a lost attempt the outcome stays unknown however many refusals follow.

Slots granted by the control role are still to come (docs/PROMISES.md).

--- a/source/core/admission/admission_queue.cc
+++ b/source/core/admission/admission_queue.cc
@@ -42,6 +42,15 @@
   kinds_[kind].waiting.push_back({ticket, deadline});
 }
 
+void AdmissionQueue::Requeue(RequestTicket ticket,
+                             const std::string& kind,
+                             Time deadline) {
+  KindRow& row = kinds_[kind];
+  row.waiting.push_front({ticket, deadline});
+  --row.running;
+  --running_[RankIndex(row.rank)];
+}
+
 std::vector<RequestTicket> AdmissionQueue::TakeExpired(Time now) {
   std::vector<RequestTicket> expired;
   for (auto& [name, row] : kinds_) {
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -34,6 +34,9 @@
   /// The request is ready to run and waits for a slot.
   void Enqueue(RequestTicket ticket, const std::string& kind, Time deadline);
 
+  /// A request that TakeNext had returned waits again, ahead of its kind.
+  void Requeue(RequestTicket ticket, const std::string& kind, Time deadline);
+
   /// Removes and returns the waiting requests whose deadline has passed.
   std::vector<RequestTicket> TakeExpired(Time now);
 
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -72,6 +72,7 @@
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
   void Pump(ServiceDesk& desk, Time now);
   bool TryAttempt(RequestRecord& record, ServiceDesk& desk, Time now);
+  void WaitAgain(RequestRecord& record, ServiceDesk& desk, Time now);
   bool MayRetry(const RequestRecord& record,
                 ServiceDesk& desk,
                 Outcome outcome,
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -47,6 +47,18 @@
   }
 }
 
+// True if an attempt could not be expected to end in time. Only for requests
+// that have spent most of their time waiting: fresh ones are always tried, so
+// that a slow spell is not taken to last for good.
+bool IsTooLate(const RequestRecord& record, const ServiceDesk& desk, Time now) {
+  if (now >= record.deadline)
+    return true;
+  const Duration waited = now - record.arrived;
+  const Duration left = record.deadline - now;
+  return waited > left &&
+         !desk.CanEndInTime(record.kind.name, record.deadline, now);
+}
+
 }  // namespace
 
 void EntryNode::On(const RequestArrived& event, Time now) {
@@ -62,6 +74,7 @@
   Duration budget = record.kind.request_timeout;
   if (event.budget > Duration{0})
     budget = std::min(budget, event.budget);
+  record.arrived = now;
   record.deadline = now + budget;
   Admit(std::move(record), desk, now);
 }
@@ -93,7 +106,7 @@
                  "requests of kind " + kind->name +
                      " need the control quorum; try another entry instance"};
   }
-  if (desk->second.endpoints.UsableSlots(now) == 0) {
+  if (desk->second.endpoints.UsableSlots() == 0) {
     return Error{ErrorKind::kNoEndpoint,
                  "no endpoint of " + event.service + " is usable"};
   }
@@ -161,17 +174,23 @@
 
 void EntryNode::Pump(ServiceDesk& desk, Time now) {
   while (desk.queue.waiting() != 0 && desk.endpoints.HasFreeSlot(now)) {
-    const auto ticket = desk.queue.TakeNext(desk.endpoints.UsableSlots(now));
+    const auto ticket = desk.queue.TakeNext(desk.endpoints.UsableSlots());
     if (!ticket)
       return;
     RequestRecord& record = requests_.at(*ticket);
     record.phase = RequestPhase::kRunning;
-    if (now >= record.deadline) {
+    if (IsTooLate(record, desk, now)) {
       Refuse(*ticket, {ErrorKind::kDeadlineExceeded, "waited too long"}, now);
       continue;
     }
-    desk.retries.OnFirstAttempt(desk.settings.retry_budget_percent);
-    TryAttempt(record, desk, now);
+    if (record.attempts == 0)
+      desk.retries.OnFirstAttempt(desk.settings.retry_budget_percent);
+    if (TryAttempt(record, desk, now))
+      continue;
+    // Room is left only where an attempt was lost before.
+    record.phase = RequestPhase::kWaiting;
+    desk.queue.Requeue(*ticket, record.kind.name, record.deadline);
+    return;
   }
 }
 
@@ -187,6 +206,7 @@
   if (!endpoint)
     return false;
   record.endpoint = *endpoint;
+  record.attempt_started = now;
   record.tried.insert(*endpoint);
   ++record.attempts;
   StartAttempt attempt;
@@ -214,14 +234,19 @@
   RequestRecord& record = found->second;
   ServiceDesk& desk = desks_.at(record.arrival.service);
   desk.endpoints.OnAttemptEnd(record.endpoint, event.end, now);
-  record.endpoint.clear();
+  record.last_endpoint = std::exchange(record.endpoint, std::string());
   const Outcome outcome = forwarding::OutcomeOf(event.end);
   if (event.end == AttemptEnd::kAnswered) {
+    desk.NoteAnswer(record.kind.name, now - record.attempt_started);
     FinishClaim(record, Outcome::kRan, event.answer, now);
     End(event.ticket, PassOnAnswer{});
     Pump(desk, now);
     return;
   }
+  if (event.end == AttemptEnd::kRefused && now < record.deadline) {
+    WaitAgain(record, desk, now);
+    return;
+  }
   record.may_have_run |= outcome != Outcome::kNotRun;
   record.connection_broke = outcome == Outcome::kUnknown;
   if (MayRetry(record, desk, outcome, now) && TryAttempt(record, desk, now))
@@ -240,6 +265,16 @@
   Pump(desk, now);
 }
 
+// A refusal costs nothing but time: the request waits for a slot that is really
+// free, ahead of those that came after it.
+void EntryNode::WaitAgain(RequestRecord& record, ServiceDesk& desk, Time now) {
+  --record.attempts;
+  record.tried.erase(record.last_endpoint);
+  record.phase = RequestPhase::kWaiting;
+  desk.queue.Requeue(record.arrival.ticket, record.kind.name, record.deadline);
+  Pump(desk, now);
+}
+
 bool EntryNode::MayRetry(const RequestRecord& record,
                          ServiceDesk& desk,
                          Outcome outcome,
@@ -268,7 +303,7 @@
 }
 
 void EntryNode::RefuseUnservable(ServiceDesk& desk, Time now) {
-  if (desk.queue.waiting() == 0 || desk.endpoints.UsableSlots(now) != 0)
+  if (desk.queue.waiting() == 0 || desk.endpoints.UsableSlots() != 0)
     return;
   std::vector<RequestTicket> stranded;
   for (const auto& [ticket, record] : requests_) {
@@ -284,10 +319,12 @@
 
 void EntryNode::Refuse(RequestTicket ticket, Error error, Time now) {
   const RequestRecord& record = requests_.at(ticket);
-  FinishClaim(record, Outcome::kNotRun, {}, now);
+  const Outcome outcome =
+      record.may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  FinishClaim(record, outcome, {}, now);
   const bool overload = error.kind == ErrorKind::kDeadlineExceeded ||
                         error.kind == ErrorKind::kNoEndpoint;
-  RefuseRequest refusal{std::move(error), Outcome::kNotRun, {}};
+  RefuseRequest refusal{std::move(error), outcome, {}};
   if (overload)
     refusal.retry_after = kRetryAfter;
   End(ticket, std::move(refusal));
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -23,6 +23,7 @@
 struct RequestRecord {
   RequestArrived arrival;
   settings::KindSettings kind;
+  Time arrived{};
   Time deadline{};
   RequestPhase phase = RequestPhase::kWaiting;
   /// Name of the claim's attempt; empty if no claim was made.
@@ -30,6 +31,9 @@
   int attempts = 0;
   /// Endpoint of the attempt under way.
   std::string endpoint;
+  Time attempt_started{};
+  /// Endpoint of the attempt before.
+  std::string last_endpoint;
   std::set<std::string> tried;
   /// An earlier attempt ended without a known outcome.
   bool may_have_run = false;
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -12,6 +12,10 @@
 constexpr int kMaxEjectionDoublings = 5;
 /// Most endpoints of a service that may be put aside, in percent.
 constexpr std::size_t kMaxAsidePercent = 50;
+/// Factor of the limit after a refusal.
+constexpr double kLimitDecrease = 0.7;
+/// Time that an endpoint is left alone after a refusal.
+constexpr Duration kRefusalPause = 10ms;
 constexpr unsigned kSecondDrawShift = 32;
 
 }  // namespace
@@ -28,7 +32,11 @@
       row = Row{};
       row.inflight = inflight;
     }
+    const bool new_slots =
+        row.settings.slots != endpoint.slots || row.limit < 1;
     row.settings = endpoint;
+    if (new_slots)
+      row.limit = endpoint.slots;
   }
   for (auto& [name, row] : rows_) {
     if (kept.count(name) == 0)
@@ -48,7 +56,7 @@
   std::vector<const std::string*> near;
   std::vector<const std::string*> far;
   for (const auto& [name, row] : rows_) {
-    if (!IsUsable(row, now) || row.inflight >= row.settings.slots)
+    if (!HasRoom(row, now))
       continue;
     if (tried.count(name) != 0)
       continue;
@@ -62,7 +70,7 @@
       *choices[(random >> kSecondDrawShift) % choices.size()];
   const auto load = [&](const std::string& name) {
     const Row& row = rows_.at(name);
-    return static_cast<double>(row.inflight) / row.settings.slots;
+    return row.inflight / row.limit;
   };
   const std::string& chosen = load(second) < load(first) ? second : first;
   ++rows_.at(chosen).inflight;
@@ -84,8 +92,11 @@
     return;
   }
   row.failures = 0;
-  if (end == AttemptEnd::kAnswered)
-    row.ejections = 0;
+  if (end == AttemptEnd::kRefused) {
+    OnRefusal(row, now);
+    return;
+  }
+  OnAnswer(row);
 }
 
 std::vector<std::string> EndpointTable::DueProbes(Time now) {
@@ -125,32 +136,47 @@
   return found == rows_.end() ? "" : found->second.settings.address;
 }
 
-int EndpointTable::UsableSlots(Time now) const {
+int EndpointTable::UsableSlots() const {
   int slots = 0;
   for (const auto& [name, row] : rows_) {
-    if (IsUsable(row, now))
-      slots += row.settings.slots;
+    if (IsUsable(row))
+      slots += static_cast<int>(row.limit);
   }
   return slots;
 }
 
 bool EndpointTable::HasFreeSlot(Time now) const {
   return std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
-    const Row& row = item.second;
-    return IsUsable(row, now) && row.inflight < row.settings.slots;
+    return HasRoom(item.second, now);
   });
 }
 
-bool EndpointTable::IsUsable(const Row& row, Time /*now*/) const {
+bool EndpointTable::IsUsable(const Row& row) const {
   return !row.settings.drained && !row.draining && !row.aside_until;
 }
 
+bool EndpointTable::HasRoom(const Row& row, Time now) const {
+  return IsUsable(row) && now >= row.refused_until &&
+         row.inflight < static_cast<int>(row.limit);
+}
+
+void EndpointTable::OnRefusal(Row& row, Time now) {
+  row.limit = std::max(1.0, row.limit * kLimitDecrease);
+  row.refused_until = now + kRefusalPause;
+}
+
+void EndpointTable::OnAnswer(Row& row) {
+  row.ejections = 0;
+  // One more for each time that all which may run have been answered.
+  row.limit = std::min<double>(row.settings.slots, row.limit + 1 / row.limit);
+}
+
 void EndpointTable::OnFailure(Row& row, Time now) {
   ++row.failures;
   if (row.failures < probe_failures_)
     return;
   const bool already = row.aside_until.has_value();
-  if (!already && (AsideCount(now) + 1) * 100 > rows_.size() * kMaxAsidePercent)
+  if (!already && (AsideCount() + 1) * 100 > rows_.size() * kMaxAsidePercent)
     return;
   row.failures = 0;
   row.aside_until =
@@ -159,7 +185,7 @@
   ++row.ejections;
 }
 
-std::size_t EndpointTable::AsideCount(Time /*now*/) const {
+std::size_t EndpointTable::AsideCount() const {
   return static_cast<std::size_t>(std::count_if(
       rows_.begin(), rows_.end(),
       [](const auto& row) { return row.second.aside_until.has_value(); }));
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -46,8 +46,8 @@
   /// Address of an endpoint, or empty.
   std::string AddressOf(const std::string& name) const;
 
-  /// Slots of all endpoints that may get new work.
-  int UsableSlots(Time now) const;
+  /// Requests that may run at once at the endpoints that may get new work.
+  int UsableSlots() const;
   /// True if Take would find an endpoint for a first attempt.
   bool HasFreeSlot(Time now) const;
   int inflight() const { return inflight_; }
@@ -56,6 +56,11 @@
   struct Row {
     settings::EndpointSettings settings;
     int inflight = 0;
+    /// Requests that this instance may run there at once: falls when the
+    /// endpoint refuses, as others use its slots too, and rises with answers.
+    double limit = 0;
+    /// After a refusal, no work goes there until then.
+    Time refused_until{};
     int failures = 0;
     /// Times the endpoint was put aside without an answer in between.
     int ejections = 0;
@@ -65,9 +70,12 @@
     Time probe_due{};
   };
 
-  bool IsUsable(const Row& row, Time now) const;
+  bool IsUsable(const Row& row) const;
+  bool HasRoom(const Row& row, Time now) const;
+  static void OnRefusal(Row& row, Time now);
+  static void OnAnswer(Row& row);
   void OnFailure(Row& row, Time now);
-  std::size_t AsideCount(Time now) const;
+  std::size_t AsideCount() const;
 
   std::map<std::string, Row> rows_;
   int probe_failures_ = 1;
--- a/source/unit_tests/entry/entry_node_test.cc
+++ b/source/unit_tests/entry/entry_node_test.cc
@@ -65,28 +65,92 @@
   }
 }
 
-TEST_CASE("What an endpoint refused or never got may go to another") {
-  for (const AttemptEnd end :
-       {AttemptEnd::kRefused, AttemptEnd::kNotConnected}) {
-    EntryDriver driver = Ready();
-    const RequestTicket ticket = driver.Arrive("POST", "/x", "k");
-    driver.Grant(driver.Take<protocol::ClaimRequest>()[0]);
-    driver.End(driver.attempts[0], end);
-    REQUIRE(driver.attempts.size() == 2);
-    driver.End(driver.attempts[1], end);
-    REQUIRE(driver.Refusal(ticket) != nullptr);
-    CHECK(driver.Refusal(ticket)->outcome == Outcome::kNotRun);
-    // The key is free again.
-    CHECK(driver.Take<protocol::FinishRequest>()[0].outcome ==
-          Outcome::kNotRun);
+TEST_CASE("What an endpoint never got may go to another") {
+  EntryDriver driver = Ready();
+  const RequestTicket ticket = driver.Arrive("POST", "/x", "k");
+  driver.Grant(driver.Take<protocol::ClaimRequest>()[0]);
+  driver.End(driver.attempts[0], AttemptEnd::kNotConnected);
+  REQUIRE(driver.attempts.size() == 2);
+  CHECK(driver.attempts[1].endpoint != driver.attempts[0].endpoint);
+  driver.End(driver.attempts[1], AttemptEnd::kNotConnected);
+  REQUIRE(driver.Refusal(ticket) != nullptr);
+  CHECK(driver.Refusal(ticket)->outcome == Outcome::kNotRun);
+  // The key is free again.
+  CHECK(driver.Take<protocol::FinishRequest>()[0].outcome == Outcome::kNotRun);
+}
+
+TEST_CASE("What endpoints refuse waits until one takes it") {
+  EntryDriver driver = Ready();
+  const RequestTicket ticket = driver.Arrive("POST", "/x", "k");
+  driver.Grant(driver.Take<protocol::ClaimRequest>()[0]);
+  for (std::size_t i = 0; i < 6; ++i) {
+    REQUIRE(driver.attempts.size() == i + 1);
+    driver.End(driver.attempts[i], AttemptEnd::kRefused);
+    driver.Wait(20ms);
+  }
+  CHECK(driver.Refusal(ticket) == nullptr);
+  driver.End(driver.attempts.back(), AttemptEnd::kAnswered);
+  CHECK(driver.PassedOn(ticket));
+}
+
+TEST_CASE("What endpoints refuse to the end is refused, not run") {
+  EntryDriver driver = Ready();
+  const RequestTicket ticket = driver.Arrive("POST", "/x", "k");
+  driver.Grant(driver.Take<protocol::ClaimRequest>()[0]);
+  std::size_t ended = 0;
+  for (int i = 0; i < 200 && driver.Refusal(ticket) == nullptr; ++i) {
+    for (; ended < driver.attempts.size(); ++ended)
+      driver.End(driver.attempts[ended], AttemptEnd::kRefused);
+    driver.Wait(20ms);
   }
+  REQUIRE(driver.Refusal(ticket) != nullptr);
+  CHECK(driver.Refusal(ticket)->outcome == Outcome::kNotRun);
+  CHECK(driver.Take<protocol::FinishRequest>()[0].outcome == Outcome::kNotRun);
+}
+
+TEST_CASE("A request that has waited too long to be answered is not sent") {
+  EntryDriver driver = Ready();
+  // Answers take 300 ms.
+  driver.Arrive("GET", "/x");
+  driver.Wait(300ms);
+  driver.End(driver.attempts[0], AttemptEnd::kAnswered);
+  for (int i = 0; i < 4; ++i)
+    driver.Arrive("GET", "/x");
+  REQUIRE(driver.attempts.size() == 5);
+  const RequestTicket late = driver.Arrive("GET", "/x", "", 400ms);
+  driver.Wait(300ms);
+  driver.End(driver.attempts[1], AttemptEnd::kAnswered);
+  REQUIRE(driver.Refusal(late) != nullptr);
+  CHECK(driver.Refusal(late)->error.kind == ErrorKind::kDeadlineExceeded);
+  CHECK(driver.Refusal(late)->outcome == Outcome::kNotRun);
+  CHECK(driver.attempts.size() == 5);
+  // A fresh request is tried although answers have been slower than its time.
+  driver.Arrive("GET", "/x", "", 100ms);
+  CHECK(driver.attempts.size() == 6);
+}
+
+TEST_CASE("A refusing endpoint gets fewer requests at once") {
+  EntryDriver driver = Ready();
+  for (int i = 0; i < 4; ++i)
+    driver.Arrive("GET", "/x");
+  REQUIRE(driver.attempts.size() == 4);
+  for (std::size_t i = 0; i < 4; ++i)
+    driver.End(driver.attempts[i], AttemptEnd::kRefused);
+  driver.Wait(40ms);
+  // Each of the two endpoints may run one now instead of two.
+  CHECK(driver.attempts.size() == 6);
 }
 
 TEST_CASE("A refusal after a lost attempt does not say that nothing ran") {
   EntryDriver driver = Ready();
   const RequestTicket ticket = driver.Arrive("GET", "/x");
   driver.End(driver.attempts[0], AttemptEnd::kConnectionLost);
-  driver.End(driver.attempts[1], AttemptEnd::kRefused);
+  std::size_t ended = 1;
+  for (int i = 0; i < 200 && driver.Refusal(ticket) == nullptr; ++i) {
+    for (; ended < driver.attempts.size(); ++ended)
+      driver.End(driver.attempts[ended], AttemptEnd::kRefused);
+    driver.Wait(20ms);
+  }
   REQUIRE(driver.Refusal(ticket) != nullptr);
   CHECK(driver.Refusal(ticket)->outcome == Outcome::kUnknown);
 }
--- a/source/unit_tests/load/load_main.cc
+++ b/source/unit_tests/load/load_main.cc
@@ -20,7 +20,7 @@
 constexpr Duration kServiceTime = 40ms;
 constexpr Duration kDeadline = 500ms;
 constexpr Duration kLength = 6s;
-constexpr int kWorkers = 300;
+constexpr int kWorkers = 900;
 /// Requests a second that all slots together can run.
 constexpr int kCapacity = kEndpoints * kSlots * 25;
 constexpr std::array<int, kRankCount> kWorth = {10, 3, 1};
