Entry: End waiting calls with the instance

Ruled out: a request lost by the server (all six were answered, the fifth refusal was a true one).

Change: a traffic thread looks every 200 ms whether the control thread has ended and then answers by itself: not run if nothing was sent, else unknown. The test lets one caller run and one wait before the others come; its numbers stay.

Conclusion: the server counts a request as waiting until a thread has it.

--- a/source/jacinthroute/entry_forwarding.cc
+++ b/source/jacinthroute/entry_forwarding.cc
@@ -19,6 +19,8 @@
 
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::int64_t kMaxBudgetMs = 3'600'000;
+/// Time between looks at whether the control thread has ended.
+constexpr Duration kEndCheckInterval = 200ms;
 constexpr std::size_t kMaxKeyLength = 200;
 constexpr std::size_t kMaxCallerLength = 100;
 
@@ -87,6 +89,14 @@
   return response;
 }
 
+// The answer to a request that the control thread ended before.
+entry::RequestAnswer EndedAnswer(entry::RequestTicket ticket, bool attempted) {
+  entry::RefuseRequest refusal;
+  refusal.error = {ErrorKind::kDraining, "the instance has ended"};
+  refusal.outcome = attempted ? Outcome::kUnknown : Outcome::kNotRun;
+  return {ticket, std::move(refusal)};
+}
+
 }  // namespace
 
 Response EntryHost::HandleForward(const Request& request) {
@@ -167,11 +177,17 @@
     Step(arrival);
   });
   Response last;
+  bool attempted = false;
   while (true) {
-    const CallOrder order = call->Wait();
-    if (const auto* answer = std::get_if<entry::RequestAnswer>(&order))
+    std::optional<CallOrder> order = call->WaitFor(kEndCheckInterval);
+    if (!order && !ended_)
+      continue;
+    if (!order)
+      order = EndedAnswer(ticket, attempted);
+    if (const auto* answer = std::get_if<entry::RequestAnswer>(&*order))
       return MakeAnswer(*answer, std::move(last));
-    const auto& attempt = std::get<entry::StartAttempt>(order);
+    const auto& attempt = std::get<entry::StartAttempt>(*order);
+    attempted = true;
     ForwardResult result =
         forwarder_.Run(attempt, request, repeatable, max_body, context);
     last = std::move(result.response);
--- a/source/jacinthroute/entry_host.cc
+++ b/source/jacinthroute/entry_host.cc
@@ -78,6 +78,7 @@
 }
 
 void EntryHost::Join() {
+  ended_ = true;
   for (auto& [ticket, call] : calls_) {
     entry::RefuseRequest refusal{
         {ErrorKind::kOutcomeUnknown, "the instance ended"},
--- a/source/jacinthroute/entry_host.h
+++ b/source/jacinthroute/entry_host.h
@@ -75,6 +75,8 @@
   std::atomic<Snapshot> snapshot_;
   std::atomic<entry::RequestTicket> last_ticket_{0};
   std::atomic<std::uint64_t> lookups_{0};
+  /// The control thread has ended: nobody answers waiting calls any more.
+  std::atomic<bool> ended_{false};
   std::map<entry::RequestTicket, std::shared_ptr<PendingCall>> calls_;
   Forwarder forwarder_;
   std::unique_ptr<EndpointProber> prober_;
--- a/source/jacinthroute/pending_call.cc
+++ b/source/jacinthroute/pending_call.cc
@@ -10,10 +10,10 @@
   ready_.notify_one();
 }
 
-CallOrder PendingCall::Wait() {
+std::optional<CallOrder> PendingCall::WaitFor(Duration limit) {
   std::unique_lock lock(mutex_);
-  ready_.wait(lock, [&] { return order_.has_value(); });
-  return *std::exchange(order_, std::nullopt);
+  ready_.wait_for(lock, limit, [&] { return order_.has_value(); });
+  return std::exchange(order_, std::nullopt);
 }
 
 }  // namespace jacinth
--- a/source/jacinthroute/pending_call.h
+++ b/source/jacinthroute/pending_call.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <variant>
 
+#include "core/common/time.h"
 #include "core/entry/entry_actions.h"
 
 namespace jacinth {
@@ -18,8 +19,9 @@
   /// Called on the control thread.
   void Give(CallOrder order);
 
-  /// Called on the traffic thread; waits for the next order.
-  CallOrder Wait();
+  /// Called on the traffic thread; waits for the next order, for `limit` at
+  /// most.
+  std::optional<CallOrder> WaitFor(Duration limit);
 
  private:
   std::mutex mutex_;
--- a/source/unit_tests/http/server_test.cc
+++ b/source/unit_tests/http/server_test.cc
@@ -117,11 +117,13 @@
 }
 
 TEST_CASE("Beyond its bounds the server refuses, not run") {
+  std::atomic<bool> started{false};
   std::atomic<bool> release{false};
   ServerOptions options;
   options.threads = 1;
   options.max_waiting = 1;
   Running running(options, [&](const Request& request) {
+    started = true;
     while (!release)
       std::this_thread::yield();
     return Echo(request);
@@ -133,7 +135,7 @@
   std::atomic<int> refused{0};
   std::vector<std::thread> callers;
   callers.reserve(6);
-  for (int i = 0; i < 6; ++i) {
+  const auto add_caller = [&] {
     callers.emplace_back([&] {
       Connection connection(running.address());
       const auto result = connection.Exchange(request, {1s, 10s, 1'000});
@@ -143,8 +145,16 @@
           HeaderValue(result.response.headers, "Jacinth-Outcome") == "not-run")
         ++refused;
     });
-  }
-  // One runs, one waits; the others are refused while these are held.
+  };
+  // One runs, one waits; only then do the others come.
+  add_caller();
+  while (!started)
+    std::this_thread::yield();
+  add_caller();
+  while (running.server().waiting() != 1)
+    std::this_thread::yield();
+  for (int i = 0; i < 4; ++i)
+    add_caller();
   while (refused < 4)
     std::this_thread::yield();
   release = true;
