--- a/source/benchmarks/control_benchmark.cc
+++ b/source/benchmarks/control_benchmark.cc
@@ -54,7 +54,7 @@
     options.replica.id = "c1#1";
     options.replica.election_timeout = 200ms;
     options.replica.heartbeat = 20ms;
-    options.instances = {"c1"};
+    options.contacts = {"c1"};
     options.entry_timeout = 2s;
     options.snapshot_entries = 1'000'000;
     return options;
--- a/source/core/consensus/formation.cc
+++ b/source/core/consensus/formation.cc
@@ -14,9 +14,16 @@
 
 }  // namespace
 
-Formation::Formation(std::string id, std::vector<std::string> instances)
-    : id_(std::move(id)), instances_(std::move(instances)) {
-  std::sort(instances_.begin(), instances_.end());
+Formation::Formation(std::string id,
+                     std::vector<std::string> contacts,
+                     bool may_found)
+    : id_(std::move(id)), may_found_(may_found) {
+  SetContacts(std::move(contacts));
+}
+
+void Formation::SetContacts(std::vector<std::string> contacts) {
+  contacts_ = std::move(contacts);
+  std::sort(contacts_.begin(), contacts_.end());
 }
 
 std::vector<PeerMessage> Formation::OnTick(Time now) {
@@ -24,7 +31,7 @@
   if (now < next_probe_)
     return probes;
   next_probe_ = now + kProbeInterval;
-  for (const std::string& instance : instances_) {
+  for (const std::string& instance : contacts_) {
     if (instance == InstanceOf(id_))
       continue;
     PeerMessage probe;
@@ -51,7 +58,7 @@
     return Decision::kJoin;
   if (!IsFounder())
     return Decision::kWait;
-  const std::size_t others = instances_.size() - 1;
+  const std::size_t others = contacts_.size() - 1;
   return unformed_.size() == others ? Decision::kFound : Decision::kWait;
 }
 
@@ -65,7 +72,8 @@
 }
 
 bool Formation::IsFounder() const {
-  return !instances_.empty() && instances_.front() == InstanceOf(id_);
+  return may_found_ && !contacts_.empty() &&
+         contacts_.front() == InstanceOf(id_);
 }
 
 PeerMessage MakeProbeReply(const PeerMessage& probe,
--- a/source/core/consensus/formation.h
+++ b/source/core/consensus/formation.h
@@ -13,9 +13,9 @@
 
 /// Decides how a replica with an empty log begins.
 ///
-/// Only the founder (the first of the configured instances by name) creates the
-/// group, and only after every other instance has said that it has no log. All
-/// others, and a founder that lost its disk, wait for a group to join.
+/// Only the founder (the first of the contacts by name) creates the group, and
+/// only after every other contact has said that it has no log. All others, and a
+/// founder that lost its disk, wait for a group to join.
 class Formation {
  public:
   enum class Decision {
@@ -26,8 +26,12 @@
     kJoin,
   };
 
-  /// `instances` are all configured replicas, this one included.
-  Formation(std::string id, std::vector<std::string> instances);
+  /// `contacts` are the instances to ask, with this one if it is among the first
+  /// members. Without `may_found` the replica only joins.
+  Formation(std::string id, std::vector<std::string> contacts, bool may_found);
+
+  /// Replaces the contacts, as the settings may name others later on.
+  void SetContacts(std::vector<std::string> contacts);
 
   /// Returns the probes to send, if any are due.
   std::vector<protocol::PeerMessage> OnTick(Time now);
@@ -46,7 +50,8 @@
   bool IsFounder() const;
 
   std::string id_;
-  std::vector<std::string> instances_;
+  std::vector<std::string> contacts_;
+  bool may_found_;
   /// Replica id by instance, for instances without a log.
   std::map<std::string, std::string> unformed_;
   bool formed_elsewhere_ = false;
--- a/source/core/consensus/leader_lease.cc
+++ b/source/core/consensus/leader_lease.cc
@@ -28,6 +28,11 @@
   contact = std::max(contact, sent);
 }
 
+Time LeaderLease::ContactOf(const std::string& follower) const {
+  const auto found = contacts_.find(follower);
+  return found == contacts_.end() ? start_ : found->second;
+}
+
 Time LeaderLease::QuorumContact(const protocol::Configuration& configuration,
                                 const std::string& self,
                                 Time now) const {
--- a/source/core/consensus/leader_lease.h
+++ b/source/core/consensus/leader_lease.h
@@ -28,6 +28,10 @@
   /// Notes that `follower` answered a message of `round`.
   void OnReply(const std::string& follower, std::uint64_t round);
 
+  /// Latest time at which `follower` is known to have followed; the leader's
+  /// start if it hasn't answered yet.
+  Time ContactOf(const std::string& follower) const;
+
   /// Latest time at which a quorum, `self` included, is known to have followed;
   /// Time::min() if it never was.
   Time QuorumContact(const protocol::Configuration& configuration,
--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -58,9 +58,14 @@
   Result<std::uint64_t> Propose(std::string payload, Time now);
 
   /// Adds a replica as learner, and once it has caught up makes it a voter in
-  /// place of any other replica of the same instance. Call again until done.
+  /// place of any other replica of the same instance, or of the voter that has
+  /// been silent for longest if the group is full. Call again until done.
   void AdmitReplica(const std::string& id, Time now);
 
+  /// Drops a learner that has been silent for `replace_after`; it asks again
+  /// when it is back.
+  void DropSilentLearner(Time now);
+
   /// Starts handing the leadership to the most advanced voter.
   void TransferLeadership(Time now);
 
@@ -88,6 +93,8 @@
   const std::string& id() const { return options_.id; }
   /// Id of the leader of the current term, or empty.
   const std::string& leader() const { return leader_; }
+  /// When the replica last heard from a leader, or its start.
+  Time leader_contact() const { return leader_contact_; }
   const protocol::Configuration& configuration() const {
     return configuration_;
   }
@@ -140,6 +147,7 @@
   void OnAppendReply(const protocol::PeerMessage& message, Time now);
   void AdvanceCommit();
   void LeaderTick(Time now);
+  std::string VoterToReplace(const std::string& learner, Time now) const;
   void ChangeConfiguration(const protocol::Configuration& configuration,
                            Time now);
 
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -40,15 +40,16 @@
   const auto progress = progress_.find(id);
   if (progress == progress_.end() || progress->second.match < commit_index_)
     return;
-  const auto replaced = std::find_if(
-      next.voters.begin(), next.voters.end(), [&](const std::string& voter) {
-        return protocol::InstanceOf(voter) == protocol::InstanceOf(id);
-      });
   // One voter at a time: first the lost one leaves, then the new one joins.
-  if (replaced != next.voters.end()) {
-    if (*replaced == options_.id)
+  const std::string replaced = VoterToReplace(id, now);
+  const bool full = options_.target_voters != 0 &&
+                    next.voters.size() >= options_.target_voters;
+  if (!replaced.empty()) {
+    if (replaced == options_.id)
       return;
-    next.voters.erase(replaced);
+    std::erase(next.voters, replaced);
+  } else if (full) {
+    return;
   } else {
     std::erase(next.learners, id);
     next.voters.push_back(id);
@@ -57,6 +58,42 @@
   ChangeConfiguration(next, now);
 }
 
+// The voter that `learner` shall take the place of, or empty.
+std::string Replica::VoterToReplace(const std::string& learner,
+                                    Time now) const {
+  for (const std::string& voter : configuration_.voters) {
+    if (protocol::InstanceOf(voter) == protocol::InstanceOf(learner))
+      return voter;
+  }
+  if (options_.target_voters == 0 ||
+      configuration_.voters.size() < options_.target_voters)
+    return "";
+  std::string longest;
+  Time oldest = now - options_.replace_after;
+  for (const std::string& voter : configuration_.voters) {
+    if (voter == options_.id || lease_->ContactOf(voter) >= oldest)
+      continue;
+    oldest = lease_->ContactOf(voter);
+    longest = voter;
+  }
+  return longest;
+}
+
+void Replica::DropSilentLearner(Time now) {
+  if (role_ != ReplicaRole::kLeader || halted_ || transfer_started_)
+    return;
+  if (!ConfigurationSettled())
+    return;
+  for (const std::string& learner : configuration_.learners) {
+    if (now < lease_->ContactOf(learner) + options_.replace_after)
+      continue;
+    Configuration next = configuration_;
+    std::erase(next.learners, learner);
+    ChangeConfiguration(next, now);
+    return;
+  }
+}
+
 void Replica::TransferLeadership(Time now) {
   if (role_ != ReplicaRole::kLeader || transfer_started_)
     return;
--- a/source/core/consensus/replica_options.h
+++ b/source/core/consensus/replica_options.h
@@ -16,6 +16,12 @@
   /// between this and twice this.
   Duration election_timeout{0};
   Duration heartbeat{0};
+  /// Voters that the group grows to; a further replica only takes the place of
+  /// one that is silent. 0 for no bound.
+  std::size_t target_voters = 0;
+  /// Silence after which a voter may be replaced by a caught-up learner, and a
+  /// learner is dropped.
+  Duration replace_after{0};
   /// Most entries sent in one message.
   std::size_t max_entries_per_message = 512;
   /// Most unacknowledged messages with entries to one follower.
--- a/source/core/control/control_event.h
+++ b/source/core/control/control_event.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/consensus/replica_actions.h"
 #include "core/protocol/command.h"
+#include "core/protocol/endpoint_list.h"
 #include "core/protocol/envelope.h"
 #include "core/settings/operator_settings.h"
 
@@ -32,6 +34,16 @@
 /// Time has passed.
 struct Tick {};
 
+/// The platform's list of endpoints was read in full.
+struct EndpointsListed {
+  std::vector<protocol::ListedEndpoint> endpoints;
+};
+
+/// The settings name other instances to ask for the group.
+struct ContactsChanged {
+  std::vector<std::string> contacts;
+};
+
 /// An operator asks for a change of settings.
 struct ChangeRequested {
   AdminTicket ticket = 0;
@@ -54,6 +66,8 @@
                                   WritesSynced,
                                   StorageFailed,
                                   Tick,
+                                  EndpointsListed,
+                                  ContactsChanged,
                                   ChangeRequested,
                                   ViewRequested,
                                   StopRequested>;
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -1,6 +1,7 @@
 #include "core/control/control_node.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/common/hash.h"
@@ -19,6 +20,10 @@
 
 /// Time between requests for admission, and between steps of admitting.
 constexpr Duration kAdmissionInterval = 100ms;
+/// Time between requests of a replica that hears from no leader, and the silence
+/// before the first, in election timeouts.
+constexpr Duration kRejoinInterval = 500ms;
+constexpr int kRejoinTimeouts = 3;
 /// Index and term of the snapshot that every founded group starts from.
 constexpr std::uint64_t kFoundingIndex = 1;
 constexpr std::uint64_t kFoundingTerm = 1;
@@ -35,7 +40,8 @@
       return tl::unexpected(loaded.error());
   }
   if (!has_log) {
-    node.formation_.emplace(node.options_.replica.id, node.options_.instances);
+    node.formation_.emplace(node.options_.replica.id, node.options_.contacts,
+                            node.options_.may_found);
     // A vote given before the first entry came must not be forgotten.
     if (start.hard_state.term == 0)
       return node;
@@ -93,6 +99,7 @@
   if (storage_failed_)
     return;
   TickFormation(clock);
+  TickRejoin(clock);
   if (replica_)
     replica_->OnTick(clock.now);
   TickLeader(clock);
@@ -116,9 +123,10 @@
         {std::string(protocol::InstanceOf(message.from)),
          consensus::MakeProbeReply(message, options_.replica.id, has_log)});
     const bool known =
-        std::find(options_.instances.begin(), options_.instances.end(),
+        options_.open_membership ||
+        std::find(options_.contacts.begin(), options_.contacts.end(),
                   protocol::InstanceOf(message.from)) !=
-        options_.instances.end();
+            options_.contacts.end();
     if (replica_ && known)
       replica_->AdmitReplica(message.from, clock.now);
     return;
@@ -159,6 +167,55 @@
   }
 }
 
+// A replica that hears from no leader may have been replaced while it was away:
+// asks to be admitted again.
+void ControlNode::TickRejoin(ClockReading clock) {
+  if (!replica_ || formation_ || clock.now < next_rejoin_)
+    return;
+  next_rejoin_ = clock.now + kRejoinInterval;
+  const Duration silence = kRejoinTimeouts * options_.replica.election_timeout;
+  const bool leads = replica_->role() == ReplicaRole::kLeader;
+  if (leads || clock.now < replica_->leader_contact() + silence)
+    return;
+  std::set<std::string> asked(options_.contacts.begin(),
+                              options_.contacts.end());
+  for (const std::string& instance : ReplicaInstances())
+    asked.insert(instance);
+  asked.erase(std::string(protocol::InstanceOf(options_.replica.id)));
+  for (const std::string& instance : asked) {
+    PeerMessage probe;
+    probe.kind = PeerMessageKind::kProbe;
+    probe.from = options_.replica.id;
+    probe.to = instance;
+    actions_.messages.push_back({instance, std::move(probe)});
+  }
+}
+
+std::vector<std::string> ControlNode::ReplicaInstances() const {
+  std::vector<std::string> instances;
+  if (!replica_)
+    return instances;
+  const protocol::Configuration& members = replica_->configuration();
+  for (const std::string& id : members.voters)
+    instances.emplace_back(protocol::InstanceOf(id));
+  for (const std::string& id : members.learners)
+    instances.emplace_back(protocol::InstanceOf(id));
+  return instances;
+}
+
+void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
+  if (!Leads(clock.now) || registry_term_ != replica_->term())
+    return;
+  if (catalog_.Take(event.endpoints, clock.now))
+    PushEndpoints(clock);
+}
+
+void ControlNode::On(const ContactsChanged& event, ClockReading /*clock*/) {
+  options_.contacts = event.contacts;
+  if (formation_)
+    formation_->SetContacts(event.contacts);
+}
+
 void ControlNode::FoundGroup(ClockReading clock) {
   consensus::WriteRequest write;
   write.id = 0;
@@ -189,6 +246,8 @@
         replica_->configuration().learners;
     for (const std::string& learner : learners)
       replica_->AdmitReplica(learner, clock.now);
+    if (options_.open_membership)
+      replica_->DropSilentLearner(clock.now);
   }
   if (registry_term_ == replica_->term())
     registry_.Expire(clock.now);
@@ -215,6 +274,8 @@
         registry_term_ != replica_->term()) {
       registry_term_ = replica_->term();
       registry_.Reset(registry_term_, clock.now);
+      catalog_.Reset(registry_term_);
+      entry_endpoints_.clear();
       pushed_revision_ = 0;
     }
     PushSettings(clock);
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -15,6 +15,7 @@
 #include "core/control/control_actions.h"
 #include "core/control/control_event.h"
 #include "core/control/control_state.h"
+#include "core/control/endpoint_catalog.h"
 #include "core/control/entry_registry.h"
 
 namespace jacinth::control {
@@ -22,8 +23,12 @@
 /// Fixed parameters of a control node.
 struct ControlOptions {
   consensus::ReplicaOptions replica;
-  /// All configured replicas, by instance.
-  std::vector<std::string> instances;
+  /// Instances to ask for the group; all replicas if these are listed.
+  std::vector<std::string> contacts;
+  /// A group may be founded if the contacts know of none.
+  bool may_found = true;
+  /// Replicas other than the contacts may join.
+  bool open_membership = false;
   Duration entry_timeout{0};
   /// Log entries between snapshots.
   std::uint64_t snapshot_entries = 0;
@@ -50,6 +55,11 @@
   }
   const ControlState& state() const { return state_; }
   const std::string& replica_id() const { return options_.replica.id; }
+  /// True if this replica may answer for the group.
+  bool Leads(Time now) const;
+  /// Instance of the leader, or empty if unknown.
+  std::string LeaderInstance() const;
+  const EndpointCatalog& endpoints() const { return catalog_; }
 
  private:
   struct ChangeWaiter {
@@ -80,6 +90,8 @@
   void On(const StorageFailed& event, ClockReading clock);
   void On(const Tick& event, ClockReading clock);
   void On(const StopRequested& event, ClockReading clock);
+  void On(const EndpointsListed& event, ClockReading clock);
+  void On(const ContactsChanged& event, ClockReading clock);
 
   void OnPeer(const protocol::PeerMessage& message, ClockReading clock);
   void OnHeartbeat(const std::string& from,
@@ -93,6 +105,7 @@
                 ClockReading clock);
 
   void TickFormation(ClockReading clock);
+  void TickRejoin(ClockReading clock);
   void TickLeader(ClockReading clock);
   void FoundGroup(ClockReading clock);
   void Collect(ClockReading clock);
@@ -104,10 +117,10 @@
                       ClockReading clock);
   void AbandonWaiters();
   void PushSettings(ClockReading clock);
+  void PushEndpoints(ClockReading clock);
+  std::vector<std::string> ReplicaInstances() const;
   void SendToEntry(const std::string& entry, protocol::Envelope envelope);
-  protocol::SettingsUpdate MakeUpdate() const;
-  bool Leads(Time now) const;
-  std::string LeaderInstance() const;
+  protocol::SettingsUpdate MakeUpdate(std::uint64_t held_revision) const;
 
   // control_node_admin.cc
   void On(const ChangeRequested& event, ClockReading clock);
@@ -121,6 +134,9 @@
   std::optional<consensus::Replica> replica_;
   ControlState state_;
   EntryRegistry registry_;
+  EndpointCatalog catalog_;
+  /// Version of the endpoint list that each entry holds, as far as known.
+  std::map<std::string, std::uint64_t> entry_endpoints_;
   std::uint64_t registry_term_ = 0;
   std::uint64_t last_proposal_ = 0;
   std::map<std::uint64_t, Waiter> waiters_;
@@ -130,6 +146,7 @@
   bool storage_failed_ = false;
   std::optional<Time> stop_deadline_;
   Time next_admission_{};
+  Time next_rejoin_{};
   ControlActions actions_;
 };
 
--- a/source/core/control/control_node_admin.cc
+++ b/source/core/control/control_node_admin.cc
@@ -72,11 +72,21 @@
 
 std::optional<Error> ControlNode::CheckChange(
     const ChangeRequested& event) const {
-  if (event.change.if_revision != state_.revision()) {
+  const bool by_revision =
+      !event.change.any_revision && !event.change.version_step;
+  if (by_revision && event.change.if_revision != state_.revision()) {
     return Error{
         ErrorKind::kRevisionConflict,
         "the current revision is " + std::to_string(state_.revision())};
   }
+  if (event.change.version_step) {
+    const protocol::VersionStep& step = *event.change.version_step;
+    if (step.base != state_.operator_version() || step.next <= step.base) {
+      return Error{ErrorKind::kRevisionConflict,
+                   "the current version is " +
+                       std::to_string(state_.operator_version())};
+    }
+  }
   const Tree after = state_.Preview(event.change);
   for (const std::string& branch : ChangedBranches(state_.tree(), after)) {
     if (!event.caller.MayChange(branch)) {
@@ -98,6 +108,7 @@
   view.leader = LeaderInstance();
   view.current = Leads(now);
   view.revision = state_.revision();
+  view.operator_version = state_.operator_version();
   view.tree = std::make_shared<const Tree>(state_.tree());
   view.entries = registry_.Statuses();
   view.audit.assign(state_.audit().begin(), state_.audit().end());
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -16,6 +16,7 @@
   reply.sequence = heartbeat.sequence;
   reply.leader_hint = LeaderInstance();
   if (!Leads(clock.now)) {
+    reply.replicas = ReplicaInstances();
     SendToEntry(from, reply);
     return;
   }
@@ -23,9 +24,13 @@
   reply.leader = true;
   reply.revision = state_.revision();
   if (heartbeat.status.revision < state_.revision())
-    reply.update = MakeUpdate();
-  if (registry_.Version(clock.now) != heartbeat.members_version)
+    reply.update = MakeUpdate(heartbeat.status.revision);
+  if (registry_.Version(clock.now) != heartbeat.members_version) {
     reply.members = registry_.Members(clock.now);
+    reply.replicas = ReplicaInstances();
+  }
+  reply.endpoints = catalog_.UpdateFor(heartbeat.endpoints_version, clock.now);
+  entry_endpoints_[from] = heartbeat.endpoints_version;
   SendToEntry(from, std::move(reply));
 }
 
@@ -121,10 +126,28 @@
   reply.leader = true;
   reply.leader_hint = LeaderInstance();
   reply.revision = state_.revision();
-  reply.update = MakeUpdate();
+  std::map<std::uint64_t, protocol::SettingsUpdate> updates;
   for (const protocol::EntryStatus& entry : registry_.Statuses()) {
-    if (entry.revision < state_.revision())
-      SendToEntry(entry.id, reply);
+    if (entry.revision >= state_.revision())
+      continue;
+    auto [update, added] = updates.try_emplace(entry.revision);
+    if (added)
+      update->second = MakeUpdate(entry.revision);
+    reply.update = update->second;
+    SendToEntry(entry.id, reply);
+  }
+}
+
+void ControlNode::PushEndpoints(ClockReading clock) {
+  for (const protocol::EntryStatus& entry : registry_.Statuses()) {
+    std::uint64_t& held = entry_endpoints_[entry.id];
+    protocol::HeartbeatReply reply;
+    reply.leader = true;
+    reply.leader_hint = LeaderInstance();
+    reply.endpoints = catalog_.UpdateFor(held, clock.now);
+    // If this is lost, the entry's next heartbeat tells.
+    held = catalog_.version();
+    SendToEntry(entry.id, std::move(reply));
   }
 }
 
@@ -133,11 +156,20 @@
   actions_.messages.push_back({entry, std::move(envelope)});
 }
 
-protocol::SettingsUpdate ControlNode::MakeUpdate() const {
+protocol::SettingsUpdate ControlNode::MakeUpdate(
+    std::uint64_t held_revision) const {
   protocol::SettingsUpdate update;
   update.revision = state_.revision();
-  update.text = state_.tree().ToIni();
-  update.checksum = Hash64(update.text);
+  std::string text = state_.tree().ToIni();
+  update.checksum = Hash64(text);
+  auto changes = held_revision == 0 ? std::nullopt
+                                    : state_.ChangesSince(held_revision);
+  if (changes) {
+    update.base_revision = held_revision;
+    update.changes = std::move(*changes);
+  } else {
+    update.text = std::move(text);
+  }
   return update;
 }
 
--- a/source/core/control/control_state.cc
+++ b/source/core/control/control_state.cc
@@ -1,6 +1,7 @@
 #include "core/control/control_state.h"
 
 #include <algorithm>
+#include <set>
 
 #include "core/settings/fleet_settings.h"
 #include "core/settings/setting_spec.h"
@@ -19,6 +20,8 @@
 
 /// Answers to changes kept for resends.
 constexpr std::size_t kMaxResults = 4'096;
+/// Revisions whose changes are kept to bring entries up to date.
+constexpr std::size_t kMaxRecentChanges = 256;
 /// Accepted changes kept in the audit trail.
 constexpr std::size_t kMaxAuditRecords = 10'000;
 
@@ -71,11 +74,14 @@
   if (const auto first = FindResult(change))
     return *first;
   ChangeOutcome outcome;
-  if (change.if_revision != revision_) {
+  if (!IsCurrent(change)) {
     outcome = {false, ErrorKind::kRevisionConflict, revision_};
   } else {
+    NoteChanges(change);
     tree_ = Preview(change);
     ++revision_;
+    if (change.version_step)
+      operator_version_ = change.version_step->next;
     outcome = {true, ErrorKind::kRevisionConflict, revision_};
     audit_.push_back(
         {revision_, wall_ms, change.operator_name, BranchList(change)});
@@ -86,6 +92,46 @@
   return outcome;
 }
 
+bool ControlState::IsCurrent(const ChangeSettings& change) const {
+  if (change.version_step) {
+    return change.version_step->base == operator_version_ &&
+           change.version_step->next > operator_version_;
+  }
+  return change.any_revision || change.if_revision == revision_;
+}
+
+void ControlState::NoteChanges(const ChangeSettings& change) {
+  // The whole tree is sent after it was replaced.
+  if (change.replace_all) {
+    recent_changes_.clear();
+    return;
+  }
+  std::vector<std::string> branches;
+  for (const BranchChange& branch : change.changes)
+    branches.push_back(branch.branch);
+  recent_changes_.push_back(std::move(branches));
+  if (recent_changes_.size() > kMaxRecentChanges)
+    recent_changes_.pop_front();
+}
+
+std::optional<std::vector<BranchChange>> ControlState::ChangesSince(
+    std::uint64_t revision) const {
+  const std::uint64_t behind = revision_ - revision;
+  if (revision > revision_ || behind > recent_changes_.size())
+    return std::nullopt;
+  std::set<std::string> names;
+  for (std::size_t i = recent_changes_.size() - behind;
+       i < recent_changes_.size(); ++i)
+    names.insert(recent_changes_[i].begin(), recent_changes_[i].end());
+  std::vector<BranchChange> changes;
+  for (const std::string& name : names) {
+    const settings::Tree::Values* values = tree_.Find(name);
+    changes.push_back(
+        {name, values == nullptr ? settings::Tree::Values{} : *values});
+  }
+  return changes;
+}
+
 void ControlState::Remember(const ChangeSettings& change,
                             const ChangeOutcome& outcome) {
   const ResultKey key{change.operator_name, change.idempotency_key};
@@ -110,6 +156,7 @@
 std::string ControlState::Save() const {
   protocol::ControlSnapshot snapshot;
   snapshot.revision = revision_;
+  snapshot.operator_version = operator_version_;
   snapshot.tree_text = tree_.ToIni();
   snapshot.log_time_ms = log_time_;
   snapshot.claims = ledger_.Rows();
@@ -133,6 +180,7 @@
                 settings::FormatFaults("stored settings", parsed.faults));
   }
   revision_ = snapshot->revision;
+  operator_version_ = snapshot->operator_version;
   tree_ = std::move(parsed.tree);
   log_time_ = snapshot->log_time_ms;
   ledger_.Restore(std::move(snapshot->claims), snapshot->forgotten_before_ms);
--- a/source/core/control/control_state.h
+++ b/source/core/control/control_state.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "core/common/error.h"
 #include "core/control/ledger.h"
@@ -47,6 +48,12 @@
   settings::Tree Preview(const protocol::ChangeSettings& change) const;
 
   std::uint64_t revision() const { return revision_; }
+  /// Number that the operator gave to the last numbered change; 0 if none.
+  std::uint64_t operator_version() const { return operator_version_; }
+  /// Branches changed since `revision`, the last contents of each; nothing if
+  /// that is too long ago.
+  std::optional<std::vector<protocol::BranchChange>> ChangesSince(
+      std::uint64_t revision) const;
   const settings::Tree& tree() const { return tree_; }
   const Ledger& ledger() const { return ledger_; }
   const std::deque<protocol::AuditRecord>& audit() const { return audit_; }
@@ -62,17 +69,22 @@
 
   ChangeOutcome ApplyChange(const protocol::ChangeSettings& change,
                             WallMillis wall_ms);
+  bool IsCurrent(const protocol::ChangeSettings& change) const;
+  void NoteChanges(const protocol::ChangeSettings& change);
   void Remember(const protocol::ChangeSettings& change,
                 const ChangeOutcome& outcome);
   Duration Retention() const;
 
   std::uint64_t revision_ = 0;
+  std::uint64_t operator_version_ = 0;
   settings::Tree tree_;
   WallMillis log_time_ = 0;
   Ledger ledger_;
   std::map<ResultKey, protocol::ChangeResult> results_;
   std::deque<ResultKey> result_order_;
   std::deque<protocol::AuditRecord> audit_;
+  /// Names of the branches that the latest revisions changed, oldest first.
+  std::deque<std::vector<std::string>> recent_changes_;
 };
 
 }  // namespace jacinth::control
--- a/source/core/control/control_view.h
+++ b/source/core/control/control_view.h
@@ -22,6 +22,7 @@
   std::uint64_t term = 0;
   std::uint64_t commit_index = 0;
   std::uint64_t revision = 0;
+  std::uint64_t operator_version = 0;
   std::shared_ptr<const settings::Tree> tree;
   protocol::Configuration replicas;
   /// False while a change of the replicas is under way: until it is committed,
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -1,6 +1,7 @@
 #include "core/entry/control_session.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/common/hash.h"
@@ -13,6 +14,10 @@
 using protocol::HeartbeatReply;
 using protocol::SettingsUpdate;
 
+/// Heartbeats without a leader's reply after which all replicas are asked.
+constexpr int kSearchHeartbeats = 3;
+constexpr std::size_t kMaxContacts = 32;
+
 }  // namespace
 
 ControlSession::ControlSession(protocol::EntryStatus self,
@@ -32,10 +37,13 @@
   heartbeat.status = self_;
   heartbeat.members_version = members_.version;
   heartbeat.sequence = sequence_;
+  heartbeat.endpoints_version = endpoints_version_;
   return heartbeat;
 }
 
 bool ControlSession::OnReply(const HeartbeatReply& reply, Time now) {
+  for (const std::string& replica : reply.replicas)
+    AddContact(replica);
   if (!reply.leader)
     return false;
   const auto sent = SentTime(reply.sequence);
@@ -45,6 +53,9 @@
   bool changed = false;
   if (vouched) {
     leader_ = reply.leader_hint;
+    vouched_at_ = now;
+    if (endpoints_version_ != 0)
+      endpoints_at_ = now;
     const Time until = *sent + timeout_;
     changed |= until > contact_until_;
     contact_until_ = std::max(contact_until_, until);
@@ -56,9 +67,83 @@
     members_ = reply.members;
     changed = true;
   }
+  if (TakeEndpoints(reply.endpoints)) {
+    endpoints_at_ = now;
+    changed = true;
+  }
   return changed;
 }
 
+bool ControlSession::IsSearching(Time now) const {
+  return leader_.empty() || now > vouched_at_ + kSearchHeartbeats * heartbeat_;
+}
+
+void ControlSession::SetContacts(std::vector<std::string> contacts) {
+  contacts_ = std::move(contacts);
+}
+
+void ControlSession::AddContact(const std::string& instance) {
+  if (std::find(contacts_.begin(), contacts_.end(), instance) !=
+      contacts_.end())
+    return;
+  contacts_.push_back(instance);
+  if (contacts_.size() > kMaxContacts)
+    contacts_.erase(contacts_.begin());
+}
+
+void ControlSession::TakeListed(
+    const std::vector<protocol::ListedEndpoint>& list,
+    Time now) {
+  endpoints_at_ = now;
+  // The leader's next update must be a whole list.
+  endpoints_version_ = 0;
+  std::set<std::string> listed;
+  for (const protocol::ListedEndpoint& endpoint : list) {
+    listed.insert(endpoint.id);
+    if (SetEndpoint(endpoint))
+      ++endpoint_changes_;
+  }
+  const auto removed = std::erase_if(endpoints_, [&](const auto& item) {
+    return listed.count(item.first) == 0;
+  });
+  if (removed != 0)
+    ++endpoint_changes_;
+}
+
+// An endpoint that drains doesn't come back under the same start.
+bool ControlSession::SetEndpoint(const protocol::ListedEndpoint& endpoint) {
+  protocol::ListedEndpoint& kept = endpoints_[endpoint.id];
+  protocol::ListedEndpoint next = endpoint;
+  if (kept.started_ms == next.started_ms && kept.address == next.address)
+    next.draining |= kept.draining;
+  if (kept == next)
+    return false;
+  kept = std::move(next);
+  return true;
+}
+
+bool ControlSession::TakeEndpoints(const protocol::EndpointUpdate& update) {
+  if (update.version == 0 || update.version <= endpoints_version_)
+    return false;
+  if (update.base != 0 && update.base != endpoints_version_)
+    return false;
+  endpoints_version_ = update.version;
+  if (update.base == 0) {
+    std::set<std::string> listed;
+    for (const protocol::ListedEndpoint& endpoint : update.changed)
+      listed.insert(endpoint.id);
+    std::erase_if(endpoints_, [&](const auto& item) {
+      return listed.count(item.first) == 0;
+    });
+  }
+  for (const protocol::ListedEndpoint& endpoint : update.changed)
+    SetEndpoint(endpoint);
+  for (const std::string& id : update.removed)
+    endpoints_.erase(id);
+  ++endpoint_changes_;
+  return true;
+}
+
 void ControlSession::SetDraining() {
   self_.draining = true;
   next_heartbeat_ = Time{};
@@ -73,12 +158,25 @@
 }
 
 bool ControlSession::TakeSettings(const SettingsUpdate& update) {
-  if (Hash64(update.text) != update.checksum)
-    return false;
-  settings::ParsedTree parsed = settings::ParseTree(update.text);
-  if (!parsed.faults.empty())
-    return false;
-  fleet_ = settings::BuildFleetSettings(parsed.tree, update.revision);
+  settings::Tree tree;
+  if (update.base_revision != 0) {
+    if (update.base_revision != self_.revision)
+      return false;
+    tree = tree_;
+    for (const protocol::BranchChange& change : update.changes)
+      tree.Replace(change.branch, change.values);
+    if (Hash64(tree.ToIni()) != update.checksum)
+      return false;
+  } else {
+    if (Hash64(update.text) != update.checksum)
+      return false;
+    settings::ParsedTree parsed = settings::ParseTree(update.text);
+    if (!parsed.faults.empty())
+      return false;
+    tree = std::move(parsed.tree);
+  }
+  fleet_ = settings::BuildFleetSettings(tree, update.revision);
+  tree_ = std::move(tree);
   self_.revision = update.revision;
   // Tell the control role at once that the revision is in force here.
   next_heartbeat_ = Time{};
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,25 @@
   /// look-ups or requests depend on.
   bool OnReply(const protocol::HeartbeatReply& reply, Time now);
 
+  /// True if the last heartbeats have not been answered by a leader, so that the
+  /// next must go to every replica known.
+  bool IsSearching(Time now) const;
+
+  /// Instances that may know the leader.
+  const std::vector<std::string>& contacts() const { return contacts_; }
+  void SetContacts(std::vector<std::string> contacts);
+
+  /// Endpoints out of the platform's list by id, and the version held.
+  const std::map<std::string, protocol::ListedEndpoint>& endpoints() const {
+    return endpoints_;
+  }
+  /// Takes over a list that this instance has read itself.
+  void TakeListed(const std::vector<protocol::ListedEndpoint>& list, Time now);
+  /// When the endpoints were last known to be up to date.
+  Time endpoints_at() const { return endpoints_at_; }
+  /// Counts changes of endpoints().
+  std::uint64_t endpoint_changes() const { return endpoint_changes_; }
+
   /// Announces that the instance is leaving.
   void SetDraining();
 
@@ -44,6 +64,7 @@
   const std::vector<protocol::EntryStatus>& members() const {
     return members_.entries;
   }
+  std::uint64_t members_version() const { return members_.version; }
   const protocol::EntryStatus& self() const { return self_; }
   /// Instance of the leader, or empty.
   const std::string& leader() const { return leader_; }
@@ -57,6 +78,9 @@
 
   std::optional<Time> SentTime(std::uint64_t sequence) const;
   bool TakeSettings(const protocol::SettingsUpdate& update);
+  bool TakeEndpoints(const protocol::EndpointUpdate& update);
+  void AddContact(const std::string& instance);
+  bool SetEndpoint(const protocol::ListedEndpoint& endpoint);
 
   protocol::EntryStatus self_;
   Duration heartbeat_;
@@ -66,8 +90,15 @@
   std::deque<SentHeartbeat> sent_;
   Time contact_until_{};
   std::string leader_;
+  Time vouched_at_{};
+  settings::Tree tree_;
   std::shared_ptr<const settings::FleetSettings> fleet_;
   protocol::MemberList members_;
+  std::vector<std::string> contacts_;
+  std::map<std::string, protocol::ListedEndpoint> endpoints_;
+  std::uint64_t endpoints_version_ = 0;
+  std::uint64_t endpoint_changes_ = 0;
+  Time endpoints_at_{};
 };
 
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/common/error.h"
+#include "core/common/execution.h"
 #include "core/common/outcome.h"
 #include "core/common/time.h"
 #include "core/entry/entry_event.h"
@@ -26,6 +27,9 @@
   RequestTicket ticket = 0;
   std::string endpoint;
   std::string address;
+  /// Name that the endpoint checks the request against; may be empty.
+  std::string incarnation;
+  Execution execution = Execution::kRepeatable;
   Duration connect_timeout{0};
   /// Time for the whole attempt.
   Duration timeout{0};
@@ -54,6 +58,11 @@
   Duration retry_after{0};
 };
 
+/// Break off the attempt under way, as the caller has gone.
+struct CancelAttempt {
+  RequestTicket ticket = 0;
+};
+
 /// The end of a request.
 struct RequestAnswer {
   RequestTicket ticket = 0;
@@ -65,6 +74,8 @@
   std::string service;
   std::string endpoint;
   std::string address;
+  std::string path;
+  std::string incarnation;
 };
 
 /// What an entry node wants done after an event.
@@ -72,9 +83,12 @@
   std::vector<OutgoingMessage> messages;
   std::vector<StartAttempt> attempts;
   std::vector<RequestAnswer> answers;
+  std::vector<CancelAttempt> cancels;
   std::vector<StartProbe> probes;
   /// New state for look-ups, if it changed.
   std::shared_ptr<const steering::SteeringSnapshot> snapshot;
+  /// Read the platform's list of endpoints; the control role doesn't tell.
+  bool list_endpoints = false;
   /// Latest time of the next Tick.
   Time wake{};
   /// The node has finished its work and may be ended.
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -21,6 +21,7 @@
     case AttemptEnd::kRefused:
       return {ErrorKind::kOverloaded, "the endpoints refused the request"};
     case AttemptEnd::kNotConnected:
+    case AttemptEnd::kMisdirected:
       return {ErrorKind::kNoEndpoint, "no endpoint could be connected to"};
     default:
       return {ErrorKind::kEndpointFailed, "the connection was lost"};
@@ -30,16 +31,24 @@
 }  // namespace
 
 bool EntryNode::TryAttempt(RequestRecord& record, ServiceDesk& desk, Time now) {
-  const std::uint64_t random =
+  forwarding::Placement placement;
+  placement.home = options_.self.region;
+  placement.tried = record.tried;
+  placement.regions = record.kind.regions;
+  placement.draw =
       Hash64(options_.self.id, record.arrival.ticket * 16 +
                                    static_cast<std::uint64_t>(record.attempts));
-  auto endpoint =
-      desk.endpoints.Take(options_.self.region, record.tried, random, now);
+  if (record.kind.affinity && !record.arrival.object.empty())
+    placement.object = Hash64(record.arrival.object);
+  auto endpoint = desk.endpoints.Take(placement, now);
   // After a broken connection, a new one to the same endpoint may do.
-  if (!endpoint && record.connection_broke)
-    endpoint = desk.endpoints.Take(options_.self.region, {}, random, now);
+  if (!endpoint && record.connection_broke) {
+    placement.tried.clear();
+    endpoint = desk.endpoints.Take(placement, now);
+  }
   if (!endpoint)
     return false;
+  const settings::EndpointSettings& row = *desk.endpoints.Find(*endpoint);
   record.endpoint = *endpoint;
   record.attempt_started = now;
   record.tried.insert(*endpoint);
@@ -47,12 +56,14 @@
   StartAttempt attempt;
   attempt.ticket = record.arrival.ticket;
   attempt.endpoint = *endpoint;
-  attempt.address = desk.endpoints.AddressOf(*endpoint);
+  attempt.address = row.address;
+  attempt.incarnation = row.incarnation;
+  attempt.execution = record.kind.execution;
   attempt.number = record.attempts;
   attempt.fresh_connection = record.attempts > 1;
   // What may be repeated leaves time for another attempt, if there may be one.
   const bool may_repeat =
-      record.kind.repeatable && record.attempts < record.kind.max_attempts;
+      record.kind.repeatable() && record.attempts < record.kind.max_attempts;
   attempt.timeout = record.deadline - now;
   if (may_repeat)
     attempt.timeout = std::min(attempt.timeout, record.kind.attempt_timeout);
@@ -67,25 +78,32 @@
   if (found == requests_.end())
     return;
   RequestRecord& record = found->second;
-  ServiceDesk& desk = desks_.at(record.arrival.service);
-  desk.endpoints.OnAttemptEnd(record.endpoint, event.end, now);
+  ServiceDesk& desk = desks_.at(record.service);
+  desk.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load, now);
   record.endpoint.clear();
+  const bool refused = event.end == AttemptEnd::kRefused;
+  const bool waits_again =
+      refused && !options_.limits.refusals_are_retries && now < record.deadline;
+  if (waits_again) {
+    WaitAgain(record, desk, now);
+    return;
+  }
   const Outcome outcome = forwarding::OutcomeOf(event.end);
-  if (event.end == AttemptEnd::kAnswered) {
+  const bool may_retry = event.end != AttemptEnd::kAnswered &&
+                         MayRetry(record, desk, event.end, now);
+  record.may_have_run |= outcome != Outcome::kNotRun;
+  record.connection_broke = outcome == Outcome::kUnknown;
+  if (may_retry && TryAttempt(record, desk, now))
+    return;
+  const bool answered = event.end == AttemptEnd::kAnswered ||
+                        event.end == AttemptEnd::kAnsweredFailure;
+  if (answered) {
     desk.NoteAnswer(record.kind.name, now - record.attempt_started);
     FinishClaim(record, Outcome::kRan, event.answer, now);
     End(event.ticket, PassOnAnswer{});
     Pump(desk, now);
     return;
   }
-  if (event.end == AttemptEnd::kRefused && now < record.deadline) {
-    WaitAgain(record, desk, now);
-    return;
-  }
-  record.may_have_run |= outcome != Outcome::kNotRun;
-  record.connection_broke = outcome == Outcome::kUnknown;
-  if (MayRetry(record, desk, outcome, now) && TryAttempt(record, desk, now))
-    return;
   const Outcome total =
       record.may_have_run
           ? (outcome == Outcome::kRan ? Outcome::kRan : Outcome::kUnknown)
@@ -95,7 +113,7 @@
   FinishClaim(record, total, dropped, now);
   RefuseRequest refusal{ErrorOfAttempt(event.end), total, {}};
   if (total == Outcome::kNotRun)
-    refusal.retry_after = kRetryAfter;
+    refusal.retry_after = RetryHint(record);
   End(event.ticket, std::move(refusal));
   Pump(desk, now);
 }
@@ -107,20 +125,24 @@
   // With nothing ruled out, it never holds up those behind it.
   record.tried.clear();
   record.phase = RequestPhase::kWaiting;
-  desk.queue.Requeue(record.arrival.ticket, record.kind.name, record.deadline);
+  desk.queue.Requeue(record.arrival.ticket, record.kind.name,
+                     record.wait_until);
   Pump(desk, now);
 }
 
 bool EntryNode::MayRetry(const RequestRecord& record,
                          ServiceDesk& desk,
-                         Outcome outcome,
+                         AttemptEnd end,
                          Time now) const {
-  if (outcome == Outcome::kRan || now >= record.deadline)
-    return false;
-  if (record.attempts >= record.kind.max_attempts)
+  if (now >= record.deadline || record.attempts >= record.kind.max_attempts)
     return false;
-  const bool harmless = record.kind.repeatable || outcome == Outcome::kNotRun;
-  return harmless && desk.retries.TryRetry();
+  const Outcome outcome = forwarding::OutcomeOf(end);
+  // A failure that the endpoint answered ran, and may be repeated like any
+  // other; an answer too large would be so again.
+  const bool repeats_help = end != AttemptEnd::kAnswerTooLarge;
+  const bool harmless =
+      outcome == Outcome::kNotRun || (record.kind.repeatable() && repeats_help);
+  return harmless && desk.retries.TryRetry(now);
 }
 
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -1,14 +1,18 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/admission/admission_queue.h"
 #include "core/common/time.h"
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/endpoint_table.h"
+#include "core/forwarding/load_report.h"
 #include "core/protocol/claim.h"
+#include "core/protocol/endpoint_list.h"
 #include "core/protocol/envelope.h"
 
 namespace jacinth::entry {
@@ -27,10 +31,16 @@
 /// A caller's request, as far as decisions need it.
 struct RequestArrived {
   RequestTicket ticket = 0;
+  /// Service that the caller names; empty if `host` and `path` select a route.
   std::string service;
+  std::string host;
   std::string method;
-  /// Path below the service.
+  /// Path below the service, or the whole path for a route.
   std::string path;
+  /// Names the request in logs; may be empty.
+  std::string request_id;
+  /// Names the object that the request concerns; may be empty.
+  std::string object;
   /// Who the idempotency key belongs to; may be empty.
   std::string caller;
   std::string idempotency_key;
@@ -48,6 +58,23 @@
   forwarding::AttemptEnd end = forwarding::AttemptEnd::kConnectionLost;
   /// What the ledger keeps of a whole answer.
   protocol::RecordedAnswer answer;
+  /// What the endpoint told of its load.
+  std::optional<forwarding::LoadReport> load;
+};
+
+/// The caller closed its connection before it had an answer.
+struct RequestAbandoned {
+  RequestTicket ticket = 0;
+};
+
+/// The platform's list of endpoints was read by this instance itself.
+struct EndpointsListed {
+  std::vector<protocol::ListedEndpoint> endpoints;
+};
+
+/// The settings name other instances to ask for the control group.
+struct ContactsChanged {
+  std::vector<std::string> contacts;
 };
 
 /// A health probe ended.
@@ -65,6 +92,9 @@
                                 Tick,
                                 RequestArrived,
                                 AttemptEnded,
+                                RequestAbandoned,
+                                EndpointsListed,
+                                ContactsChanged,
                                 ProbeEnded,
                                 StopRequested>;
 
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/hash.h"
+
 namespace jacinth::entry {
 namespace {
 
@@ -10,13 +12,24 @@
 constexpr Duration kTickInterval = 20ms;
 /// Heartbeats until all other entries know that this one is leaving.
 constexpr int kAnnounceHeartbeats = 4;
+/// Age of the list of endpoints after which an entry reads it itself, and the
+/// shortest time between two readings.
+constexpr Duration kStaleList = 1500ms;
+constexpr Duration kListingInterval = 1s;
+/// Entries that share a bound, at least, while this one doesn't know them all.
+constexpr std::size_t kCarefulSharers = 8;
+/// Retries beyond the share, if the interface states no bound.
+constexpr int kRetryReserve = 10;
+constexpr double kPercent = 100;
 
 }  // namespace
 
 EntryNode::EntryNode(EntryOptions options)
     : options_(std::move(options)),
       session_(options_.self, options_.heartbeat, options_.control_timeout),
-      ceilings_(options_.max_requests) {}
+      ceilings_(options_.max_requests) {
+  session_.SetContacts(options_.contacts);
+}
 
 EntryActions EntryNode::Step(const EntryEvent& event, Time now) {
   std::visit([&](const auto& body) { On(body, now); }, event);
@@ -31,7 +44,7 @@
           std::get_if<protocol::HeartbeatReply>(&event.envelope)) {
     if (!session_.OnReply(*reply, now))
       return;
-    TakeFleet();
+    TakeFleet(now);
     PublishSnapshot();
     return;
   }
@@ -44,14 +57,15 @@
 }
 
 void EntryNode::On(const Tick& /*event*/, Time now) {
-  if (auto heartbeat = session_.OnTick(now))
-    actions_.messages.push_back({"", std::move(*heartbeat)});
+  if (const auto heartbeat = session_.OnTick(now))
+    SendHeartbeat(*heartbeat, now);
+  TickListing(now);
   RefuseExpired(now);
   for (auto& [name, desk] : desks_) {
     for (std::string& endpoint : desk.endpoints.DueProbes(now)) {
-      std::string address = desk.endpoints.AddressOf(endpoint);
-      actions_.probes.push_back(
-          {name, std::move(endpoint), std::move(address)});
+      const settings::EndpointSettings* row = desk.endpoints.Find(endpoint);
+      actions_.probes.push_back({name, std::move(endpoint), row->address,
+                                 desk.settings.health_path, row->incarnation});
     }
     RefuseUnservable(desk, now);
     Pump(desk, now);
@@ -76,18 +90,131 @@
   PublishSnapshot();
 }
 
-void EntryNode::TakeFleet() {
+void EntryNode::On(const EndpointsListed& event, Time now) {
+  // The control role's list goes first once it is back.
+  if (session_.InContact(now) && now < session_.endpoints_at() + kStaleList)
+    return;
+  session_.TakeListed(event.endpoints, now);
+  TakeFleet(now);
+}
+
+void EntryNode::On(const ContactsChanged& event, Time /*now*/) {
+  session_.SetContacts(event.contacts);
+}
+
+void EntryNode::SendHeartbeat(const protocol::Heartbeat& heartbeat, Time now) {
+  if (!session_.IsSearching(now)) {
+    actions_.messages.push_back({session_.leader(), heartbeat});
+    return;
+  }
+  for (const std::string& contact : session_.contacts())
+    actions_.messages.push_back({contact, heartbeat});
+}
+
+// Without word from the control role, the entry reads the platform's list
+// itself, each entry at a moment of its own.
+void EntryNode::TickListing(Time now) {
+  if (!options_.can_list_endpoints || now < next_listing_)
+    return;
+  const bool first = next_listing_ == Time{};
+  const std::uint64_t draw = Hash64(
+      options_.self.id, static_cast<std::uint64_t>(now.time_since_epoch().count()));
+  next_listing_ = now + kListingInterval +
+                  Duration(static_cast<std::int64_t>(
+                      draw % static_cast<std::uint64_t>(
+                                 kListingInterval.count())));
+  const bool fresh = now < session_.endpoints_at() + kStaleList;
+  actions_.list_endpoints = !first && !fresh;
+}
+
+void EntryNode::TakeFleet(Time now) {
   const auto& fleet = session_.fleet();
-  if (fleet == nullptr || fleet->revision == fleet_revision_)
+  const bool same = fleet == nullptr ||
+                    (fleet->revision == fleet_revision_ &&
+                     endpoint_changes_ == session_.endpoint_changes() &&
+                     members_used_ == session_.members_version());
+  if (same)
     return;
+  if (fleet->revision != fleet_revision_)
+    clients_ = steering::BuildClientMap(*fleet);
   fleet_revision_ = fleet->revision;
-  clients_ = steering::BuildClientMap(*fleet);
-  for (const auto& [name, service] : fleet->services)
-    desks_[name].Update(service);
+  endpoint_changes_ = session_.endpoint_changes();
+  members_used_ = session_.members_version();
+  for (const auto& [name, service] : fleet->services) {
+    ServiceDesk& desk = desks_[name];
+    desk.Update(Complete(service), now);
+    ShareLimits(desk);
+    Pump(desk, now);
+  }
   for (auto& [name, desk] : desks_) {
     if (fleet->services.count(name) == 0)
-      desk.Close();
+      desk.Close(now);
+  }
+}
+
+// The service with the kinds of the routes that lead to it and the endpoints
+// that the platform lists.
+settings::ServiceSettings EntryNode::Complete(
+    const settings::ServiceSettings& service) {
+  settings::ServiceSettings complete = service;
+  for (const auto& [host, routes] : session_.fleet()->routes) {
+    for (const settings::RouteSettings& route : routes) {
+      const bool leads_here =
+          std::any_of(route.shares.begin(), route.shares.end(),
+                      [&](const settings::RouteShare& share) {
+                        return share.service == service.name;
+                      });
+      if (leads_here)
+        complete.kinds.push_back(route.kind);
+    }
+  }
+  for (const auto& [id, row] : session_.endpoints()) {
+    if (row.service == service.name)
+      complete.endpoints.push_back(Place(row));
   }
+  return complete;
+}
+
+settings::EndpointSettings EntryNode::Place(
+    const protocol::ListedEndpoint& row) const {
+  settings::EndpointSettings endpoint;
+  endpoint.name = row.id;
+  endpoint.incarnation = row.id;
+  endpoint.started_ms = row.started_ms;
+  endpoint.address = row.address;
+  endpoint.failure_domain = row.failure_domain;
+  const auto region = options_.domain_regions.find(row.failure_domain);
+  if (region != options_.domain_regions.end())
+    endpoint.region = region->second;
+  endpoint.slots = row.slots;
+  endpoint.warmup_left = std::chrono::milliseconds(row.warmup_left_ms);
+  const bool domain_drained =
+      session_.fleet()->drained_domains.count(row.failure_domain) != 0;
+  endpoint.drained = row.draining || domain_drained;
+  return endpoint;
+}
+
+// This entry's part of the bounds that all entries keep together.
+void EntryNode::ShareLimits(ServiceDesk& desk) const {
+  const settings::FleetLimits& limits = options_.limits;
+  std::vector<std::string> entries;
+  for (const protocol::EntryStatus& member : session_.members())
+    entries.push_back(member.id);
+  if (limits.retry_ratio > 0) {
+    const auto sharers = std::max(entries.size(), kCarefulSharers);
+    const auto reserve =
+        limits.retry_reserve / static_cast<int>(sharers);
+    desk.retries.Configure(limits.retry_ratio, reserve, limits.retry_window);
+  } else {
+    desk.retries.Configure(desk.settings.retry_budget_percent / kPercent,
+                           kRetryReserve, limits.retry_window);
+  }
+  if (desk.settings.warmup_per_s <= 0)
+    return;
+  const double bound = desk.settings.warmup_per_s * limits.warmup_factor +
+                       limits.warmup_slack;
+  desk.endpoints.SetWarmupGate(
+      forwarding::WarmupGate(options_.self.id, std::move(entries), bound));
 }
 
 void EntryNode::PublishSnapshot() {
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/admission/rank_ceilings.h"
 #include "core/common/error.h"
@@ -14,6 +15,8 @@
 #include "core/entry/entry_event.h"
 #include "core/entry/request_record.h"
 #include "core/entry/service_desk.h"
+#include "core/entry/share_counter.h"
+#include "core/settings/fleet_limits.h"
 
 namespace jacinth::entry {
 
@@ -25,8 +28,16 @@
   Duration control_timeout{0};
   /// Longest wait for requests in flight at a planned stop.
   Duration drain_limit{0};
-  /// Requests held at once, each on a thread of its own.
+  /// Requests held at once.
   int max_requests = 0;
+  /// Bounds that all entries keep together.
+  settings::FleetLimits limits;
+  /// Region of each failure domain, for listed endpoints.
+  std::map<std::string, std::string> domain_regions;
+  /// The platform's list can be read by this instance.
+  bool can_list_endpoints = false;
+  /// Instances to ask for the control group.
+  std::vector<std::string> contacts;
 };
 
 /// The entry role of one instance.
@@ -57,7 +68,14 @@
   void On(const Tick& event, Time now);
   void On(const ProbeEnded& event, Time now);
   void On(const StopRequested& event, Time now);
-  void TakeFleet();
+  void On(const EndpointsListed& event, Time now);
+  void On(const ContactsChanged& event, Time now);
+  void SendHeartbeat(const protocol::Heartbeat& heartbeat, Time now);
+  void TickListing(Time now);
+  void TakeFleet(Time now);
+  settings::ServiceSettings Complete(const settings::ServiceSettings& service);
+  settings::EndpointSettings Place(const protocol::ListedEndpoint& row) const;
+  void ShareLimits(ServiceDesk& desk) const;
   void PublishSnapshot();
   void TickStop(Time now);
   Duration LongestTtl() const;
@@ -65,8 +83,12 @@
   // entry_requests.cc
   void On(const RequestArrived& event, Time now);
   void On(const AttemptEnded& event, Time now);
-  std::optional<Error> CheckArrival(const RequestArrived& event,
+  void On(const RequestAbandoned& event, Time now);
+  Result<RequestRecord> Resolve(const RequestArrived& event);
+  std::optional<Error> CheckArrival(const RequestArrived& event) const;
+  std::optional<Error> CheckService(const RequestRecord& record,
                                     Time now) const;
+  Duration RetryHint(const RequestRecord& record) const;
   void Admit(RequestRecord record, ServiceDesk& desk, Time now);
   void StartClaim(RequestRecord& record, Time now);
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
@@ -75,7 +97,7 @@
   void WaitAgain(RequestRecord& record, ServiceDesk& desk, Time now);
   bool MayRetry(const RequestRecord& record,
                 ServiceDesk& desk,
-                Outcome outcome,
+                forwarding::AttemptEnd end,
                 Time now) const;
   void RefuseExpired(Time now);
   void RefuseUnservable(ServiceDesk& desk, Time now);
@@ -92,6 +114,10 @@
   ClaimClient claims_;
   admission::RankCeilings ceilings_;
   std::uint64_t fleet_revision_ = 0;
+  std::uint64_t endpoint_changes_ = 0;
+  std::uint64_t members_used_ = 0;
+  Time next_listing_{};
+  std::map<std::string, ShareCounter> share_counters_;
   std::shared_ptr<const steering::ClientMap> clients_;
   std::map<std::string, ServiceDesk> desks_;
   std::map<RequestTicket, RequestRecord> requests_;
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -12,6 +12,13 @@
 using protocol::FinishRequest;
 using protocol::RecordedAnswer;
 
+/// Longest wait for an endpoint, as a part of the objective: a request refused
+/// later has lost too much of it.
+constexpr int kWaitPartOfObjective = 8;
+/// Time after which a refused caller shall come again, as a part of the
+/// objective.
+constexpr int kHintPartOfObjective = 4;
+
 Error ErrorOfVerdict(ClaimVerdict verdict) {
   switch (verdict) {
     case ClaimVerdict::kInProgress:
@@ -41,57 +48,132 @@
 }  // namespace
 
 void EntryNode::On(const RequestArrived& event, Time now) {
-  if (const auto error = CheckArrival(event, now)) {
-    RefuseRequest refusal{*error, AnswerFor(error->kind).outcome, {}};
+  const auto refuse = [&](const Error& error, Duration retry_after) {
+    RefuseRequest refusal{error, AnswerFor(error.kind).outcome, retry_after};
     actions_.answers.push_back({event.ticket, std::move(refusal)});
+  };
+  if (const auto error = CheckArrival(event)) {
+    refuse(*error, Duration{0});
+    return;
+  }
+  auto resolved = Resolve(event);
+  if (!resolved) {
+    refuse(resolved.error(), Duration{0});
+    return;
+  }
+  RequestRecord record = std::move(*resolved);
+  if (const auto error = CheckService(record, now)) {
+    refuse(*error, RetryHint(record));
     return;
   }
-  ServiceDesk& desk = desks_.at(event.service);
-  RequestRecord record;
-  record.arrival = event;
-  record.kind = *desk.settings.FindKind(event.method, event.path);
   Duration budget = record.kind.request_timeout;
   if (event.budget > Duration{0})
     budget = std::min(budget, event.budget);
   record.arrived = now;
   record.deadline = now + budget;
+  record.wait_until = record.deadline;
+  const Duration objective = record.kind.objective;
+  if (objective > Duration{0}) {
+    record.wait_until =
+        std::min(record.deadline, now + objective / kWaitPartOfObjective);
+  }
+  ServiceDesk& desk = desks_.at(record.service);
   Admit(std::move(record), desk, now);
 }
 
-std::optional<Error> EntryNode::CheckArrival(const RequestArrived& event,
-                                             Time now) const {
-  if (phase_ == Phase::kRefusing)
-    return Error{ErrorKind::kDraining, "look up another entry instance"};
-  if (session_.fleet() == nullptr)
-    return Error{ErrorKind::kNotReady, "no settings received yet"};
+// Finds the kind and the service of a request.
+Result<RequestRecord> EntryNode::Resolve(const RequestArrived& event) {
+  RequestRecord record;
+  record.arrival = event;
+  if (!event.host.empty()) {
+    const auto* route = session_.fleet()->FindRoute(event.host, event.path);
+    if (route == nullptr) {
+      return Fail(ErrorKind::kUnknownPath,
+                  "no route for " + event.host + event.path);
+    }
+    record.kind = route->kind;
+    record.service = share_counters_[route->kind.name].Next(route->shares);
+    return record;
+  }
   const auto desk = desks_.find(event.service);
   if (desk == desks_.end() || desk->second.removed) {
-    return Error{ErrorKind::kUnknownService,
-                 "no service called " + event.service};
+    return Fail(ErrorKind::kUnknownService,
+                "no service called " + event.service);
   }
   const auto* kind = desk->second.settings.FindKind(event.method, event.path);
   if (kind == nullptr) {
-    return Error{ErrorKind::kUnknownPath,
-                 "no request kind for " + event.method + " " + event.path};
+    return Fail(ErrorKind::kUnknownPath,
+                "no request kind for " + event.method + " " + event.path);
   }
+  record.kind = *kind;
+  record.service = event.service;
+  return record;
+}
+
+std::optional<Error> EntryNode::CheckArrival(
+    const RequestArrived& event) const {
+  if (phase_ == Phase::kRefusing)
+    return Error{ErrorKind::kDraining, "look up another entry instance"};
+  if (session_.fleet() == nullptr)
+    return Error{ErrorKind::kNotReady, "no settings received yet"};
   if (event.budget < Duration{0})
     return Error{ErrorKind::kDeadlineExceeded, "no time was left on arrival"};
-  if (!kind->repeatable && event.idempotency_key.empty()) {
+  return std::nullopt;
+}
+
+std::optional<Error> EntryNode::CheckService(const RequestRecord& record,
+                                             Time now) const {
+  const bool claims = record.kind.execution == Execution::kAtMostOnce;
+  if (claims && record.arrival.idempotency_key.empty()) {
     return Error{ErrorKind::kMissingIdempotencyKey,
-                 "requests of kind " + kind->name + " run at most once"};
+                 "requests of kind " + record.kind.name + " run at most once"};
   }
-  if (!kind->repeatable && !session_.InContact(now)) {
+  if (claims && !session_.InContact(now)) {
     return Error{ErrorKind::kControlUnreachable,
-                 "requests of kind " + kind->name +
+                 "requests of kind " + record.kind.name +
                      " need the control quorum; try another entry instance"};
   }
-  if (desk->second.endpoints.UsableSlots() == 0) {
+  const auto desk = desks_.find(record.service);
+  if (desk == desks_.end() || desk->second.endpoints.UsableSlots() == 0) {
     return Error{ErrorKind::kNoEndpoint,
-                 "no endpoint of " + event.service + " is usable"};
+                 "no endpoint of " + record.service + " is usable"};
   }
   return std::nullopt;
 }
 
+// When a caller refused for lack of capacity may come again: well inside the
+// objective, if there is one.
+Duration EntryNode::RetryHint(const RequestRecord& record) const {
+  const Duration objective = record.kind.objective;
+  if (objective <= Duration{0})
+    return kRetryAfter;
+  return std::min(kRetryAfter, objective / kHintPartOfObjective);
+}
+
+void EntryNode::On(const RequestAbandoned& event, Time now) {
+  const auto found = requests_.find(event.ticket);
+  if (found == requests_.end())
+    return;
+  RequestRecord& record = found->second;
+  ServiceDesk& desk = desks_.at(record.service);
+  const bool running = !record.endpoint.empty();
+  if (running) {
+    desk.endpoints.OnAttemptEnd(record.endpoint,
+                                forwarding::AttemptEnd::kCancelled, {}, now);
+    actions_.cancels.push_back({event.ticket});
+  }
+  if (record.phase == RequestPhase::kWaiting)
+    desk.queue.Remove(event.ticket);
+  const bool may_have_run = running || record.may_have_run;
+  FinishClaim(record, may_have_run ? Outcome::kUnknown : Outcome::kNotRun, {},
+              now);
+  RefuseRequest gone{{ErrorKind::kDeadlineExceeded, "the caller has gone"},
+                     may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+                     {}};
+  End(event.ticket, std::move(gone));
+  Pump(desk, now);
+}
+
 void EntryNode::Admit(RequestRecord record, ServiceDesk& desk, Time now) {
   const RequestTicket ticket = record.arrival.ticket;
   const bool has_place = ceilings_.TryEnter(record.kind.rank);
@@ -100,18 +182,19 @@
       ceilings_.Leave(record.kind.rank);
     Error error{ErrorKind::kOverloaded,
                 "too many requests of kind " + record.kind.name};
-    RefuseRequest refusal{std::move(error), Outcome::kNotRun, kRetryAfter};
+    RefuseRequest refusal{std::move(error), Outcome::kNotRun,
+                          RetryHint(record)};
     actions_.answers.push_back({ticket, std::move(refusal)});
     return;
   }
-  desk.retries.OnFirstAttempt(desk.settings.retry_budget_percent);
-  const bool needs_claim = !record.kind.repeatable;
+  desk.retries.OnFirstAttempt(now);
+  const bool needs_claim = record.kind.execution == Execution::kAtMostOnce;
   RequestRecord& kept = requests_[ticket] = std::move(record);
   if (needs_claim) {
     StartClaim(kept, now);
     return;
   }
-  desk.queue.Enqueue(ticket, kept.kind.name, kept.deadline);
+  desk.queue.Enqueue(ticket, kept.kind.name, kept.wait_until);
   Pump(desk, now);
 }
 
@@ -123,7 +206,7 @@
   tickets_by_claim_[record.claim] = record.arrival.ticket;
   protocol::ClaimRequest request;
   request.attempt = record.claim;
-  request.key.caller = record.arrival.service + "/" + record.arrival.caller;
+  request.key.caller = record.service + "/" + record.arrival.caller;
   request.key.key = record.arrival.idempotency_key;
   request.fingerprint = record.arrival.fingerprint;
   request.budget_ms = ToMillis(record.deadline - now);
@@ -137,9 +220,9 @@
     return;
   const RequestTicket ticket = record->arrival.ticket;
   if (reply.verdict == ClaimVerdict::kGranted) {
-    ServiceDesk& desk = desks_.at(record->arrival.service);
+    ServiceDesk& desk = desks_.at(record->service);
     record->phase = RequestPhase::kWaiting;
-    desk.queue.Enqueue(ticket, record->kind.name, record->deadline);
+    desk.queue.Enqueue(ticket, record->kind.name, record->wait_until);
     Pump(desk, now);
     return;
   }
@@ -163,8 +246,10 @@
       Refuse(*ticket, {ErrorKind::kDeadlineExceeded, "waited too long"}, now);
       continue;
     }
-    // There is room, and no endpoint is ruled out yet.
-    TryAttempt(record, desk, now);
+    if (TryAttempt(record, desk, now))
+      continue;
+    // No endpoint with room may serve it: it must not hold up those behind it.
+    Refuse(*ticket, {ErrorKind::kOverloaded, "no endpoint has room"}, now);
   }
 }
 
@@ -189,7 +274,7 @@
   std::vector<RequestTicket> stranded;
   for (const auto& [ticket, record] : requests_) {
     if (record.phase == RequestPhase::kWaiting &&
-        record.arrival.service == desk.settings.name)
+        record.service == desk.settings.name)
       stranded.push_back(ticket);
   }
   for (const RequestTicket ticket : stranded) {
@@ -203,11 +288,9 @@
   const Outcome outcome =
       record.may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
   FinishClaim(record, outcome, {}, now);
-  const bool overload = error.kind == ErrorKind::kDeadlineExceeded ||
-                        error.kind == ErrorKind::kNoEndpoint;
   RefuseRequest refusal{std::move(error), outcome, {}};
-  if (overload)
-    refusal.retry_after = kRetryAfter;
+  if (outcome == Outcome::kNotRun)
+    refusal.retry_after = RetryHint(record);
   End(ticket, std::move(refusal));
 }
 
@@ -219,7 +302,7 @@
     return;
   FinishRequest finish;
   finish.attempt = record.claim;
-  finish.key.caller = record.arrival.service + "/" + record.arrival.caller;
+  finish.key.caller = record.service + "/" + record.arrival.caller;
   finish.key.key = record.arrival.idempotency_key;
   finish.outcome = outcome;
   if (outcome == Outcome::kRan)
@@ -231,7 +314,7 @@
   const auto found = requests_.find(ticket);
   const RequestRecord& record = found->second;
   const bool running = record.phase == RequestPhase::kRunning;
-  desks_.at(record.arrival.service).queue.Leave(record.kind.name, running);
+  desks_.at(record.service).queue.Leave(record.kind.name, running);
   ceilings_.Leave(record.kind.rank);
   tickets_by_claim_.erase(record.claim);
   requests_.erase(found);
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -23,8 +23,12 @@
 struct RequestRecord {
   RequestArrived arrival;
   settings::KindSettings kind;
+  /// Service chosen among those of the route.
+  std::string service;
   Time arrived{};
   Time deadline{};
+  /// Time after which the request no longer waits for an endpoint.
+  Time wait_until{};
   RequestPhase phase = RequestPhase::kWaiting;
   /// Name of the claim's attempt; empty if no claim was made.
   std::string claim;
--- a/source/core/entry/service_desk.cc
+++ b/source/core/entry/service_desk.cc
@@ -8,10 +8,10 @@
 
 }  // namespace
 
-void ServiceDesk::Update(const settings::ServiceSettings& service) {
+void ServiceDesk::Update(const settings::ServiceSettings& service, Time now) {
   settings = service;
   queue.Update(service);
-  endpoints.Update(service);
+  endpoints.Update(service, now);
   removed = false;
 }
 
@@ -28,9 +28,9 @@
   return now + (row == usual_time.end() ? Duration{0} : row->second) < deadline;
 }
 
-void ServiceDesk::Close() {
+void ServiceDesk::Close(Time now) {
   settings.endpoints.clear();
-  endpoints.Update(settings);
+  endpoints.Update(settings, now);
   removed = true;
 }
 
--- a/source/core/entry/service_desk.h
+++ b/source/core/entry/service_desk.h
@@ -23,7 +23,7 @@
   bool removed = false;
 
   /// Takes over new settings.
-  void Update(const settings::ServiceSettings& service);
+  void Update(const settings::ServiceSettings& service, Time now);
 
   /// Learns from an answer that took `time`.
   void NoteAnswer(const std::string& kind, Duration time);
@@ -32,7 +32,7 @@
   bool CanEndInTime(const std::string& kind, Time deadline, Time now) const;
 
   /// Stops new work after the service was removed from the settings.
-  void Close();
+  void Close(Time now);
 };
 
 }  // namespace jacinth::entry
--- a/source/core/forwarding/attempt.h
+++ b/source/core/forwarding/attempt.h
@@ -10,8 +10,12 @@
 enum class AttemptEnd {
   /// A whole answer came.
   kAnswered,
+  /// A whole answer came that says the endpoint failed.
+  kAnsweredFailure,
   /// The endpoint said that it did not run the request.
   kRefused,
+  /// Another endpoint has the address now; it did not run the request.
+  kMisdirected,
   /// No connection was made, so no byte was handed over.
   kNotConnected,
   /// The answer was cut short or can't be told whole.
@@ -22,6 +26,8 @@
   kTimedOut,
   /// The answer was larger than may be passed on.
   kAnswerTooLarge,
+  /// The caller left, so the attempt was broken off.
+  kCancelled,
 };
 
 /// What is known about the request after an attempt ended so.
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -1,6 +1,7 @@
 #include "core/forwarding/endpoint_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/common/hash.h"
 
@@ -10,83 +11,136 @@
 /// First time that a failing endpoint is left alone; doubles each time.
 constexpr Duration kFirstEjection = 1s;
 constexpr int kMaxEjectionDoublings = 5;
+/// Time between probes of an endpoint put aside, if only these are probed.
+constexpr Duration kAsideProbes = 500ms;
 /// Most endpoints of a service that may be put aside, in percent.
 constexpr std::size_t kMaxAsidePercent = 50;
 /// Factor of the limit after a refusal.
 constexpr double kLimitDecrease = 0.7;
 /// Time that an endpoint is left alone after a refusal.
 constexpr Duration kRefusalPause = 10ms;
+constexpr double kPercent = 100;
 constexpr unsigned kSecondDrawShift = 32;
 
+bool SameStart(const settings::EndpointSettings& left,
+               const settings::EndpointSettings& right) {
+  return left.address == right.address &&
+         left.incarnation == right.incarnation &&
+         left.started_ms == right.started_ms;
+}
+
 }  // namespace
 
-void EndpointTable::Update(const settings::ServiceSettings& service) {
+void EndpointTable::Update(const settings::ServiceSettings& service, Time now) {
   probe_failures_ = service.probe_failures;
   probe_interval_ = service.probe_interval;
+  queue_percent_ = service.endpoint_queue_percent;
+  warmup_ = service.warmup;
   std::set<std::string> kept;
   for (const settings::EndpointSettings& endpoint : service.endpoints) {
     kept.insert(endpoint.name);
-    Row& row = rows_[endpoint.name];
-    if (row.settings.address != endpoint.address) {
-      const int inflight = row.inflight;
+    const auto [found, added] = rows_.try_emplace(endpoint.name);
+    Row& row = found->second;
+    const bool new_start = !added && !SameStart(row.settings, endpoint);
+    if (new_start) {
+      const EndpointLoad load = row.load;
       row = Row{};
-      row.inflight = inflight;
+      row.load = load;
     }
     const bool new_slots =
         row.settings.slots != endpoint.slots || row.limit < 1;
+    const bool drain_ended = row.settings.drained && !endpoint.drained;
     row.settings = endpoint;
     if (new_slots)
       row.limit = endpoint.slots;
+    // An endpoint that joins or comes back later on is taken to be cold, as
+    // lists lag.
+    if (listed_ && (added || new_start || drain_ended))
+      ChillRow(row, now);
+    row.cold_until = std::max(row.cold_until, now + endpoint.warmup_left);
   }
+  listed_ |= !service.endpoints.empty();
   for (auto& [name, row] : rows_) {
     if (kept.count(name) == 0)
       row.settings.drained = true;
   }
   // Rows with requests in flight stay until those end.
   std::erase_if(rows_, [&](const auto& item) {
-    return kept.count(item.first) == 0 && item.second.inflight == 0;
+    return kept.count(item.first) == 0 && item.second.load.own() == 0;
   });
 }
 
-std::optional<std::string> EndpointTable::Take(
-    const std::string& home,
-    const std::set<std::string>& tried,
-    std::uint64_t random,
-    Time now) {
+std::optional<std::string> EndpointTable::Take(const Placement& placement,
+                                               Time now) {
+  const std::string* chosen = placement.object ? ChooseByObject(placement, now)
+                                               : ChooseByLoad(placement, now);
+  if (chosen == nullptr)
+    return std::nullopt;
+  Row& row = rows_.at(*chosen);
+  row.load.OnSend();
+  ++inflight_;
+  if (now < row.cold_until)
+    row.last_cold_send = now;
+  return *chosen;
+}
+
+// Rendezvous hashing (Thaler and Ravishankar, 1998): the object's order of the
+// endpoints changes only where endpoints come or go.
+const std::string* EndpointTable::ChooseByObject(const Placement& placement,
+                                                 Time now) const {
+  const std::string* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const auto& [name, row] : rows_) {
+    if (!MayServe(name, row, placement, now))
+      continue;
+    const std::uint64_t weight = Hash64(name, *placement.object);
+    if (best != nullptr && weight <= best_weight)
+      continue;
+    best = &name;
+    best_weight = weight;
+  }
+  return best;
+}
+
+// The power of two choices (Mitzenmacher, 2001).
+const std::string* EndpointTable::ChooseByLoad(const Placement& placement,
+                                               Time now) const {
   std::vector<const std::string*> near;
   std::vector<const std::string*> far;
   for (const auto& [name, row] : rows_) {
-    if (!HasRoom(row, now))
-      continue;
-    if (tried.count(name) != 0)
+    if (!MayServe(name, row, placement, now))
       continue;
-    (row.settings.region == home ? near : far).push_back(&name);
+    (row.settings.region == placement.home ? near : far).push_back(&name);
   }
   const auto& choices = near.empty() ? far : near;
   if (choices.empty())
-    return std::nullopt;
-  const std::string& first = *choices[random % choices.size()];
-  const std::string& second =
-      *choices[(random >> kSecondDrawShift) % choices.size()];
-  const auto load = [&](const std::string& name) {
-    const Row& row = rows_.at(name);
-    return row.inflight / row.limit;
+    return nullptr;
+  const std::string* first = choices[placement.draw % choices.size()];
+  const std::string* second =
+      choices[(placement.draw >> kSecondDrawShift) % choices.size()];
+  const auto load = [&](const std::string* name) {
+    const Row& row = rows_.at(*name);
+    return row.load.Total(now) / RoomOf(row);
   };
-  const std::string& chosen = load(second) < load(first) ? second : first;
-  ++rows_.at(chosen).inflight;
-  ++inflight_;
-  return chosen;
+  return load(second) < load(first) ? second : first;
 }
 
 void EndpointTable::OnAttemptEnd(const std::string& name,
                                  AttemptEnd end,
+                                 const std::optional<LoadReport>& load,
                                  Time now) {
   const auto found = rows_.find(name);
   if (found == rows_.end())
     return;
   Row& row = found->second;
-  --row.inflight;
+  row.load.OnEnd(load, now);
   --inflight_;
+  if (end == AttemptEnd::kCancelled)
+    return;
+  if (end == AttemptEnd::kMisdirected) {
+    row.misdirected = true;
+    return;
+  }
   if (IsEndpointFailure(end)) {
     OnFailure(row, now);
     return;
@@ -102,10 +156,13 @@
 std::vector<std::string> EndpointTable::DueProbes(Time now) {
   std::vector<std::string> due;
   for (auto& [name, row] : rows_) {
-    if (row.probing || now < row.probe_due)
+    const bool wanted = probe_interval_ > Duration{0} ||
+                        (row.aside_until && now >= *row.aside_until);
+    if (!wanted || row.probing || now < row.probe_due)
       continue;
     row.probing = true;
-    row.probe_due = now + probe_interval_;
+    row.probe_due =
+        now + (probe_interval_ > Duration{0} ? probe_interval_ : kAsideProbes);
     due.push_back(name);
   }
   return due;
@@ -125,42 +182,77 @@
   }
   row.draining = end == ProbeEnd::kDraining;
   // An endpoint put aside comes back with its first healthy probe after that.
-  if (row.aside_until && now >= *row.aside_until)
+  if (row.aside_until && now >= *row.aside_until) {
     row.aside_until.reset();
+    ChillRow(row, now);
+  }
   if (!row.aside_until)
     row.failures = 0;
 }
 
-std::string EndpointTable::AddressOf(const std::string& name) const {
+const settings::EndpointSettings* EndpointTable::Find(
+    const std::string& name) const {
   const auto found = rows_.find(name);
-  return found == rows_.end() ? "" : found->second.settings.address;
+  return found == rows_.end() ? nullptr : &found->second.settings;
 }
 
 int EndpointTable::UsableSlots() const {
   int slots = 0;
   for (const auto& [name, row] : rows_) {
     if (IsUsable(row))
-      slots += static_cast<int>(row.limit);
+      slots += static_cast<int>(RoomOf(row));
   }
   return slots;
 }
 
 bool EndpointTable::HasFreeSlot(Time now) const {
   return std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
-    return HasRoom(item.second, now);
+    return HasRoom(item.second, now) && ColdAllows(item.second, now);
   });
 }
 
 bool EndpointTable::IsUsable(const Row& row) const {
-  return !row.settings.drained && !row.draining && !row.aside_until;
+  return !row.settings.drained && !row.draining && !row.misdirected &&
+         !row.aside_until;
 }
 
 bool EndpointTable::HasRoom(const Row& row, Time now) const {
-  return IsUsable(row) && now >= row.refused_until &&
-         row.inflight < static_cast<int>(row.limit);
+  if (!IsUsable(row) || now < row.refused_until)
+    return false;
+  return row.load.is_told() ? row.load.Total(now) < RoomOf(row)
+                            : row.load.own() < static_cast<int>(RoomOf(row));
+}
+
+bool EndpointTable::ColdAllows(const Row& row, Time now) const {
+  if (now >= row.cold_until)
+    return true;
+  return now >= row.last_cold_send + WarmupGate::interval() &&
+         gate_.MayUse(row.settings.name);
+}
+
+double EndpointTable::RoomOf(const Row& row) const {
+  const double slots = row.load.is_told() ? row.settings.slots : row.limit;
+  return slots * queue_percent_ / kPercent;
+}
+
+bool EndpointTable::MayServe(const std::string& name,
+                             const Row& row,
+                             const Placement& placement,
+                             Time now) const {
+  if (!HasRoom(row, now) || placement.tried.count(name) != 0)
+    return false;
+  const auto& regions = placement.regions;
+  const bool allowed = regions.empty() ||
+                       std::find(regions.begin(), regions.end(),
+                                 row.settings.region) != regions.end();
+  return allowed && ColdAllows(row, now);
+}
+
+void EndpointTable::ChillRow(Row& row, Time now) const {
+  row.cold_until = std::max(row.cold_until, now + warmup_);
 }
 
-void EndpointTable::OnRefusal(Row& row, Time now) {
+void EndpointTable::OnRefusal(Row& row, Time now) const {
   row.limit = std::max(1.0, row.limit * kLimitDecrease);
   row.refused_until = now + kRefusalPause;
 }
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -10,6 +10,9 @@
 
 #include "core/common/time.h"
 #include "core/forwarding/attempt.h"
+#include "core/forwarding/endpoint_load.h"
+#include "core/forwarding/placement.h"
+#include "core/forwarding/warmup_gate.h"
 #include "core/settings/service_settings.h"
 
 namespace jacinth::forwarding {
@@ -26,25 +29,29 @@
 class EndpointTable {
  public:
   /// Takes over new settings; what is known of remaining endpoints stays.
-  void Update(const settings::ServiceSettings& service);
+  void Update(const settings::ServiceSettings& service, Time now);
 
-  /// Chooses the endpoint for an attempt and takes one of its slots: the less
-  /// loaded of two drawn by `random`, in `home` region if any is free there.
-  /// `tried` are avoided. Nothing if no endpoint has a free slot.
-  std::optional<std::string> Take(const std::string& home,
-                                  const std::set<std::string>& tried,
-                                  std::uint64_t random,
-                                  Time now);
+  /// Decides which entries may use cold endpoints.
+  void SetWarmupGate(WarmupGate gate) { gate_ = std::move(gate); }
+
+  /// Chooses the endpoint for an attempt and takes one of its slots. With an
+  /// object, the first with room in the object's order of all endpoints, by
+  /// rendezvous hashing; otherwise the less loaded of two drawn, in the home
+  /// region if any has room there. Nothing if no endpoint has room.
+  std::optional<std::string> Take(const Placement& placement, Time now);
 
   /// Gives the slot back and learns from how the attempt ended.
-  void OnAttemptEnd(const std::string& name, AttemptEnd end, Time now);
+  void OnAttemptEnd(const std::string& name,
+                    AttemptEnd end,
+                    const std::optional<LoadReport>& load,
+                    Time now);
 
-  /// Addresses of endpoints whose probe is due; marks them as being probed.
+  /// Names of endpoints whose probe is due; marks them as being probed.
   std::vector<std::string> DueProbes(Time now);
   void OnProbeEnd(const std::string& name, ProbeEnd end, Time now);
 
-  /// Address of an endpoint, or empty.
-  std::string AddressOf(const std::string& name) const;
+  /// Settings of an endpoint, or nullptr.
+  const settings::EndpointSettings* Find(const std::string& name) const;
 
   /// Requests that may run at once at the endpoints that may get new work.
   int UsableSlots() const;
@@ -55,9 +62,10 @@
  private:
   struct Row {
     settings::EndpointSettings settings;
-    int inflight = 0;
-    /// Requests that this instance may run there at once: falls when the
-    /// endpoint refuses, as others use its slots too, and rises with answers.
+    EndpointLoad load;
+    /// Requests that this instance may run there at once if the endpoint doesn't
+    /// tell its load: falls when the endpoint refuses, as others use its slots
+    /// too, and rises with answers.
     double limit = 0;
     /// After a refusal, no work goes there until then.
     Time refused_until{};
@@ -66,20 +74,38 @@
     int ejections = 0;
     std::optional<Time> aside_until;
     bool draining = false;
+    /// Another endpoint answers at the address.
+    bool misdirected = false;
     bool probing = false;
     Time probe_due{};
+    Time cold_until{};
+    Time last_cold_send{};
   };
 
   bool IsUsable(const Row& row) const;
   bool HasRoom(const Row& row, Time now) const;
-  static void OnRefusal(Row& row, Time now);
+  bool ColdAllows(const Row& row, Time now) const;
+  double RoomOf(const Row& row) const;
+  bool MayServe(const std::string& name,
+                const Row& row,
+                const Placement& placement,
+                Time now) const;
+  const std::string* ChooseByObject(const Placement& placement, Time now) const;
+  const std::string* ChooseByLoad(const Placement& placement, Time now) const;
+  void ChillRow(Row& row, Time now) const;
+  void OnRefusal(Row& row, Time now) const;
   static void OnAnswer(Row& row);
   void OnFailure(Row& row, Time now);
   std::size_t AsideCount() const;
 
   std::map<std::string, Row> rows_;
+  WarmupGate gate_;
   int probe_failures_ = 1;
+  /// Zero if only endpoints put aside are probed.
   Duration probe_interval_{0};
+  int queue_percent_ = 100;
+  Duration warmup_{0};
+  bool listed_ = false;
   int inflight_ = 0;
 };
 
--- /dev/null
+++ b/source/core/forwarding/load_report.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace jacinth::forwarding {
+
+/// What an endpoint tells of its load with an answer.
+struct LoadReport {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+};
+
+}  // namespace jacinth::forwarding
--- /dev/null
+++ b/source/core/forwarding/warmup_gate.cc
@@ -0,0 +1,43 @@
+#include "core/forwarding/warmup_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/common/hash.h"
+
+namespace jacinth::forwarding {
+namespace {
+
+constexpr Duration kInterval = 1200ms;
+/// Part of the bound that is used, so that an entry that restarted and forgot
+/// what it sent doesn't break it.
+constexpr double kUsedPart = 0.9;
+
+}  // namespace
+
+WarmupGate::WarmupGate(std::string self,
+                       std::vector<std::string> entries,
+                       double per_second)
+    : self_(std::move(self)),
+      entries_(std::move(entries)),
+      allowed_(static_cast<std::size_t>(std::max(1.0, per_second * kUsedPart))) {
+}
+
+bool WarmupGate::MayUse(const std::string& name) const {
+  if (entries_.size() <= allowed_)
+    return true;
+  const std::uint64_t seed = Hash64(name);
+  const std::uint64_t own = Hash64(self_, seed);
+  const auto ahead =
+      std::count_if(entries_.begin(), entries_.end(),
+                    [&](const std::string& entry) {
+                      return Hash64(entry, seed) > own;
+                    });
+  return static_cast<std::size_t>(ahead) < allowed_;
+}
+
+Duration WarmupGate::interval() {
+  return kInterval;
+}
+
+}  // namespace jacinth::forwarding
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -27,6 +27,8 @@
 struct ExchangeResult {
   ExchangeEnd end = ExchangeEnd::kLost;
   Response response;
+  /// The connection may carry another exchange.
+  bool reusable = false;
 };
 
 /// Limits of one exchange.
--- /dev/null
+++ b/source/core/http/event_connection.cc
@@ -0,0 +1,244 @@
+#include "core/http/event_connection.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include "core/common/process_clock.h"
+#include "core/http/address.h"
+#include "core/http/message_writer.h"
+
+namespace jacinth::http {
+namespace {
+
+using asio::ip::tcp;
+
+/// Bound on the head of an answer, in bytes.
+constexpr std::size_t kMaxHeadBytes = 64UL << 10U;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
+/// Time that a server keeps an idle connection if it doesn't say.
+constexpr Duration kDefaultKept = 8s;
+/// Margin before the end that a server has announced, for the way there.
+constexpr Duration kKeptMargin = 1s;
+constexpr std::string_view kTimeoutKey = "timeout=";
+
+// RFC 9112, C.2.2: "Keep-Alive: timeout=5, max=100", in seconds.
+Duration KeptTime(const Headers& headers) {
+  const std::string_view value = HeaderValue(headers, "Keep-Alive");
+  const std::size_t at = value.find(kTimeoutKey);
+  if (at == std::string_view::npos)
+    return kDefaultKept;
+  const std::string_view digits = value.substr(at + kTimeoutKey.size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  const Duration kept = std::chrono::seconds(seconds) - kKeptMargin;
+  return std::max(kept, Duration{0});
+}
+
+}  // namespace
+
+EventConnection::EventConnection(asio::io_context& context,
+                                 std::string address,
+                                 EventClient& client)
+    : address_(std::move(address)),
+      client_(client),
+      socket_(context),
+      timer_(context) {}
+
+void EventConnection::Run(CallId id, const ClientCall& call) {
+  id_ = id;
+  limits_ = call.limits;
+  deadline_ = MonotonicNow() + call.limits.timeout;
+  is_head_ = call.request.method == "HEAD";
+  sent_ = false;
+  excess_ = false;
+  output_ = WriteRequest(call.request, address_);
+  ResetParser();
+  if (phase_ == Phase::kNew) {
+    Connect();
+    return;
+  }
+  phase_ = Phase::kRunning;
+  SetTimer(limits_.timeout);
+  Send();
+  Read();
+}
+
+void EventConnection::Park(Time now) {
+  phase_ = Phase::kParked;
+  idle_since_ = now;
+  Read();
+  SetTimer(kept_until_ - now);
+}
+
+void EventConnection::Close() {
+  if (phase_ == Phase::kClosed)
+    return;
+  phase_ = Phase::kClosed;
+  asio::error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
+void EventConnection::Connect() {
+  phase_ = Phase::kConnecting;
+  const auto parsed = ParseAddress(address_);
+  asio::error_code error;
+  const auto ip =
+      asio::ip::make_address(parsed ? parsed->host : std::string(), error);
+  if (!parsed || error) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Finish(ExchangeEnd::kNotConnected);
+    });
+    return;
+  }
+  SetTimer(std::min(limits_.connect_timeout, limits_.timeout));
+  socket_.async_connect(
+      tcp::endpoint(ip, static_cast<unsigned short>(parsed->port)),
+      [self = shared_from_this()](asio::error_code failure) {
+        if (self->phase_ != Phase::kConnecting)
+          return;
+        if (failure) {
+          self->Finish(ExchangeEnd::kNotConnected);
+          return;
+        }
+        asio::error_code ignored;
+        self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->phase_ = Phase::kRunning;
+        self->SetTimer(self->deadline_ - MonotonicNow());
+        self->Send();
+        self->Read();
+      });
+}
+
+void EventConnection::Send() {
+  asio::async_write(
+      socket_, asio::buffer(output_),
+      [self = shared_from_this(), id = id_](asio::error_code error,
+                                            std::size_t) {
+        // An error shows on the reading side too, after the answer, if any.
+        const bool current = self->phase_ == Phase::kRunning && self->id_ == id;
+        if (current && !error)
+          self->sent_ = true;
+      });
+}
+
+void EventConnection::Read() {
+  if (reading_ || phase_ == Phase::kClosed)
+    return;
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(chunk_),
+      [self = shared_from_this()](asio::error_code error, std::size_t size) {
+        self->reading_ = false;
+        self->OnRead(error, size);
+      });
+}
+
+void EventConnection::OnRead(asio::error_code error, std::size_t size) {
+  if (phase_ == Phase::kParked) {
+    Close();
+    client_.Drop(this);
+    return;
+  }
+  if (phase_ != Phase::kRunning)
+    return;
+  if (error) {
+    const bool clean_end = error == asio::error::eof;
+    if (clean_end)
+      parser_->FeedEnd();
+    if (parser_->state() == ParseState::kDone)
+      Finish(ExchangeEnd::kAnswered);
+    else
+      Finish(parser_->started() ? ExchangeEnd::kIncomplete
+                                : ExchangeEnd::kLost);
+    return;
+  }
+  std::size_t offset = 0;
+  while (offset < size) {
+    offset += parser_->Feed({chunk_.data() + offset, size - offset});
+    const bool interim = parser_->state() == ParseState::kDone &&
+                         parser_->status() < kFirstFinalStatus &&
+                         parser_->status() != kSwitchingProtocols;
+    if (!interim)
+      break;
+    ResetParser();
+  }
+  excess_ = offset < size;
+  Parse();
+}
+
+void EventConnection::Parse() {
+  switch (parser_->state()) {
+    case ParseState::kHead:
+    case ParseState::kBody:
+      Read();
+      return;
+    case ParseState::kDone:
+      Finish(ExchangeEnd::kAnswered);
+      return;
+    case ParseState::kBodyTooLarge:
+      Finish(ExchangeEnd::kTooLarge);
+      return;
+    case ParseState::kMalformed:
+    case ParseState::kHeadTooLarge:
+      Finish(ExchangeEnd::kIncomplete);
+      return;
+  }
+}
+
+void EventConnection::ResetParser() {
+  parser_.emplace(MessageParser::Kind::kResponse,
+                  ParseLimits{kMaxHeadBytes, limits_.max_body_bytes});
+  if (is_head_)
+    parser_->ExpectNoBody();
+}
+
+void EventConnection::Finish(ExchangeEnd end) {
+  timer_.cancel();
+  ExchangeResult result;
+  result.end = end;
+  if (end == ExchangeEnd::kAnswered) {
+    // Bytes after the answer, or a request not yet read, spoil what follows.
+    result.reusable = parser_->keep_alive() && parser_->is_framed() && sent_ &&
+                      !excess_;
+    result.response = parser_->TakeResponse();
+    kept_until_ = MonotonicNow() + KeptTime(result.response.headers);
+  }
+  client_.OnEnd(id_, shared_from_this(), std::move(result));
+}
+
+void EventConnection::SetTimer(Duration after) {
+  timer_.expires_after(after);
+  timer_.async_wait([self = shared_from_this()](asio::error_code error) {
+    const bool outdated =
+        self->timer_.expiry() > asio::steady_timer::clock_type::now();
+    if (!error && !outdated)
+      self->OnTimer();
+  });
+}
+
+void EventConnection::OnTimer() {
+  switch (phase_) {
+    case Phase::kConnecting:
+      Finish(ExchangeEnd::kNotConnected);
+      return;
+    case Phase::kRunning:
+      Finish(ExchangeEnd::kTimedOut);
+      return;
+    case Phase::kParked:
+      Close();
+      client_.Drop(this);
+      return;
+    case Phase::kNew:
+    case Phase::kClosed:
+      return;
+  }
+}
+
+}  // namespace jacinth::http
--- /dev/null
+++ b/source/core/http/event_connection.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "core/http/event_client.h"
+#include "core/http/message_parser.h"
+
+namespace jacinth::http {
+
+/// One connection of an EventClient to a server.
+class EventConnection : public std::enable_shared_from_this<EventConnection> {
+ public:
+  EventConnection(asio::io_context& context,
+                  std::string address,
+                  EventClient& client);
+
+  /// Sends the request of call `id`, connecting first if need be.
+  void Run(CallId id, const ClientCall& call);
+
+  /// Watches the idle connection: any byte or its end makes it useless.
+  void Park(Time now);
+
+  void Close();
+
+  const std::string& address() const { return address_; }
+  Time idle_since() const { return idle_since_; }
+  /// Time until which the server keeps the idle connection open.
+  Time kept_until() const { return kept_until_; }
+
+ private:
+  enum class Phase { kNew, kConnecting, kRunning, kParked, kClosed };
+
+  void Connect();
+  void Send();
+  void Read();
+  void OnRead(asio::error_code error, std::size_t size);
+  void Parse();
+  void ResetParser();
+  void Finish(ExchangeEnd end);
+  void SetTimer(Duration after);
+  void OnTimer();
+
+  static constexpr std::size_t kReadBytes = 4'096;
+
+  std::string address_;
+  EventClient& client_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  Phase phase_ = Phase::kNew;
+  CallId id_ = 0;
+  ExchangeLimits limits_;
+  Time deadline_{};
+  Time idle_since_{};
+  Time kept_until_{};
+  bool is_head_ = false;
+  bool reading_ = false;
+  bool sent_ = false;
+  bool excess_ = false;
+  std::string output_;
+  std::optional<MessageParser> parser_;
+  std::array<char, kReadBytes> chunk_{};
+};
+
+}  // namespace jacinth::http
--- /dev/null
+++ b/source/core/http/event_server.cc
@@ -0,0 +1,89 @@
+#include "core/http/event_server.h"
+
+#include <utility>
+
+#include "core/http/address.h"
+#include "core/http/event_session.h"
+
+namespace jacinth::http {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr int kAcceptQueue = 512;
+
+}  // namespace
+
+EventServer::EventServer(asio::io_context& context, Handler handler)
+    : context_(context), handler_(std::move(handler)) {}
+
+EventServer::~EventServer() {
+  Stop();
+}
+
+Result<void> EventServer::Listen(const std::string& address) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed)
+    return tl::unexpected(parsed.error());
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(parsed->host, error);
+  const tcp::endpoint endpoint(ip, static_cast<unsigned short>(parsed->port));
+  auto acceptor = std::make_unique<tcp::acceptor>(context_);
+  if (!error)
+    acceptor->open(endpoint.protocol(), error);
+  if (!error)
+    acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    acceptor->bind(endpoint, error);
+  if (!error)
+    acceptor->listen(kAcceptQueue, error);
+  if (error) {
+    return Fail(ErrorKind::kInternal,
+                "listen on " + address + ": " + error.message());
+  }
+  acceptors_.push_back(std::move(acceptor));
+  Accept(*acceptors_.back());
+  return {};
+}
+
+void EventServer::BeginDrain(Duration linger) {
+  draining_ = true;
+  const auto sessions = sessions_;
+  for (const auto& session : sessions)
+    session->Drain(linger);
+}
+
+void EventServer::Stop() {
+  if (stopped_)
+    return;
+  stopped_ = true;
+  for (const auto& acceptor : acceptors_) {
+    asio::error_code ignored;
+    acceptor->close(ignored);
+  }
+  const auto sessions = sessions_;
+  for (const auto& session : sessions)
+    session->Close();
+}
+
+void EventServer::Accept(tcp::acceptor& acceptor) {
+  acceptor.async_accept(
+      [this, &acceptor](asio::error_code error, tcp::socket socket) {
+        if (stopped_)
+          return;
+        const bool room = sessions_.size() < limits_.max_connections;
+        if (!error && room) {
+          auto session =
+              std::make_shared<EventSession>(std::move(socket), *this);
+          sessions_.insert(session);
+          session->Start();
+        }
+        Accept(acceptor);
+      });
+}
+
+void EventServer::Remove(const std::shared_ptr<EventSession>& session) {
+  sessions_.erase(session);
+}
+
+}  // namespace jacinth::http
--- /dev/null
+++ b/source/core/http/event_server.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include "core/common/error.h"
+#include "core/common/time.h"
+#include "core/http/transaction.h"
+
+namespace jacinth::http {
+
+/// Bounds on what callers may send and how long they may take.
+struct EventServerLimits {
+  std::size_t max_head_bytes = 16UL << 10U;
+  std::size_t max_body_bytes = 64UL << 20U;
+  /// Body bytes that all connections together may hold; beyond it requests are
+  /// answered 503.
+  std::size_t max_held_bytes = 96UL << 20U;
+  std::size_t max_connections = 3'000;
+  /// From the first byte of a request to the end of its head.
+  Duration head_timeout = 5s;
+  /// Longest pause within a body.
+  Duration body_timeout = 10s;
+  /// Idle time after which a kept connection is closed.
+  Duration idle_timeout = 15s;
+};
+
+class EventSession;
+
+/// An HTTP/1.1 server on an event loop, with one request at a time on each
+/// connection. Lives on the thread of its io_context.
+class EventServer {
+ public:
+  using Handler = std::function<void(std::shared_ptr<Transaction>)>;
+
+  EventServer(asio::io_context& context, Handler handler);
+  ~EventServer();
+  EventServer(const EventServer&) = delete;
+  EventServer& operator=(const EventServer&) = delete;
+
+  /// Binds `address` (`ip:port`) and starts to accept.
+  Result<void> Listen(const std::string& address);
+
+  /// Takes effect on requests that begin later.
+  void SetLimits(const EventServerLimits& limits) { limits_ = limits; }
+  const EventServerLimits& limits() const { return limits_; }
+
+  /// Closes each connection after the answer to the request it carries, and
+  /// idle ones once `linger` has passed without a request.
+  void BeginDrain(Duration linger);
+
+  /// Stops accepting and closes all connections.
+  void Stop();
+
+  std::size_t connections() const { return sessions_.size(); }
+
+ private:
+  friend class EventSession;
+
+  void Accept(asio::ip::tcp::acceptor& acceptor);
+  void Remove(const std::shared_ptr<EventSession>& session);
+
+  asio::io_context& context_;
+  Handler handler_;
+  EventServerLimits limits_;
+  std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors_;
+  std::set<std::shared_ptr<EventSession>> sessions_;
+  std::size_t held_bytes_ = 0;
+  bool draining_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace jacinth::http
--- /dev/null
+++ b/source/core/http/message_parser.cc
@@ -0,0 +1,244 @@
+#include "core/http/message_parser.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace jacinth::http {
+namespace {
+
+constexpr int kNoBodyFollows = 1;
+constexpr int kContinueParsing = 0;
+constexpr int kAbort = -1;
+constexpr int kHexBase = 16;
+constexpr std::size_t kEscapeDigits = 2;
+
+std::size_t CountFields(const Headers& headers, std::string_view name) {
+  return static_cast<std::size_t>(
+      std::count_if(headers.begin(), headers.end(), [&](const auto& field) {
+        return SameName(field.first, name);
+      }));
+}
+
+std::optional<std::string> Unescape(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      out.push_back(text[i]);
+      continue;
+    }
+    int value = 0;
+    const char* digits = text.data() + i + 1;
+    if (text.size() - i <= kEscapeDigits)
+      return std::nullopt;
+    const auto [stop, error] =
+        std::from_chars(digits, digits + kEscapeDigits, value, kHexBase);
+    if (error != std::errc() || stop != digits + kEscapeDigits)
+      return std::nullopt;
+    out.push_back(static_cast<char>(value));
+    i += kEscapeDigits;
+  }
+  return out;
+}
+
+void AddQueryField(std::string_view field, Request& request) {
+  const std::size_t equals = field.find('=');
+  const auto name = Unescape(field.substr(0, equals));
+  const auto value = equals == std::string_view::npos
+                         ? std::string()
+                         : Unescape(field.substr(equals + 1));
+  if (name && value && !name->empty())
+    request.query.emplace(*name, *value);
+}
+
+}  // namespace
+
+MessageParser::MessageParser(Kind kind, ParseLimits limits) : limits_(limits) {
+  http_parser_init(&parser_,
+                   kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+}
+
+std::size_t MessageParser::Feed(std::string_view bytes) {
+  const bool finished =
+      state_ != ParseState::kHead && state_ != ParseState::kBody;
+  if (finished || bytes.empty())
+    return 0;
+  started_ = true;
+  const bool was_head = state_ == ParseState::kHead;
+  const std::size_t taken = http_parser_execute(&parser_, &Callbacks(),
+                                                bytes.data(), bytes.size());
+  if (was_head)
+    head_bytes_ += state_ == ParseState::kHead ? bytes.size() : 0;
+  if (state_ == ParseState::kHead && head_bytes_ > limits_.head)
+    state_ = ParseState::kHeadTooLarge;
+  const bool failed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
+                      HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED;
+  if (failed &&
+      (state_ == ParseState::kHead || state_ == ParseState::kBody)) {
+    state_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW
+                 ? ParseState::kHeadTooLarge
+                 : ParseState::kMalformed;
+  }
+  return taken;
+}
+
+void MessageParser::FeedEnd() {
+  if (state_ != ParseState::kBody || framed_)
+    return;
+  http_parser_execute(&parser_, &Callbacks(), "", 0);
+}
+
+bool MessageParser::expects_continue() const {
+  return SameName(HeaderValue(headers_, "Expect"), "100-continue");
+}
+
+Request MessageParser::TakeRequest() {
+  Request request;
+  request.method = http_method_str(static_cast<http_method>(parser_.method));
+  request.target = std::move(target_);
+  request.headers = std::move(headers_);
+  request.body = std::move(body_);
+  return request;
+}
+
+Response MessageParser::TakeResponse() {
+  Response response;
+  response.status = static_cast<int>(parser_.status_code);
+  for (auto& [name, value] : headers_) {
+    if (SameName(name, "Content-Type"))
+      response.content_type = std::move(value);
+    else
+      response.headers.emplace_back(std::move(name), std::move(value));
+  }
+  response.body = std::move(body_);
+  return response;
+}
+
+MessageParser& MessageParser::Of(http_parser* parser) {
+  return *static_cast<MessageParser*>(parser->data);
+}
+
+int MessageParser::OnUrl(http_parser* parser,
+                         const char* data,
+                         std::size_t size) {
+  Of(parser).target_.append(data, size);
+  return kContinueParsing;
+}
+
+int MessageParser::OnField(http_parser* parser,
+                           const char* data,
+                           std::size_t size) {
+  MessageParser& self = Of(parser);
+  if (self.headers_.empty() || self.in_value_)
+    self.headers_.emplace_back();
+  self.in_value_ = false;
+  self.headers_.back().first.append(data, size);
+  return kContinueParsing;
+}
+
+int MessageParser::OnValue(http_parser* parser,
+                           const char* data,
+                           std::size_t size) {
+  MessageParser& self = Of(parser);
+  self.in_value_ = true;
+  self.headers_.back().second.append(data, size);
+  return kContinueParsing;
+}
+
+int MessageParser::OnHeadDone(http_parser* parser) {
+  MessageParser& self = Of(parser);
+  if (!self.HeadIsValid()) {
+    self.state_ = ParseState::kMalformed;
+    return kAbort;
+  }
+  std::size_t head = self.target_.size();
+  for (const auto& [name, value] : self.headers_)
+    head += name.size() + value.size() + 4;
+  if (head > self.limits_.head) {
+    self.state_ = ParseState::kHeadTooLarge;
+    return kAbort;
+  }
+  self.framed_ = (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+  const bool too_large = (parser->flags & F_CONTENTLENGTH) != 0 &&
+                         parser->content_length > self.limits_.body;
+  if (too_large && !self.no_body_) {
+    self.state_ = ParseState::kBodyTooLarge;
+    return kAbort;
+  }
+  self.state_ = ParseState::kBody;
+  return self.no_body_ ? kNoBodyFollows : kContinueParsing;
+}
+
+int MessageParser::OnBody(http_parser* parser,
+                          const char* data,
+                          std::size_t size) {
+  MessageParser& self = Of(parser);
+  if (self.body_.size() + size > self.limits_.body) {
+    self.state_ = ParseState::kBodyTooLarge;
+    return kAbort;
+  }
+  self.body_.append(data, size);
+  return kContinueParsing;
+}
+
+int MessageParser::OnDone(http_parser* parser) {
+  MessageParser& self = Of(parser);
+  if (self.state_ != ParseState::kBody)
+    return kAbort;
+  self.state_ = ParseState::kDone;
+  self.keep_alive_ = http_should_keep_alive(parser) != 0;
+  // Bytes after the message belong to the next one.
+  http_parser_pause(parser, 1);
+  return kContinueParsing;
+}
+
+const http_parser_settings& MessageParser::Callbacks() {
+  static const http_parser_settings kCallbacks = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_url = OnUrl;
+    settings.on_header_field = OnField;
+    settings.on_header_value = OnValue;
+    settings.on_headers_complete = OnHeadDone;
+    settings.on_body = OnBody;
+    settings.on_message_complete = OnDone;
+    return settings;
+  }();
+  return kCallbacks;
+}
+
+bool MessageParser::HeadIsValid() const {
+  const std::size_t lengths = CountFields(headers_, "Content-Length");
+  const std::size_t encodings = CountFields(headers_, "Transfer-Encoding");
+  if (lengths + encodings > 1)
+    return false;
+  if (encodings == 1 &&
+      !SameName(HeaderValue(headers_, "Transfer-Encoding"), "chunked"))
+    return false;
+  if (parser_.type == HTTP_RESPONSE)
+    return true;
+  const bool path = !target_.empty() && target_.front() == '/';
+  return path && CountFields(headers_, "Host") == 1;
+}
+
+bool SplitTarget(Request& request) {
+  const std::string_view target = request.target;
+  const std::size_t mark = target.find('?');
+  const auto path = Unescape(target.substr(0, mark));
+  if (!path || path->empty() || path->front() != '/')
+    return false;
+  request.path = *path;
+  std::string_view rest =
+      mark == std::string_view::npos ? "" : target.substr(mark + 1);
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('&'), rest.size());
+    AddQueryField(rest.substr(0, end), request);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return true;
+}
+
+}  // namespace jacinth::http
--- a/source/core/net/link_hub.cc
+++ b/source/core/net/link_hub.cc
@@ -16,7 +16,12 @@
 
 using asio::ip::tcp;
 
-constexpr Duration kTickInterval = 200ms;
+constexpr Duration kTickInterval = 250ms;
+/// Silence after which a link is probed, so that calls keep busy links free of
+/// pings.
+constexpr Duration kPingAfter = 400ms;
+/// Time without a message after which a link dialled on demand is closed.
+constexpr Duration kUnusedTime = 10s;
 /// Silence after which the dialling side gives a link up. Pings go out with
 /// each tick, so that only a broken link is silent that long.
 constexpr Duration kDialledSilence = 1500ms;
@@ -107,6 +112,8 @@
     return;
   }
   const auto row = dialled_.find(to);
+  if (row != dialled_.end())
+    row->second.last_used = MonotonicNow();
   if (row != dialled_.end() && row->second.ready) {
     row->second.link->Send(envelope);
     return;
@@ -116,7 +123,20 @@
     // A copy, as a failing Send removes the row.
     const std::shared_ptr<Link> kept = link->second;
     kept->Send(envelope);
+    return;
   }
+  if (row == dialled_.end())
+    DialOnDemand(to);
+}
+
+void LinkHub::DialOnDemand(const std::string& instance) {
+  if (!ParseEndpoint(instance))
+    return;
+  Dialled& row = dialled_[instance];
+  row.address = instance;
+  row.on_demand = true;
+  row.last_used = MonotonicNow();
+  Dial(instance);
 }
 
 void LinkHub::Accept() {
@@ -191,9 +211,10 @@
   row.socket = std::make_shared<tcp::socket>(context_);
   row.socket->async_connect(
       *endpoint, [this, instance, socket = row.socket](asio::error_code error) {
-        Dialled& dialled = dialled_[instance];
-        if (stopped_ || dialled.socket != socket)
+        const auto row = dialled_.find(instance);
+        if (stopped_ || row == dialled_.end() || row->second.socket != socket)
           return;
+        Dialled& dialled = row->second;
         dialled.connecting = false;
         dialled.socket.reset();
         if (!error)
@@ -210,11 +231,14 @@
       },
       [this, instance](const std::shared_ptr<Link>& closed,
                        const std::string& reason) {
-        Dialled& row = dialled_[instance];
-        if (row.link != closed)
+        const auto found = dialled_.find(instance);
+        if (found == dialled_.end() || found->second.link != closed)
           return;
-        log::Info(log::Category::kNet,
-                  "Link to " + instance + " closed: " + reason + ".");
+        Dialled& row = found->second;
+        if (!std::exchange(row.was_lost, true)) {
+          log::Info(log::Category::kNet,
+                    "Link to " + instance + " closed: " + reason + ".");
+        }
         row.link.reset();
         row.ready = false;
       });
@@ -230,8 +254,12 @@
     link->Send(protocol::Hello{
         options_.self,
         HmacSha256Hex(options_.secret, challenge->nonce + options_.self)});
-    if (dialled_[instance].link == link)
-      dialled_[instance].ready = true;
+    const auto found = dialled_.find(instance);
+    if (found == dialled_.end() || found->second.link != link)
+      return;
+    found->second.ready = true;
+    if (std::exchange(found->second.was_lost, false))
+      log::Info(log::Category::kNet, "Link to " + instance + " is back.");
     return;
   }
   if (std::holds_alternative<protocol::Ping>(envelope))
@@ -239,27 +267,51 @@
   on_message_(instance, std::move(envelope));
 }
 
-void LinkHub::Tick() {
-  const Time now = MonotonicNow();
-  for (auto& [instance, row] : dialled_) {
-    if (row.connecting) {
-      if (now < row.connect_started + kConnectTimeout)
-        continue;
-      row.connecting = false;
-      row.socket.reset();
-    }
-    if (row.link && now > row.link->last_received() + kDialledSilence) {
+void LinkHub::TickDialled(const std::string& instance,
+                          Dialled& row,
+                          Time now) {
+  if (row.connecting) {
+    if (now < row.connect_started + kConnectTimeout)
+      return;
+    row.connecting = false;
+    row.socket.reset();
+  }
+  if (row.link && now > row.link->last_received() + kDialledSilence) {
+    if (!std::exchange(row.was_lost, true)) {
       log::Info(log::Category::kNet,
                 "Link to " + instance + " is silent; dialling again.");
-      row.link->Close();
-      row.link.reset();
-      row.ready = false;
     }
-    if (!row.link)
-      Dial(instance);
-    else if (row.ready)
-      row.link->Send(protocol::Ping{false});
+    row.link->Close();
+    row.link.reset();
+    row.ready = false;
   }
+  if (!row.link)
+    Dial(instance);
+  else if (row.ready && now > row.link->last_received() + kPingAfter)
+    row.link->Send(protocol::Ping{false});
+}
+
+void LinkHub::CloseUnused(Time now) {
+  for (auto item = dialled_.begin(); item != dialled_.end();) {
+    Dialled& row = item->second;
+    if (!row.on_demand || now < row.last_used + kUnusedTime) {
+      ++item;
+      continue;
+    }
+    asio::error_code ignored;
+    if (row.link)
+      row.link->Close();
+    if (row.socket)
+      row.socket->close(ignored);
+    item = dialled_.erase(item);
+  }
+}
+
+void LinkHub::Tick() {
+  const Time now = MonotonicNow();
+  CloseUnused(now);
+  for (auto& [instance, row] : dialled_)
+    TickDialled(instance, row, now);
   const auto is_silent = [&](const auto& item) {
     if (now <= item.second->last_received() + kAcceptedSilence)
       return false;
--- a/source/core/net/link_hub.h
+++ b/source/core/net/link_hub.h
@@ -42,12 +42,17 @@
   Result<void> Start();
   void Stop();
 
-  /// Sends to an instance, or drops the message if there is no link to it.
+  /// Sends to an instance, or drops the message if there is no link to it. An
+  /// instance that is named by its address is dialled then.
   void Send(const std::string& to, const protocol::Envelope& envelope);
 
  private:
   struct Dialled {
     std::string address;
+    /// Not among the options: forgotten once nothing is sent to it any more.
+    bool on_demand = false;
+    Time last_used{};
+    bool was_lost = false;
     std::shared_ptr<Link> link;
     /// The other end has sent its challenge and got the answer.
     bool ready = false;
@@ -65,6 +70,9 @@
   void OnDialledMessage(const std::string& instance,
                         const std::shared_ptr<Link>& link,
                         protocol::Envelope envelope);
+  void DialOnDemand(const std::string& instance);
+  void TickDialled(const std::string& instance, Dialled& row, Time now);
+  void CloseUnused(Time now);
   void Tick();
 
   asio::io_context& context_;
--- a/source/core/protocol/command.h
+++ b/source/core/protocol/command.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -19,6 +20,16 @@
   bool operator==(const BranchChange&) const = default;
 };
 
+/// A version number that the operator gives to a change.
+struct VersionStep {
+  /// The change applies only to this version.
+  std::uint64_t base = 0;
+  /// Must be above `base`.
+  std::uint64_t next = 0;
+
+  bool operator==(const VersionStep&) const = default;
+};
+
 /// An operator's change of settings.
 struct ChangeSettings {
   std::string operator_name;
@@ -27,6 +38,11 @@
   std::uint64_t fingerprint = 0;
   /// The change applies only to this revision.
   std::uint64_t if_revision = 0;
+  /// The change applies to any revision; `if_revision` is unused.
+  bool any_revision = false;
+  /// Set for changes that the operator numbers; decides instead of the
+  /// revision.
+  std::optional<VersionStep> version_step;
   /// Drops every branch not named in `changes`.
   bool replace_all = false;
   std::vector<BranchChange> changes;
--- a/source/core/protocol/control_snapshot.h
+++ b/source/core/protocol/control_snapshot.h
@@ -58,6 +58,8 @@
 /// The whole replicated state.
 struct ControlSnapshot {
   std::uint64_t revision = 0;
+  /// Number that the operator gave to the last numbered change.
+  std::uint64_t operator_version = 0;
   std::string tree_text;
   WallMillis log_time_ms = 0;
   std::vector<ClaimRecord> claims;
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "core/protocol/command.h"
+#include "core/protocol/endpoint_list.h"
 #include "core/protocol/entry_status.h"
 
 namespace jacinth::protocol {
@@ -15,17 +17,22 @@
   std::uint64_t members_version = 0;
   /// Number of this heartbeat, echoed in the reply.
   std::uint64_t sequence = 0;
+  /// Version of the endpoint list that the entry holds.
+  std::uint64_t endpoints_version = 0;
 
   bool operator==(const Heartbeat&) const = default;
 };
 
-/// The whole settings tree at a revision.
+/// The settings tree at a revision, or what changed since an earlier one.
 struct SettingsUpdate {
   std::uint64_t revision = 0;
-  /// INI text.
+  /// INI text of the whole tree; empty if `changes` are given.
   std::string text;
-  /// Hash64 of `text`.
+  /// Hash64 of the whole tree's text.
   std::uint64_t checksum = 0;
+  /// Revision that `changes` build on; 0 if `text` is given.
+  std::uint64_t base_revision = 0;
+  std::vector<BranchChange> changes;
 
   bool operator==(const SettingsUpdate&) const = default;
 };
@@ -50,6 +57,10 @@
   SettingsUpdate update;
   /// Set when the entry's list is behind (`version` is 0 otherwise).
   MemberList members;
+  /// Set when the entry's endpoints are behind (`version` is 0 otherwise).
+  EndpointUpdate endpoints;
+  /// Instances of the replicas known to the sender.
+  std::vector<std::string> replicas;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/settings/endpoint_settings.h
+++ b/source/core/settings/endpoint_settings.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
+#include "core/common/time.h"
+
 namespace jacinth::settings {
 
 /// One endpoint of a service.
@@ -14,6 +17,12 @@
   int slots = 1;
   /// Drained by the operator, itself or with its region or failure domain.
   bool drained = false;
+  /// Name that the endpoint checks requests against; empty if it doesn't.
+  std::string incarnation;
+  /// Start of the endpoint in Unix milliseconds; 0 if unknown.
+  std::int64_t started_ms = 0;
+  /// How long the endpoint was still cold when it was listed.
+  Duration warmup_left{0};
 };
 
 }  // namespace jacinth::settings
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -9,6 +9,16 @@
 namespace jacinth::settings {
 namespace {
 
+/// Divisor of rates that are set per 1000 s.
+constexpr double kPerSecond = 1'000;
+
+// Priorities are open-ended; ranks are three.
+Rank RankOfPriority(std::int64_t priority) {
+  const auto last = static_cast<std::int64_t>(kRankCount) - 1;
+  return kRanks[static_cast<std::size_t>(std::clamp<std::int64_t>(
+      priority, 0, last))];
+}
+
 class Builder {
  public:
   explicit Builder(const Tree& tree) : tree_(tree) {}
@@ -17,6 +27,14 @@
     FleetSettings fleet;
     fleet.revision = revision;
     fleet.max_body_bytes = Integer("", "max_body_bytes");
+    fleet.max_header_bytes = Integer("", "max_header_bytes");
+    fleet.header_timeout = Millis("", "header_timeout_ms");
+    fleet.idle_timeout = Millis("", "idle_timeout_ms");
+    for (const std::string& name : tree_.Children("route"))
+      AddRoute(name, fleet);
+    for (auto& [host, routes] : fleet.routes)
+      SortByPrefix(routes);
+    AddDrainedDomains(fleet);
     fleet.ledger_retention =
         std::chrono::seconds(Integer("", "ledger_retention_s"));
     for (const std::string& name : tree_.Children("service"))
@@ -31,6 +49,47 @@
   }
 
  private:
+  static void SortByPrefix(std::vector<RouteSettings>& routes) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const RouteSettings& left, const RouteSettings& right) {
+                       return left.kind.path_prefix.size() >
+                              right.kind.path_prefix.size();
+                     });
+  }
+
+  void AddRoute(const std::string& name, FleetSettings& fleet) const {
+    const std::string branch = "route/" + name;
+    RouteSettings route;
+    route.host = Text(branch, "host");
+    route.kind = BuildPolicy(branch, name);
+    route.kind.execution = ExecutionFromName(Text(branch, "execution"))
+                               .value_or(Execution::kSingleAttempt);
+    route.kind.rank = RankOfPriority(Integer(branch, "priority"));
+    route.kind.objective = Millis(branch, "objective_ms");
+    route.kind.affinity = Boolean(branch, "affinity");
+    route.kind.regions = SplitList(Text(branch, "regions"));
+    const std::string service = Text(branch, "service");
+    if (!service.empty())
+      route.shares.push_back({service, 1});
+    for (const std::string& part : SplitList(Text(branch, "split"))) {
+      const std::size_t colon = part.rfind(':');
+      const auto weight = ParseInteger(part.substr(colon + 1));
+      route.shares.push_back(
+          {part.substr(0, colon), static_cast<int>(weight.value_or(0))});
+    }
+    fleet.routes[route.host].push_back(std::move(route));
+  }
+
+  void AddDrainedDomains(FleetSettings& fleet) const {
+    for (const std::string& region : tree_.Children("region")) {
+      const std::string domains = "region/" + region + "/failure_domain";
+      for (const std::string& domain : tree_.Children(domains)) {
+        if (Boolean(domains + "/" + domain, "drain"))
+          fleet.drained_domains.insert(domain);
+      }
+    }
+  }
+
   void AddClientBlocks(const std::string& region, FleetSettings& fleet) const {
     const std::string branch = "region/" + region + "/clients";
     for (const std::string& name : tree_.Children(branch)) {
@@ -53,6 +112,12 @@
     service.shift_window = Millis(branch, "shift_window_ms");
     service.probe_interval = Millis(branch, "probe_interval_ms");
     service.probe_failures = Small(branch, "probe_failures");
+    service.health_path = Text(branch, "health_path");
+    service.endpoint_connections = Small(branch, "endpoint_connections");
+    service.endpoint_queue_percent = Small(branch, "endpoint_queue_percent");
+    service.warmup = Millis(branch, "warmup_ms");
+    service.warmup_per_s =
+        static_cast<double>(Integer(branch, "warmup_per_1000_s")) / kPerSecond;
     AddRegions(branch, service);
     for (const std::string& kind : tree_.Children(branch + "/kind"))
       service.kinds.push_back(BuildKind(branch, kind));
@@ -78,12 +143,20 @@
   KindSettings BuildKind(const std::string& service,
                          const std::string& name) const {
     const std::string branch = service + "/kind/" + name;
+    KindSettings kind = BuildPolicy(branch, name);
+    kind.method = Text(branch, "method");
+    kind.rank = RankFromName(Text(branch, "rank")).value_or(Rank::kNormal);
+    kind.execution = Boolean(branch, "repeatable") ? Execution::kRepeatable
+                                                   : Execution::kAtMostOnce;
+    return kind;
+  }
+
+  // What kinds and routes have in common.
+  KindSettings BuildPolicy(const std::string& branch,
+                           const std::string& name) const {
     KindSettings kind;
     kind.name = name;
     kind.path_prefix = Text(branch, "path_prefix");
-    kind.method = Text(branch, "method");
-    kind.rank = RankFromName(Text(branch, "rank")).value_or(Rank::kNormal);
-    kind.repeatable = Boolean(branch, "repeatable");
     kind.request_timeout = Millis(branch, "request_timeout_ms");
     kind.attempt_timeout = Millis(branch, "attempt_timeout_ms");
     kind.max_attempts = Small(branch, "max_attempts");
@@ -152,6 +225,19 @@
   return nullptr;
 }
 
+const RouteSettings* FleetSettings::FindRoute(std::string_view host,
+                                              std::string_view path) const {
+  const auto found = routes.find(host);
+  if (found == routes.end())
+    return nullptr;
+  for (const RouteSettings& route : found->second) {
+    const std::string& prefix = route.kind.path_prefix;
+    if (path.substr(0, prefix.size()) == prefix)
+      return &route;
+  }
+  return nullptr;
+}
+
 std::shared_ptr<const FleetSettings> BuildFleetSettings(
     const Tree& tree,
     std::uint64_t revision) {
--- a/source/core/settings/fleet_settings.h
+++ b/source/core/settings/fleet_settings.h
@@ -3,9 +3,12 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "core/settings/route_settings.h"
 #include "core/settings/service_settings.h"
 #include "core/settings/tree.h"
 
@@ -15,12 +18,23 @@
 struct FleetSettings {
   std::uint64_t revision = 0;
   std::map<std::string, ServiceSettings> services;
+  /// Routes by host, longest path prefix first.
+  std::map<std::string, std::vector<RouteSettings>, std::less<>> routes;
   std::int64_t max_body_bytes = 0;
+  std::int64_t max_header_bytes = 0;
+  Duration header_timeout{0};
+  Duration idle_timeout{0};
   Duration ledger_retention{0};
   /// Blocks of client addresses by region, as written.
   std::map<std::string, std::vector<std::string>> client_blocks;
   /// Entry instances that an operator drains.
   std::map<std::string, bool> entry_drains;
+  /// Failure domains that an operator drains.
+  std::set<std::string> drained_domains;
+
+  /// The route of a request, or nullptr if none matches.
+  const RouteSettings* FindRoute(std::string_view host,
+                                 std::string_view path) const;
 };
 
 /// Builds the typed form of a tree that passed ValidateTree.
--- a/source/core/settings/instance_settings.cc
+++ b/source/core/settings/instance_settings.cc
@@ -27,7 +27,8 @@
 
 const InstanceSetting* FindRow(std::string_view section, std::string_view key) {
   for (const InstanceSetting& row : InstanceSettingTable()) {
-    if (row.section == section && row.key == key)
+    const bool any_key = row.key == "<name>";
+    if (row.section == section && (row.key == key || any_key))
       return &row;
   }
   return nullptr;
@@ -55,6 +56,8 @@
     FillEntry();
     FillControl();
     FillReplicas();
+    FillGroup();
+    FillDiscovery();
     FillOperators();
     CheckRoles();
     return {std::move(out_), std::move(faults_)};
@@ -105,7 +108,19 @@
     out_.region = Required("instance", "region");
     out_.failure_domain = Required("instance", "failure_domain");
     out_.data_folder = Text("instance", "data_folder");
-    out_.cluster_secret_file = Required("instance", "cluster_secret_file");
+    out_.metrics_address = Text("instance", "metrics_address");
+    const auto interface =
+        InterfaceKindFromName(Text("instance", "interface"));
+    if (!interface) {
+      Add("instance", "interface", Line("instance", "interface"),
+          "must be native or platform");
+    }
+    out_.interface = interface.value_or(InterfaceKind::kNative);
+    // The platform's settings hold no secret.
+    out_.cluster_secret_file =
+        out_.interface == InterfaceKind::kNative
+            ? Required("instance", "cluster_secret_file")
+            : Text("instance", "cluster_secret_file");
     out_.log_level = Text("instance", "log_level");
     out_.trace_file = Text("instance", "trace_file");
     out_.trace_sample_percent = Number("instance", "trace_sample_percent");
@@ -128,7 +143,9 @@
 
   void FillEntry() {
     out_.entry_address = Text("entry", "address");
-    out_.entry_threads = Number("entry", "threads");
+    out_.lookup_address = Text("entry", "lookup_address");
+    out_.ready_address = Text("entry", "ready_address");
+    out_.entry_requests = Number("entry", "requests");
     out_.entry_connections = Number("entry", "connections");
     out_.control_timeout = Millis("entry", "control_timeout_ms");
     out_.entry_heartbeat = Millis("entry", "heartbeat_ms");
@@ -137,9 +154,9 @@
       Add("entry", "control_timeout_ms", Line("entry", "control_timeout_ms"),
           "must be at least twice entry heartbeat_ms");
     }
-    if (out_.entry_connections < out_.entry_threads) {
+    if (out_.entry_connections < out_.entry_requests) {
       Add("entry", "connections", Line("entry", "connections"),
-          "must not be below threads");
+          "must not be below requests");
     }
   }
 
@@ -161,8 +178,38 @@
       out_.replicas.push_back({name, Required(section, "peer_address"),
                                Required(section, "admin_address")});
     }
-    if (out_.replicas.empty())
+    const bool has_seeds = !Text("group", "seeds").empty();
+    if (out_.replicas.empty() && !has_seeds)
       Add("replica/<name>", "", 0, "at least one replica is required");
+    if (!out_.replicas.empty() && has_seeds)
+      Add("group", "seeds", Line("group", "seeds"), "replicas are listed too");
+  }
+
+  void FillGroup() {
+    GroupSettings& group = out_.group;
+    group.seeds = SplitList(Text("group", "seeds"));
+    for (const std::string& seed : group.seeds) {
+      if (auto reason = CheckValue(SettingType::kAddress, {}, seed))
+        Add("group", "seeds", Line("group", "seeds"), seed + " " + *reason);
+    }
+    group.host = Text("group", "host");
+    group.link_port = Number("group", "link_port");
+    group.admin_address = Text("group", "admin_address");
+    group.found = Text("group", "found") == "true";
+    group.target_voters = Number("group", "target_voters");
+  }
+
+  void FillDiscovery() {
+    out_.discovery_address = Text("discovery", "address");
+    out_.discovery_interval = Millis("discovery", "interval_ms");
+    for (const std::string& domain : NamesBelow("failure_domain")) {
+      out_.domain_regions[domain] =
+          Required("failure_domain/" + domain, "region");
+    }
+    for (const auto& [place, value] : values_) {
+      if (place.first == "interface")
+        out_.interface_options[place.second] = value;
+    }
   }
 
   void FillOperators() {
@@ -188,6 +235,11 @@
     if (!out_.HasRole(InstanceRole::kControl))
       return;
     Required("instance", "data_folder");
+    if (!out_.group.seeds.empty()) {
+      Required("group", "host");
+      Required("group", "admin_address");
+      return;
+    }
     if (out_.OwnReplica() == nullptr)
       Add("replica/" + out_.id, "", 0,
           "missing for an instance of role control");
@@ -240,6 +292,37 @@
   return nullptr;
 }
 
+std::string InstanceSettings::LinkName() const {
+  const bool by_address =
+      !group.seeds.empty() && HasRole(InstanceRole::kControl);
+  return by_address ? LinkAddress() : id;
+}
+
+std::string InstanceSettings::LinkAddress() const {
+  if (!group.seeds.empty())
+    return group.host + ":" + std::to_string(group.link_port);
+  const ReplicaSettings* own = OwnReplica();
+  return own == nullptr ? std::string() : own->peer_address;
+}
+
+std::string InstanceSettings::AdminAddress() const {
+  if (!group.seeds.empty())
+    return group.admin_address;
+  const ReplicaSettings* own = OwnReplica();
+  return own == nullptr ? std::string() : own->admin_address;
+}
+
+std::vector<std::string> InstanceSettings::ControlContacts() const {
+  std::vector<std::string> contacts;
+  for (const ReplicaSettings& replica : replicas)
+    contacts.push_back(replica.id);
+  for (const std::string& seed : group.seeds) {
+    const std::string host = seed.substr(0, seed.rfind(':'));
+    contacts.push_back(host + ":" + std::to_string(group.link_port));
+  }
+  return contacts;
+}
+
 bool OperatorSettings::MayChange(const std::string& branch) const {
   for (const std::string& own : branches) {
     if (own == "*" || own == branch)
--- a/source/core/settings/kind_settings.h
+++ b/source/core/settings/kind_settings.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
+#include "core/common/execution.h"
 #include "core/common/rank.h"
 #include "core/common/time.h"
 
@@ -14,12 +16,20 @@
   /// Empty for any method.
   std::string method;
   Rank rank = Rank::kNormal;
-  bool repeatable = false;
+  Execution execution = Execution::kAtMostOnce;
   Duration request_timeout{0};
   Duration attempt_timeout{0};
   int max_attempts = 1;
   int queue_limit = 0;
   int concurrency_limit = 0;
+  /// Time within which an answer is worth most; zero if none is stated.
+  Duration objective{0};
+  /// Requests for one object prefer one endpoint.
+  bool affinity = false;
+  /// Regions that may serve the requests; empty for all.
+  std::vector<std::string> regions;
+
+  bool repeatable() const { return execution == Execution::kRepeatable; }
 };
 
 }  // namespace jacinth::settings
--- a/source/core/settings/service_settings.h
+++ b/source/core/settings/service_settings.h
@@ -27,6 +27,13 @@
   Duration shift_window{0};
   Duration probe_interval{0};
   int probe_failures = 0;
+  std::string health_path;
+  int endpoint_connections = 0;
+  int endpoint_queue_percent = 100;
+  /// Time for which an endpoint is cold after its start.
+  Duration warmup{0};
+  /// Requests per second that a cold endpoint bears; 0 for no limit.
+  double warmup_per_s = 0;
   /// Longest path prefix first.
   std::vector<KindSettings> kinds;
   std::vector<EndpointSettings> endpoints;
--- a/source/core/settings/settings_doc.cc
+++ b/source/core/settings/settings_doc.cc
@@ -14,6 +14,7 @@
     BranchScope::kKind,    BranchScope::kEndpoint,
     BranchScope::kRegion,  BranchScope::kFailureDomain,
     BranchScope::kEntry,   BranchScope::kClients,
+    BranchScope::kRoutes,  BranchScope::kRoute,
 };
 
 std::string RangeText(SettingType type, IntegerRange range) {
--- a/source/core/settings/tree_table.h
+++ b/source/core/settings/tree_table.h
@@ -21,6 +21,8 @@
   kFailureDomain = 1U << 7U,
   kEntry = 1U << 8U,
   kClients = 1U << 9U,
+  kRoutes = 1U << 10U,
+  kRoute = 1U << 11U,
 };
 
 /// A set of scopes.
--- a/source/core/settings/tree_validation.cc
+++ b/source/core/settings/tree_validation.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "core/common/execution.h"
+#include "core/common/split.h"
 #include "core/settings/ini_document.h"
 #include "core/settings/tree_table.h"
 
@@ -11,7 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaxBranchLength = 49;
-constexpr std::size_t kMaxValueLength = 128;
+constexpr std::size_t kMaxValueLength = 160;
 
 class Validator {
  public:
@@ -22,6 +24,8 @@
       CheckBranch(branch, values);
     for (const std::string& service : tree_.Children("service"))
       CheckService("service/" + service);
+    for (const std::string& route : tree_.Children("route"))
+      CheckRoute("route/" + route);
     return std::move(faults_);
   }
 
@@ -91,6 +95,48 @@
       Add(branch, "path_prefix", "must start with '/'");
   }
 
+  void CheckRoute(const std::string& branch) {
+    Require(branch, "host");
+    Require(branch, "path_prefix");
+    const auto prefix = tree_.Effective(branch, "path_prefix");
+    if (prefix && prefix->value.front() != '/')
+      Add(branch, "path_prefix", "must start with '/'");
+    const auto execution = tree_.Effective(branch, "execution");
+    if (execution && !ExecutionFromName(execution->value)) {
+      Add(branch, "execution",
+          "must be repeatable, single_attempt or at_most_once");
+    }
+    const auto service = tree_.Effective(branch, "service");
+    const auto split = tree_.Effective(branch, "split");
+    if (service.has_value() == split.has_value())
+      Add(branch, "service", "either service or split must be set");
+    if (service)
+      CheckServiceName(branch, "service", service->value);
+    if (split)
+      CheckSplit(branch, split->value);
+  }
+
+  void CheckSplit(const std::string& branch, const std::string& split) {
+    for (const std::string& part : SplitList(split)) {
+      const std::size_t colon = part.rfind(':');
+      const auto weight = colon == std::string::npos
+                              ? std::nullopt
+                              : ParseInteger(part.substr(colon + 1));
+      if (!weight || *weight < 0) {
+        Add(branch, "split", part + " is not name:weight");
+        continue;
+      }
+      CheckServiceName(branch, "split", part.substr(0, colon));
+    }
+  }
+
+  void CheckServiceName(const std::string& branch,
+                        const std::string& key,
+                        const std::string& service) {
+    if (tree_.Find("service/" + service) == nullptr)
+      Add(branch, key, "no service called " + service);
+  }
+
   void Require(const std::string& branch, const std::string& key) {
     if (!tree_.Effective(branch, key))
       Add(branch, key, "missing");
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -46,6 +46,12 @@
 Result<protocol::FinishRequest> FromWire(
     const generated::FinishRequest& request);
 
+generated::BranchChange ToWire(const protocol::BranchChange& change);
+protocol::BranchChange FromWire(const generated::BranchChange& change);
+
+generated::EndpointUpdate ToWire(const protocol::EndpointUpdate& update);
+protocol::EndpointUpdate FromWire(const generated::EndpointUpdate& update);
+
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change);
 protocol::ChangeSettings FromWire(const generated::ChangeSettings& change);
 
--- a/source/core/wire/convert_command.cc
+++ b/source/core/wire/convert_command.cc
@@ -3,6 +3,17 @@
 
 namespace jacinth::wire {
 
+generated::BranchChange ToWire(const protocol::BranchChange& change) {
+  generated::BranchChange out;
+  out.branch = change.branch;
+  out.entries = change.values;
+  return out;
+}
+
+protocol::BranchChange FromWire(const generated::BranchChange& change) {
+  return {change.branch, change.entries};
+}
+
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change) {
   generated::ChangeSettings out;
   out.operator_name = change.operator_name;
@@ -10,12 +21,15 @@
   out.fingerprint = static_cast<std::int64_t>(change.fingerprint);
   out.if_revision = static_cast<std::int64_t>(change.if_revision);
   out.replace_all = change.replace_all;
-  for (const auto& branch : change.changes) {
-    generated::BranchChange row;
-    row.branch = branch.branch;
-    row.entries = branch.values;
-    out.changes.push_back(std::move(row));
+  out.any_revision = change.any_revision;
+  if (change.version_step) {
+    generated::VersionStep step;
+    step.base_version = static_cast<std::int64_t>(change.version_step->base);
+    step.next_version = static_cast<std::int64_t>(change.version_step->next);
+    out.__set_version_step(step);
   }
+  for (const auto& branch : change.changes)
+    out.changes.push_back(ToWire(branch));
   return out;
 }
 
@@ -26,8 +40,14 @@
   out.fingerprint = static_cast<std::uint64_t>(change.fingerprint);
   out.if_revision = static_cast<std::uint64_t>(change.if_revision);
   out.replace_all = change.replace_all;
+  out.any_revision = change.any_revision;
+  if (change.__isset.version_step) {
+    out.version_step = protocol::VersionStep{
+        static_cast<std::uint64_t>(change.version_step.base_version),
+        static_cast<std::uint64_t>(change.version_step.next_version)};
+  }
   for (const auto& branch : change.changes)
-    out.changes.push_back({branch.branch, branch.entries});
+    out.changes.push_back(FromWire(branch));
   return out;
 }
 
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -49,6 +49,8 @@
   generated::Heartbeat out;
   out.status = StatusToWire(heartbeat.status);
   out.members_version = static_cast<std::int64_t>(heartbeat.members_version);
+  out.endpoints_version =
+      static_cast<std::int64_t>(heartbeat.endpoints_version);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -57,6 +59,8 @@
   protocol::Heartbeat out;
   out.status = StatusFromWire(heartbeat.status);
   out.members_version = static_cast<std::uint64_t>(heartbeat.members_version);
+  out.endpoints_version =
+      static_cast<std::uint64_t>(heartbeat.endpoints_version);
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -72,10 +76,17 @@
     update.revision = static_cast<std::int64_t>(reply.update.revision);
     update.text = reply.update.text;
     update.checksum = static_cast<std::int64_t>(reply.update.checksum);
+    update.base_revision =
+        static_cast<std::int64_t>(reply.update.base_revision);
+    for (const protocol::BranchChange& change : reply.update.changes)
+      update.changes.push_back(ToWire(change));
     out.__set_update(update);
   }
   if (reply.members.version != 0)
     out.__set_members(MembersToWire(reply.members));
+  if (reply.endpoints.version != 0)
+    out.__set_endpoints(ToWire(reply.endpoints));
+  out.replicas = reply.replicas;
   return out;
 }
 
@@ -89,9 +100,16 @@
     out.update.revision = static_cast<std::uint64_t>(reply.update.revision);
     out.update.text = reply.update.text;
     out.update.checksum = static_cast<std::uint64_t>(reply.update.checksum);
+    out.update.base_revision =
+        static_cast<std::uint64_t>(reply.update.base_revision);
+    for (const generated::BranchChange& change : reply.update.changes)
+      out.update.changes.push_back(FromWire(change));
   }
   if (reply.__isset.members)
     out.members = MembersFromWire(reply.members);
+  if (reply.__isset.endpoints)
+    out.endpoints = FromWire(reply.endpoints);
+  out.replicas = reply.replicas;
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -18,13 +18,28 @@
   5: string address, 6: i64 revision, 7: bool draining
 }
 struct Heartbeat {
-  1: EntryStatus status, 2: i64 members_version, 3: i64 sequence
+  1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
+  4: i64 endpoints_version
+}
+struct BranchChange { 1: string branch, 2: map<string, string> entries }
+struct SettingsUpdate {
+  1: i64 revision, 2: string text, 3: i64 checksum, 4: i64 base_revision,
+  5: list<BranchChange> changes
+}
+struct ListedEndpoint {
+  1: string id, 2: i64 started_ms, 3: string service_name, 4: string address,
+  5: string failure_domain, 6: i32 slots, 7: bool draining,
+  8: i64 warmup_left_ms
+}
+struct EndpointUpdate {
+  1: i64 version, 2: i64 base, 3: list<ListedEndpoint> changed,
+  4: list<string> removed
 }
-struct SettingsUpdate { 1: i64 revision, 2: string text, 3: i64 checksum }
 struct MemberList { 1: i64 version, 2: list<EntryStatus> entries }
 struct HeartbeatReply {
   1: i64 sequence, 2: bool leader, 3: string leader_hint, 4: i64 revision,
-  5: optional SettingsUpdate update, 6: optional MemberList members
+  5: optional SettingsUpdate update, 6: optional MemberList members,
+  7: optional EndpointUpdate endpoints, 8: list<string> replicas
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
@@ -61,10 +76,11 @@
   11: optional FinishReply finish_reply
 }
 
-struct BranchChange { 1: string branch, 2: map<string, string> entries }
+struct VersionStep { 1: i64 base_version, 2: i64 next_version }
 struct ChangeSettings {
   1: string operator_name, 2: string idempotency_key, 3: i64 fingerprint,
-  4: i64 if_revision, 5: bool replace_all, 6: list<BranchChange> changes
+  4: i64 if_revision, 5: bool replace_all, 6: list<BranchChange> changes,
+  7: bool any_revision, 8: optional VersionStep version_step
 }
 struct Command {
   1: i32 version, 2: i64 wall_ms, 3: i64 proposal,
@@ -86,7 +102,8 @@
 struct ControlSnapshot {
   1: i32 version, 2: i64 revision, 3: string tree_text, 4: i64 log_time_ms,
   5: list<ClaimRecord> claims, 6: list<ChangeResult> results,
-  7: list<AuditRecord> audit, 8: i64 forgotten_before_ms
+  7: list<AuditRecord> audit, 8: i64 forgotten_before_ms,
+  9: i64 operator_version
 }
 
 // One synced write of a replica's log; see core/storage.
--- a/source/core/wire/state_codec.cc
+++ b/source/core/wire/state_codec.cc
@@ -58,6 +58,7 @@
   generated::ControlSnapshot out;
   out.version = kWireVersion;
   out.revision = static_cast<std::int64_t>(state.revision);
+  out.operator_version = static_cast<std::int64_t>(state.operator_version);
   out.tree_text = state.tree_text;
   out.log_time_ms = state.log_time_ms;
   out.forgotten_before_ms = state.forgotten_before_ms;
@@ -79,6 +80,7 @@
     return Fail(ErrorKind::kCorruptData, "unknown snapshot version");
   protocol::ControlSnapshot out;
   out.revision = static_cast<std::uint64_t>(in->revision);
+  out.operator_version = static_cast<std::uint64_t>(in->operator_version);
   out.tree_text = in->tree_text;
   out.log_time_ms = in->log_time_ms;
   out.forgotten_before_ms = in->forgotten_before_ms;
--- /dev/null
+++ b/source/jacinthroute/attempt_end.cc
@@ -0,0 +1,26 @@
+#include "jacinthroute/attempt_end.h"
+
+namespace jacinth {
+
+using forwarding::AttemptEnd;
+using http::ExchangeEnd;
+
+AttemptEnd AttemptEndOf(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kAnswered:
+      return AttemptEnd::kAnswered;
+    case ExchangeEnd::kNotConnected:
+      return AttemptEnd::kNotConnected;
+    case ExchangeEnd::kLost:
+      return AttemptEnd::kConnectionLost;
+    case ExchangeEnd::kTimedOut:
+      return AttemptEnd::kTimedOut;
+    case ExchangeEnd::kIncomplete:
+      return AttemptEnd::kAnswerIncomplete;
+    case ExchangeEnd::kTooLarge:
+      return AttemptEnd::kAnswerTooLarge;
+  }
+  return AttemptEnd::kConnectionLost;
+}
+
+}  // namespace jacinth
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -16,26 +16,69 @@
 constexpr std::size_t kAdminThreads = 16;
 constexpr std::size_t kAdminMaxWaiting = 64;
 constexpr std::size_t kMaxAdminBodyBytes = 4UL << 20U;
+constexpr std::size_t kMaxOperatorConnections = 256;
+/// Idle connections kept to the platform's list of endpoints.
+constexpr std::size_t kKeptConnections = 2;
+/// Time between attempts to open the data folder after a failed write.
+constexpr Duration kReopenInterval = 500ms;
+/// Silence after which another replica may take a voter's place: longer than an
+/// election, shorter than the time in which a lost replica must be made up for.
+constexpr Duration kReplaceAfter = 2500ms;
 
 }  // namespace
 
 ControlHost::ControlHost(asio::io_context& context,
                          const settings::InstanceSettings& settings,
+                         const InstanceParts& parts,
                          net::LinkHub& hub,
                          metrics::Registry& metrics,
                          trace::SpanWriter& spans)
     : context_(context),
       settings_(settings),
+      parts_(parts),
       hub_(hub),
       metrics_(metrics),
       spans_(spans),
-      timer_(context, [this] { Step(control::Tick{}); }) {}
+      timer_(context, [this] { Step(control::Tick{}); }),
+      client_(context, kKeptConnections),
+      lister_(client_,
+              settings.discovery_address,
+              parts.listing.make_request,
+              parts.listing.read_page),
+      listing_timer_(context),
+      reopen_timer_(context),
+      contacts_(settings.ControlContacts()) {}
 
 ControlHost::~ControlHost() {
   Join();
 }
 
 Result<void> ControlHost::Start() {
+  if (auto opened = OpenNode(); !opened)
+    return opened;
+  if (auto serving = ServeOperators(); !serving)
+    return serving;
+  if (!settings_.metrics_address.empty()) {
+    metrics_server_ = std::make_unique<http::EventServer>(
+        context_, [this](const std::shared_ptr<http::Transaction>& request) {
+          http::Response response;
+          response.content_type = "text/plain";
+          response.body = metrics_.ToText();
+          request->Respond(std::move(response));
+        });
+    if (auto bound = metrics_server_->Listen(settings_.metrics_address); !bound)
+      return bound;
+  }
+  log::Info(log::Category::kControl, "Replica " + node_->replica_id() +
+                                         " serves the admin API on " +
+                                         settings_.AdminAddress() + ".");
+  Step(control::Tick{});
+  if (!settings_.discovery_address.empty())
+    TickListing();
+  return {};
+}
+
+Result<void> ControlHost::OpenNode() {
   consensus::ReplicaStart start;
   auto store = OpenStore(start);
   if (!store)
@@ -51,29 +94,89 @@
         asio::post(context_, [this, id] { Step(control::WritesSynced{id}); });
       },
       [this](const Error& error) {
-        log::Failure(log::Category::kStorage, error.detail + ".");
-        asio::post(context_, [this] { Step(control::StorageFailed{}); });
+        asio::post(context_, [this, error] { OnStorageFailure(error); });
       });
+  return {};
+}
+
+Result<void> ControlHost::ServeOperators() {
+  if (parts_.make_operator_front) {
+    front_ = parts_.make_operator_front(settings_, *this);
+    front_server_ = std::make_unique<http::EventServer>(
+        context_, [this](const std::shared_ptr<http::Transaction>& request) {
+          front_->Handle(request);
+        });
+    http::EventServerLimits limits;
+    limits.max_body_bytes = kMaxAdminBodyBytes;
+    limits.max_connections = kMaxOperatorConnections;
+    front_server_->SetLimits(limits);
+    return front_server_->Listen(settings_.AdminAddress());
+  }
   std::map<std::string, std::string> addresses;
   for (const settings::ReplicaSettings& replica : settings_.replicas)
     addresses[replica.id] = replica.admin_address;
   api_ = std::make_unique<admin::AdminApi>(settings_.operators, addresses,
                                            MakeCalls());
   http::ServerOptions options;
-  options.address = settings_.OwnReplica()->admin_address;
+  options.address = settings_.AdminAddress();
   options.threads = kAdminThreads;
   options.max_waiting = kAdminMaxWaiting;
   options.max_body_bytes = kMaxAdminBodyBytes;
   server_ = std::make_unique<http::Server>(
       options,
       [this](const http::Request& request) { return HandleHttp(request); });
-  if (auto started = server_->Start(); !started)
-    return started;
-  log::Info(log::Category::kControl, "Replica " + node_->replica_id() +
-                                         " serves the admin API on " +
-                                         options.address + ".");
-  Step(control::Tick{});
-  return {};
+  return server_->Start();
+}
+
+// The replica neither votes nor acknowledges until its folder was read anew,
+// as what the disk holds is unknown.
+void ControlHost::OnStorageFailure(const Error& error) {
+  log::Failure(log::Category::kStorage, error.detail + ".");
+  Step(control::StorageFailed{});
+  reopen_timer_.expires_after(kReopenInterval);
+  reopen_timer_.async_wait([this](asio::error_code failure) {
+    if (!failure)
+      Reopen();
+  });
+}
+
+void ControlHost::Reopen() {
+  writer_->Stop();
+  writer_.reset();
+  node_.reset();
+  folder_.reset();
+  const auto opened = OpenNode();
+  if (opened) {
+    log::Info(log::Category::kStorage, "The data folder is in use again.");
+    Step(control::Tick{});
+    return;
+  }
+  log::Warning(log::Category::kStorage, "The data folder was not opened: " +
+                                            opened.error().detail + ".");
+  reopen_timer_.expires_after(kReopenInterval);
+  reopen_timer_.async_wait([this](asio::error_code failure) {
+    if (!failure)
+      Reopen();
+  });
+}
+
+void ControlHost::TickListing() {
+  const bool leads = node_ && node_->Leads(MonotonicNow());
+  if (leads) {
+    lister_.Start([this](std::vector<protocol::ListedEndpoint> endpoints) {
+      Step(control::EndpointsListed{std::move(endpoints)});
+    });
+  }
+  listing_timer_.expires_after(settings_.discovery_interval);
+  listing_timer_.async_wait([this](asio::error_code error) {
+    if (!error)
+      TickListing();
+  });
+}
+
+void ControlHost::SetContacts(std::vector<std::string> contacts) {
+  contacts_ = std::move(contacts);
+  Step(control::ContactsChanged{contacts_});
 }
 
 void ControlHost::BeginStop(std::function<void()> done) {
@@ -83,12 +186,15 @@
 
 void ControlHost::Join() {
   // Calls that wait for the node would keep the server's threads.
-  for (auto& [ticket, promise] : calls_) {
+  const auto calls = std::exchange(calls_, {});
+  for (const auto& [ticket, on_reply] : calls) {
     control::CallRefused refused;
     refused.error = {ErrorKind::kOutcomeUnknown, "the replica is stopping"};
-    promise->set_value({ticket, std::move(refused)});
+    on_reply({ticket, std::move(refused)});
   }
-  calls_.clear();
+  if (front_server_)
+    front_server_->Stop();
+  client_.Stop();
   if (server_)
     server_->Stop();
   if (writer_)
@@ -115,8 +221,9 @@
     const auto call = calls_.find(reply.ticket);
     if (call == calls_.end())
       continue;
-    call->second->set_value(std::move(reply));
+    const ReplyHandler on_reply = std::move(call->second);
     calls_.erase(call);
+    on_reply(std::move(reply));
   }
   for (const control::ClaimTrace& claim : actions.claim_traces) {
     metrics_.Record("jacinth_commit_seconds", claim.took);
@@ -167,11 +274,18 @@
 control::ControlOptions ControlHost::MakeOptions() const {
   control::ControlOptions options;
   options.replica.id =
-      protocol::MakeReplicaId(settings_.id, folder_->incarnation());
+      protocol::MakeReplicaId(settings_.LinkName(), folder_->incarnation());
   options.replica.election_timeout = settings_.election_timeout;
   options.replica.heartbeat = settings_.replica_heartbeat;
-  for (const settings::ReplicaSettings& replica : settings_.replicas)
-    options.instances.push_back(replica.id);
+  options.contacts = contacts_;
+  const settings::GroupSettings& group = settings_.group;
+  if (!group.seeds.empty()) {
+    options.may_found = group.found;
+    options.open_membership = true;
+    options.replica.target_voters =
+        static_cast<std::size_t>(group.target_voters);
+    options.replica.replace_after = kReplaceAfter;
+  }
   options.entry_timeout = settings_.entry_timeout;
   options.snapshot_entries =
       static_cast<std::uint64_t>(settings_.snapshot_entries);
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -1,22 +1,27 @@
 #pragma once
 
-#include <future>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
 #include "core/admin/admin_api.h"
 #include "core/common/error.h"
 #include "core/control/control_node.h"
+#include "core/http/event_client.h"
+#include "core/http/event_server.h"
 #include "core/http/server.h"
 #include "core/metrics/registry.h"
 #include "core/net/link_hub.h"
 #include "core/settings/instance_settings.h"
 #include "core/storage/data_folder.h"
 #include "core/trace/span_writer.h"
+#include "jacinthroute/endpoint_lister.h"
+#include "jacinthroute/instance_parts.h"
 #include "jacinthroute/storage_writer.h"
 #include "jacinthroute/tick_timer.h"
 
@@ -24,14 +29,15 @@
 
 /// Carries out the actions of a ControlNode: disk, links and the HTTP API. The
 /// node runs on the thread of the io_context.
-class ControlHost {
+class ControlHost : public OperatorCalls {
  public:
   ControlHost(asio::io_context& context,
               const settings::InstanceSettings& settings,
+              const InstanceParts& parts,
               net::LinkHub& hub,
               metrics::Registry& metrics,
               trace::SpanWriter& spans);
-  ~ControlHost();
+  ~ControlHost() override;
   ControlHost(const ControlHost&) = delete;
   ControlHost& operator=(const ControlHost&) = delete;
 
@@ -46,9 +52,18 @@
 
   void OnMessage(const std::string& from, protocol::Envelope envelope);
 
+  /// The settings file names other instances to ask for the group.
+  void SetContacts(std::vector<std::string> contacts);
+
+  void Submit(const MakeEvent& make_event, ReplyHandler on_reply) override;
+
  private:
-  using ReplyPromise = std::promise<control::AdminReply>;
 
+  Result<void> OpenNode();
+  Result<void> ServeOperators();
+  void OnStorageFailure(const Error& error);
+  void Reopen();
+  void TickListing();
   void Step(const control::ControlEvent& event);
   void CarryOut(control::ControlActions actions);
   Result<storage::LogStore> OpenStore(consensus::ReplicaStart& start);
@@ -58,11 +73,11 @@
   // control_host_admin.cc
   http::Response HandleHttp(const http::Request& request);
   admin::ControlCalls MakeCalls();
-  control::AdminReply Call(
-      std::function<control::ControlEvent(control::AdminTicket)> make_event);
+  control::AdminReply Call(const MakeEvent& make_event);
 
   asio::io_context& context_;
   const settings::InstanceSettings& settings_;
+  const InstanceParts& parts_;
   net::LinkHub& hub_;
   metrics::Registry& metrics_;
   trace::SpanWriter& spans_;
@@ -72,7 +87,15 @@
   std::unique_ptr<StorageWriter> writer_;
   std::unique_ptr<admin::AdminApi> api_;
   std::unique_ptr<http::Server> server_;
-  std::map<control::AdminTicket, std::shared_ptr<ReplyPromise>> calls_;
+  std::unique_ptr<OperatorFront> front_;
+  std::unique_ptr<http::EventServer> front_server_;
+  std::unique_ptr<http::EventServer> metrics_server_;
+  http::EventClient client_;
+  EndpointLister lister_;
+  asio::steady_timer listing_timer_;
+  asio::steady_timer reopen_timer_;
+  std::vector<std::string> contacts_;
+  std::map<control::AdminTicket, ReplyHandler> calls_;
   control::AdminTicket last_ticket_ = 0;
   std::string known_leader_;
   std::function<void()> on_stopped_;
--- a/source/jacinthroute/control_host_admin.cc
+++ b/source/jacinthroute/control_host_admin.cc
@@ -1,3 +1,4 @@
+#include <future>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -50,14 +51,13 @@
   return calls;
 }
 
-control::AdminReply ControlHost::Call(
-    std::function<control::ControlEvent(control::AdminTicket)> make_event) {
-  auto promise = std::make_shared<ReplyPromise>();
+control::AdminReply ControlHost::Call(const MakeEvent& make_event) {
+  auto promise = std::make_shared<std::promise<control::AdminReply>>();
   std::future<control::AdminReply> future = promise->get_future();
-  asio::post(context_, [this, promise, make_event = std::move(make_event)] {
-    const control::AdminTicket ticket = ++last_ticket_;
-    calls_[ticket] = promise;
-    Step(make_event(ticket));
+  asio::post(context_, [this, promise, make_event] {
+    Submit(make_event, [promise](control::AdminReply reply) {
+      promise->set_value(std::move(reply));
+    });
   });
   if (future.wait_for(kCallTimeout) == std::future_status::ready)
     return future.get();
@@ -67,4 +67,17 @@
   return {0, std::move(refused)};
 }
 
+void ControlHost::Submit(const MakeEvent& make_event, ReplyHandler on_reply) {
+  const control::AdminTicket ticket = ++last_ticket_;
+  if (!node_) {
+    control::CallRefused refused;
+    refused.error = {ErrorKind::kStorageFailed,
+                     "the data folder of this replica is not usable"};
+    on_reply({ticket, std::move(refused)});
+    return;
+  }
+  calls_[ticket] = std::move(on_reply);
+  Step(make_event(ticket));
+}
+
 }  // namespace jacinth
--- /dev/null
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -0,0 +1,84 @@
+#include "jacinthroute/endpoint_lister.h"
+
+#include <utility>
+
+#include "core/log/log.h"
+
+namespace jacinth {
+namespace {
+
+constexpr http::ExchangeLimits kLimits{500ms, 1500ms, 8UL << 20U};
+constexpr Duration kMaxIdle = 5s;
+constexpr int kStatusOk = 200;
+/// Guards against a list whose pages never end.
+constexpr int kMaxPages = 1'000;
+
+}  // namespace
+
+EndpointLister::EndpointLister(http::EventClient& client,
+                               std::string address,
+                               MakeRequest make_request,
+                               ReadPage read_page)
+    : client_(client),
+      address_(std::move(address)),
+      make_request_(std::move(make_request)),
+      read_page_(std::move(read_page)) {}
+
+void EndpointLister::Start(DoneHandler on_done) {
+  if (running_ || address_.empty())
+    return;
+  running_ = true;
+  pages_ = 0;
+  endpoints_.clear();
+  on_done_ = std::move(on_done);
+  Ask("");
+}
+
+void EndpointLister::Ask(const std::string& page) {
+  ++pages_;
+  http::ClientCall call;
+  call.address = address_;
+  call.request = make_request_(page);
+  call.limits = kLimits;
+  call.max_idle = kMaxIdle;
+  client_.Start(std::move(call), [this](const http::ExchangeResult& result) {
+    OnPage(result);
+  });
+}
+
+void EndpointLister::OnPage(const http::ExchangeResult& result) {
+  if (result.end != http::ExchangeEnd::kAnswered) {
+    Fail("no answer");
+    return;
+  }
+  if (result.response.status != kStatusOk) {
+    Fail("status " + std::to_string(result.response.status));
+    return;
+  }
+  auto page = read_page_(result.response);
+  if (!page) {
+    Fail(page.error().detail);
+    return;
+  }
+  for (protocol::ListedEndpoint& endpoint : page->endpoints)
+    endpoints_.push_back(std::move(endpoint));
+  if (!page->next.empty() && pages_ < kMaxPages) {
+    Ask(page->next);
+    return;
+  }
+  running_ = false;
+  if (std::exchange(failing_, false))
+    log::Info(log::Category::kEntry, "The list of endpoints is read again.");
+  on_done_(std::move(endpoints_));
+}
+
+void EndpointLister::Fail(const std::string& reason) {
+  running_ = false;
+  if (std::exchange(failing_, true))
+    return;
+  log::Warning(log::Category::kEntry,
+               "The list of endpoints at " + address_ +
+                   " was not read: " + reason + ".");
+}
+
+}  // namespace jacinth
--- /dev/null
+++ b/source/jacinthroute/endpoint_lister.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/common/error.h"
+#include "core/http/event_client.h"
+#include "core/protocol/endpoint_list.h"
+#include "jacinthroute/caller_dialect.h"
+
+namespace jacinth {
+
+/// Reads the platform's list of endpoints page by page.
+class EndpointLister {
+ public:
+  using MakeRequest = std::function<http::Request(const std::string& page)>;
+  using ReadPage = std::function<Result<EndpointPage>(const http::Response&)>;
+  using DoneHandler =
+      std::function<void(std::vector<protocol::ListedEndpoint>)>;
+
+  EndpointLister(http::EventClient& client,
+                 std::string address,
+                 MakeRequest make_request,
+                 ReadPage read_page);
+
+  /// Starts a reading unless one is under way. `on_done` is called only if the
+  /// whole list was read.
+  void Start(DoneHandler on_done);
+
+ private:
+  void Ask(const std::string& page);
+  void OnPage(const http::ExchangeResult& result);
+  void Fail(const std::string& reason);
+
+  http::EventClient& client_;
+  std::string address_;
+  MakeRequest make_request_;
+  ReadPage read_page_;
+  DoneHandler on_done_;
+  bool running_ = false;
+  bool failing_ = false;
+  int pages_ = 0;
+  std::vector<protocol::ListedEndpoint> endpoints_;
+};
+
+}  // namespace jacinth
--- a/source/jacinthroute/instance.cc
+++ b/source/jacinthroute/instance.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t kMinSecretLength = 16;
+/// Time between readings of the settings file.
+constexpr Duration kWatchInterval = 5s;
 
 // Replies to an entry; everything else is for the control role.
 bool IsForEntry(const protocol::Envelope& envelope) {
@@ -23,8 +25,13 @@
 
 }  // namespace
 
-Instance::Instance(settings::InstanceSettings settings)
-    : settings_(std::move(settings)), spans_(settings_.id) {}
+Instance::Instance(settings::InstanceSettings settings,
+                   InstanceParts parts,
+                   ReadSettings read_settings)
+    : settings_(std::move(settings)),
+      parts_(std::move(parts)),
+      read_settings_(std::move(read_settings)),
+      spans_(settings_.id) {}
 
 Result<void> Instance::Run() {
   if (auto started = Start(); !started)
@@ -52,15 +59,15 @@
         OnMessage(from, std::move(envelope));
       });
   if (settings_.HasRole(InstanceRole::kControl)) {
-    control_ = std::make_unique<ControlHost>(context_, settings_, *hub_,
+    control_ = std::make_unique<ControlHost>(context_, settings_, parts_, *hub_,
                                              metrics_, spans_);
     ++hosts_running_;
     if (auto started = control_->Start(); !started)
       return started;
   }
   if (settings_.HasRole(InstanceRole::kEntry)) {
-    entry_ = std::make_unique<EntryHost>(context_, settings_, *hub_, metrics_,
-                                         spans_);
+    entry_ =
+        parts_.make_entry_host(context_, settings_, *hub_, metrics_, spans_);
     ++hosts_running_;
     if (auto started = entry_->Start(); !started)
       return started;
@@ -69,11 +76,18 @@
     return started;
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
+  signals_.add(SIGHUP);
   WaitForSignal();
+  WatchSettings();
   return {};
 }
 
 Result<std::string> Instance::ReadSecret() const {
+  if (settings_.cluster_secret_file.empty()) {
+    log::Warning(log::Category::kNet,
+                 "Links are accepted without proof: no secret is set.");
+    return std::string();
+  }
   std::ifstream file(settings_.cluster_secret_file);
   if (!file) {
     return Fail(ErrorKind::kInvalidSettings,
@@ -91,11 +105,11 @@
 
 net::LinkHubOptions Instance::MakeLinkOptions(std::string secret) const {
   net::LinkHubOptions options;
-  options.self = settings_.id;
+  options.self = settings_.LinkName();
   options.secret = std::move(secret);
   const bool control = settings_.HasRole(InstanceRole::kControl);
   if (control)
-    options.listen_address = settings_.OwnReplica()->peer_address;
+    options.listen_address = settings_.LinkAddress();
   for (const settings::ReplicaSettings& replica : settings_.replicas) {
     if (replica.id != settings_.id)
       options.dial[replica.id] = replica.peer_address;
@@ -114,9 +128,14 @@
 }
 
 void Instance::WaitForSignal() {
-  signals_.async_wait([this](asio::error_code error, int) {
+  signals_.async_wait([this](asio::error_code error, int signal) {
     if (error)
       return;
+    if (signal == SIGHUP) {
+      Reload();
+      WaitForSignal();
+      return;
+    }
     if (stopping_) {
       log::Warning(log::Category::kMain, "Second signal: ending at once.");
       context_.stop();
@@ -127,6 +146,39 @@
   });
 }
 
+// Takes over what may change while the instance runs: whom to ask for the
+// control group. All else takes effect at the next start.
+void Instance::Reload() {
+  const settings::ParsedInstance parsed = read_settings_();
+  if (!parsed.faults.empty()) {
+    log::Warning(log::Category::kSettings,
+                 "The settings file is faulty and was not read again: " +
+                     settings::FormatFaults("", parsed.faults));
+    return;
+  }
+  const std::vector<std::string> contacts = parsed.settings.ControlContacts();
+  if (contacts == settings_.ControlContacts())
+    return;
+  settings_.group.seeds = parsed.settings.group.seeds;
+  settings_.replicas = parsed.settings.replicas;
+  log::Info(log::Category::kSettings, "The settings file was read again.");
+  if (entry_)
+    entry_->SetContacts(contacts);
+  if (control_)
+    control_->SetContacts(contacts);
+}
+
+// The file may change without a signal.
+void Instance::WatchSettings() {
+  watch_timer_.expires_after(kWatchInterval);
+  watch_timer_.async_wait([this](asio::error_code error) {
+    if (error)
+      return;
+    Reload();
+    WatchSettings();
+  });
+}
+
 void Instance::BeginStop() {
   stopping_ = true;
   log::Info(log::Category::kMain, "Stopping.");
--- a/source/jacinthroute/instance.h
+++ b/source/jacinthroute/instance.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 
 #include "core/common/error.h"
 #include "core/metrics/registry.h"
@@ -13,13 +15,19 @@
 #include "core/trace/span_writer.h"
 #include "jacinthroute/control_host.h"
 #include "jacinthroute/entry_host.h"
+#include "jacinthroute/instance_parts.h"
 
 namespace jacinth {
 
 /// One process of the system, with the roles that its settings give it.
 class Instance {
  public:
-  explicit Instance(settings::InstanceSettings settings);
+  using ReadSettings = std::function<settings::ParsedInstance()>;
+
+  /// `read_settings` reads the settings file again.
+  Instance(settings::InstanceSettings settings,
+           InstanceParts parts,
+           ReadSettings read_settings);
 
   /// Serves until SIGTERM or SIGINT and stops gracefully; a second signal ends
   /// at once. Returns the reason if the instance can't start.
@@ -31,12 +39,17 @@
   net::LinkHubOptions MakeLinkOptions(std::string secret) const;
   void OnMessage(const std::string& from, protocol::Envelope envelope);
   void WaitForSignal();
+  void Reload();
+  void WatchSettings();
   void BeginStop();
   void OnHostStopped();
 
   settings::InstanceSettings settings_;
+  InstanceParts parts_;
+  ReadSettings read_settings_;
   asio::io_context context_{1};
   asio::signal_set signals_{context_};
+  asio::steady_timer watch_timer_{context_};
   metrics::Registry metrics_;
   trace::SpanWriter spans_;
   std::unique_ptr<net::LinkHub> hub_;
--- /dev/null
+++ b/source/jacinthroute/instance_parts.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+
+#include "core/metrics/registry.h"
+#include "core/net/link_hub.h"
+#include "core/settings/instance_settings.h"
+#include "core/trace/span_writer.h"
+#include "jacinthroute/caller_dialect.h"
+#include "jacinthroute/entry_host.h"
+#include "jacinthroute/operator_front.h"
+
+namespace jacinth {
+
+/// How the platform's list of endpoints is asked for and read.
+struct ListingDialect {
+  std::function<http::Request(const std::string& page)> make_request;
+  std::function<Result<EndpointPage>(const http::Response&)> read_page;
+};
+
+/// The parts of an instance that depend on its interface.
+struct InstanceParts {
+  std::function<std::unique_ptr<EntryHost>(asio::io_context&,
+                                           const settings::InstanceSettings&,
+                                           net::LinkHub&,
+                                           metrics::Registry&,
+                                           trace::SpanWriter&)>
+      make_entry_host;
+  /// Unset for the product's own administration API.
+  std::function<std::unique_ptr<OperatorFront>(
+      const settings::InstanceSettings&,
+      OperatorCalls&)>
+      make_operator_front;
+  ListingDialect listing;
+};
+
+/// The parts of the product's own interface.
+InstanceParts MakeNativeParts();
+
+}  // namespace jacinth
--- a/source/jacinthroute/main.cc
+++ b/source/jacinthroute/main.cc
@@ -9,11 +9,15 @@
 #include "core/settings/instance_settings.h"
 #include "core/settings/settings_doc.h"
 #include "jacinthroute/instance.h"
+#include "jacinthroute/instance_parts.h"
+#include "platform/platform_parts.h"
 
 namespace {
 
 constexpr int kExitUsage = 1;
 constexpr int kExitInvalidSettings = 2;
+/// Names the settings file if the command line doesn't.
+constexpr const char* kSettingsVariable = "JACINTHROUTE_SETTINGS";
 
 struct CommandLine {
   char* settings_file = nullptr;
@@ -47,26 +51,37 @@
   return result == -1 && !extra;
 }
 
-int RunInstance(const CommandLine& line) {
-  const std::string path = line.settings_file;
+jacinth::settings::ParsedInstance ReadSettings(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
-    std::cerr << path << ": can't be read\n";
-    return kExitInvalidSettings;
+    jacinth::settings::ParsedInstance unread;
+    unread.faults.push_back({"", "", 0, "can't be read"});
+    return unread;
   }
   const std::string text{std::istreambuf_iterator<char>(file), {}};
-  jacinth::settings::ParsedInstance parsed =
-      jacinth::settings::ParseInstance(text);
+  return jacinth::settings::ParseInstance(text);
+}
+
+jacinth::InstanceParts MakeParts(jacinth::InterfaceKind interface) {
+  if (interface == jacinth::InterfaceKind::kPlatform)
+    return jacinth::platform::MakeParts();
+  return jacinth::MakeNativeParts();
+}
+
+int RunInstance(const std::string& path, bool only_check) {
+  jacinth::settings::ParsedInstance parsed = ReadSettings(path);
   if (!parsed.faults.empty()) {
     std::cerr << jacinth::settings::FormatFaults(path, parsed.faults);
     return kExitInvalidSettings;
   }
-  if (line.check != 0) {
+  if (only_check) {
     std::cout << path << ": ok\n";
     return EXIT_SUCCESS;
   }
   jacinth::log::Start(parsed.settings.log_level);
-  jacinth::Instance instance(std::move(parsed.settings));
+  const jacinth::InterfaceKind interface = parsed.settings.interface;
+  jacinth::Instance instance(std::move(parsed.settings), MakeParts(interface),
+                             [path] { return ReadSettings(path); });
   const auto result = instance.Run();
   if (!result) {
     jacinth::log::Failure(jacinth::log::Category::kMain,
@@ -93,9 +108,12 @@
     std::cout << jacinth::settings::SettingsPage();
     return EXIT_SUCCESS;
   }
-  if (line.settings_file == nullptr) {
+  const char* from_environment = std::getenv(kSettingsVariable);
+  const char* path = line.settings_file != nullptr ? line.settings_file
+                                                   : from_environment;
+  if (path == nullptr) {
     std::cerr << "jacinthroute: --settings FILE is required\n";
     return kExitUsage;
   }
-  return RunInstance(line);
+  return RunInstance(path, line.check != 0);
 }
--- /dev/null
+++ b/source/jacinthroute/native_dialect.cc
@@ -0,0 +1,296 @@
+#include "jacinthroute/native_dialect.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/common/hash.h"
+#include "core/http/problem.h"
+#include "core/steering/lookup.h"
+#include "jacinthroute/attempt_end.h"
+
+namespace jacinth {
+namespace {
+
+using forwarding::AttemptEnd;
+using forwarding::ProbeEnd;
+using http::HeaderValue;
+using http::ProblemResponse;
+using http::Request;
+using http::Response;
+
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr std::int64_t kMaxBudgetMs = 3'600'000;
+constexpr std::size_t kMaxKeyLength = 200;
+constexpr std::size_t kMaxCallerLength = 100;
+constexpr int kStatusOk = 200;
+constexpr int kNotReadyStatus = 503;
+
+bool IsPrintable(std::string_view text) {
+  for (const char c : text) {
+    if (c <= ' ' || c > '~')
+      return false;
+  }
+  return true;
+}
+
+// Checks the headers that the system acts on and moves them into `arrival`.
+Result<void> ReadHeaders(const Request& request,
+                         entry::RequestArrived& arrival) {
+  const auto key = HeaderValue(request.headers, "Idempotency-Key");
+  if (key.size() > kMaxKeyLength || !IsPrintable(key))
+    return Fail(ErrorKind::kBadRequest, "malformed Idempotency-Key");
+  arrival.idempotency_key = key;
+  const auto caller = HeaderValue(request.headers, "Jacinth-Caller");
+  if (caller.size() > kMaxCallerLength || !IsPrintable(caller))
+    return Fail(ErrorKind::kBadRequest, "malformed Jacinth-Caller");
+  arrival.caller = caller;
+  const auto budget = HeaderValue(request.headers, "Jacinth-Deadline-Ms");
+  if (budget.empty())
+    return {};
+  std::int64_t millis = 0;
+  const char* end = budget.data() + budget.size();
+  const auto [stop, error] = std::from_chars(budget.data(), end, millis);
+  if (error != std::errc() || stop != end || millis > kMaxBudgetMs)
+    return Fail(ErrorKind::kBadRequest, "malformed Jacinth-Deadline-Ms");
+  // A budget of zero is spent; the node reads zero as "none given".
+  arrival.budget =
+      millis > 0 ? Duration(std::chrono::milliseconds(millis)) : Duration{-1};
+  return {};
+}
+
+Request MakeOutgoing(const Request& in, std::string target) {
+  Request out;
+  out.method = in.method;
+  out.target = std::move(target);
+  out.body = in.body;
+  for (const auto& [name, value] : in.headers) {
+    const bool own = http::SameName(name, "traceparent") ||
+                     http::SameName(name, "Jacinth-Deadline-Ms");
+    if (!own && !http::IsHopByHop(name))
+      out.headers.emplace_back(name, value);
+  }
+  return out;
+}
+
+Response Json(const nlohmann::json& body) {
+  Response response;
+  response.content_type = "application/json";
+  response.body = body.dump() + "\n";
+  return response;
+}
+
+Response Text(std::string body) {
+  Response response;
+  response.content_type = "text/plain";
+  response.body = std::move(body);
+  return response;
+}
+
+Response AnswerLookup(const Request& request, const EntryView& view) {
+  const auto service = request.query.find("service");
+  if (service == request.query.end()) {
+    return ProblemResponse(
+        {ErrorKind::kBadRequest, "the query must name a service"});
+  }
+  if (view.snapshot == nullptr) {
+    return ProblemResponse({ErrorKind::kNotReady, "no settings received yet"});
+  }
+  const auto client = request.query.find("client");
+  const auto answer = steering::AnswerLookup(
+      *view.snapshot, service->second,
+      client == request.query.end() ? std::string() : client->second,
+      view.draw, view.now);
+  if (!answer)
+    return ProblemResponse(answer.error());
+  nlohmann::json body;
+  body["service"] = answer->service;
+  body["revision"] = answer->revision;
+  body["ttl_ms"] = ToMillis(answer->ttl);
+  body["entries"] = nlohmann::json::array();
+  for (const steering::LookupEntry& entry : answer->entries) {
+    body["entries"].push_back({{"address", entry.address},
+                               {"region", entry.region},
+                               {"failure_domain", entry.failure_domain},
+                               {"weight", entry.weight}});
+  }
+  Response response = Json(body);
+  response.headers.emplace_back(
+      "Cache-Control",
+      "max-age=" + std::to_string(ToMillis(answer->ttl) / 1000));
+  return response;
+}
+
+Response AnswerReady(const EntryView& view) {
+  const bool ready = view.snapshot != nullptr &&
+                     view.snapshot->fleet != nullptr &&
+                     view.now < view.snapshot->contact_until &&
+                     !view.snapshot->self.draining;
+  Response response = Text(ready ? "ready\n" : "not ready\n");
+  response.status = ready ? kStatusOk : kNotReadyStatus;
+  return response;
+}
+
+Response AnswerStatus(const EntryView& view) {
+  const auto& snapshot = view.snapshot;
+  nlohmann::json body;
+  body["instance"] = view.settings.id;
+  body["region"] = view.settings.region;
+  body["failure_domain"] = view.settings.failure_domain;
+  const bool has_settings = snapshot != nullptr && snapshot->fleet != nullptr;
+  body["revision"] = has_settings ? snapshot->fleet->revision : 0;
+  body["in_contact"] =
+      snapshot != nullptr && view.now < snapshot->contact_until;
+  body["draining"] = snapshot != nullptr && snapshot->self.draining;
+  body["members"] = snapshot == nullptr ? 0 : snapshot->members.size();
+  return Json(body);
+}
+
+std::variant<Response, ForwardCall> ReadForward(const Request& request,
+                                                const EntryView& view) {
+  const std::size_t start = kServicesPrefix.size();
+  const std::size_t slash = request.target.find('/', start);
+  const std::size_t path_slash = request.path.find('/', start);
+  if (slash == std::string::npos || path_slash == std::string::npos) {
+    return ProblemResponse(
+        {ErrorKind::kUnknownPath, "a path must follow the service"});
+  }
+  ForwardCall call;
+  entry::RequestArrived& arrival = call.arrival;
+  arrival.service = request.path.substr(start, path_slash - start);
+  arrival.method = request.method;
+  arrival.path = request.path.substr(path_slash);
+  if (auto read = ReadHeaders(request, arrival); !read)
+    return ProblemResponse(read.error());
+  if (view.snapshot == nullptr || view.snapshot->fleet == nullptr)
+    return ProblemResponse({ErrorKind::kNotReady, "no settings received yet"});
+  const auto max_body =
+      static_cast<std::size_t>(view.snapshot->fleet->max_body_bytes);
+  if (request.body.size() > max_body) {
+    return ProblemResponse(
+        {ErrorKind::kBodyTooLarge,
+         "the body exceeds " + std::to_string(max_body) + " bytes"});
+  }
+  std::string target = request.target.substr(slash);
+  arrival.fingerprint = Hash64(request.body, Hash64(request.method + target));
+  call.outgoing = MakeOutgoing(request, std::move(target));
+  return call;
+}
+
+}  // namespace
+
+NativeDialect::NativeDialect(const settings::InstanceSettings& /*settings*/) {}
+
+std::variant<Response, ForwardCall> NativeDialect::Read(
+    const Request& request,
+    const EntryView& view) const {
+  if (request.path.rfind(kServicesPrefix, 0) == 0)
+    return ReadForward(request, view);
+  if (request.method == "GET") {
+    if (request.path == "/v1/lookup")
+      return AnswerLookup(request, view);
+    if (request.path == "/readyz")
+      return AnswerReady(view);
+    if (request.path == "/v1/status")
+      return AnswerStatus(view);
+    if (request.path == "/healthz")
+      return Text("ok\n");
+    if (request.path == "/metrics")
+      return Text(view.metrics.ToText());
+  }
+  return ProblemResponse(
+      {ErrorKind::kUnknownPath, request.method + " " + request.path});
+}
+
+Request NativeDialect::ForAttempt(const ForwardCall& call,
+                                  const entry::StartAttempt& attempt) const {
+  Request out = call.outgoing;
+  out.headers.emplace_back("Jacinth-Deadline-Ms",
+                           std::to_string(ToMillis(attempt.timeout)));
+  return out;
+}
+
+AttemptVerdict NativeDialect::Judge(const ForwardCall& /*call*/,
+                                    const entry::StartAttempt& /*attempt*/,
+                                    const http::ExchangeResult& result) const {
+  if (result.end != http::ExchangeEnd::kAnswered)
+    return {AttemptEndOf(result.end), std::nullopt};
+  const bool refused =
+      HeaderValue(result.response.headers, "Jacinth-Outcome") ==
+      OutcomeName(Outcome::kNotRun);
+  return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered,
+          std::nullopt};
+}
+
+Response NativeDialect::PassOn(const ForwardCall& /*call*/,
+                               Response response) const {
+  std::erase_if(response.headers, [](const auto& field) {
+    return http::IsHopByHop(field.first) ||
+           http::SameName(field.first, "Jacinth-Outcome");
+  });
+  response.headers.emplace_back("Jacinth-Outcome", OutcomeName(Outcome::kRan));
+  return response;
+}
+
+Response NativeDialect::Repeat(const protocol::RecordedAnswer& answer) const {
+  if (answer.body_dropped) {
+    Response response = ProblemResponse(
+        {ErrorKind::kAnswerIncomplete, "the request ran with status " +
+                                           std::to_string(answer.status) +
+                                           "; its answer was too large to "
+                                           "keep"},
+        Outcome::kRan);
+    response.headers.emplace_back("Jacinth-Replayed", "true");
+    return response;
+  }
+  Response response;
+  response.status = answer.status;
+  response.content_type = answer.content_type;
+  response.body = answer.body;
+  response.headers.emplace_back("Jacinth-Outcome", OutcomeName(Outcome::kRan));
+  response.headers.emplace_back("Jacinth-Replayed", "true");
+  return response;
+}
+
+Response NativeDialect::Refuse(const ForwardCall& /*call*/,
+                               const entry::RefuseRequest& refusal) const {
+  Response response = ProblemResponse(refusal.error, refusal.outcome);
+  if (refusal.retry_after > Duration{0}) {
+    response.headers.emplace_back(
+        "Retry-After",
+        std::to_string((ToMillis(refusal.retry_after) + 999) / 1000));
+  }
+  return response;
+}
+
+Request NativeDialect::ForProbe(const entry::StartProbe& probe) const {
+  Request request;
+  request.method = "GET";
+  request.target = probe.path;
+  return request;
+}
+
+ProbeEnd NativeDialect::JudgeProbe(const entry::StartProbe& /*probe*/,
+                                   const http::ExchangeResult& result) const {
+  if (result.end != http::ExchangeEnd::kAnswered)
+    return ProbeEnd::kFailed;
+  const bool draining = HeaderValue(result.response.headers,
+                                    "Endpoint-State") == "draining";
+  if (draining)
+    return ProbeEnd::kDraining;
+  return result.response.status == kStatusOk ? ProbeEnd::kHealthy
+                                             : ProbeEnd::kFailed;
+}
+
+Request NativeDialect::ForListing(const std::string& /*page*/) const {
+  return {};
+}
+
+Result<EndpointPage> NativeDialect::ReadListing(
+    const Response& /*response*/) const {
+  return Fail(ErrorKind::kInternal, "the interface has no list of endpoints");
+}
+
+}  // namespace jacinth
--- /dev/null
+++ b/source/jacinthroute/native_parts.cc
@@ -0,0 +1,19 @@
+#include "jacinthroute/dialect_entry_host.h"
+#include "jacinthroute/instance_parts.h"
+#include "jacinthroute/native_dialect.h"
+
+namespace jacinth {
+
+InstanceParts MakeNativeParts() {
+  InstanceParts parts;
+  parts.make_entry_host = [](asio::io_context& context,
+                             const settings::InstanceSettings& settings,
+                             net::LinkHub& hub, metrics::Registry& metrics,
+                             trace::SpanWriter& spans) {
+    return std::make_unique<DialectEntryHost<NativeDialect>>(
+        context, settings, hub, metrics, spans);
+  };
+  return parts;
+}
+
+}  // namespace jacinth
--- a/source/unit_tests/consensus/formation_test.cc
+++ b/source/unit_tests/consensus/formation_test.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 TEST_CASE("Only the founder creates a group, once all others are empty") {
-  Formation founder("a#1", {"b", "a", "c"});
+  Formation founder("a#1", {"b", "a", "c"}, true);
   CHECK(founder.OnTick(Time{1s}).size() == 2);
   founder.OnProbeReply(Reply("b#1", "a#1", false));
   CHECK(founder.decision() == Formation::Decision::kWait);
@@ -25,20 +25,20 @@
   CHECK(founder.configuration().voters ==
         std::vector<std::string>{"a#1", "b#1", "c#1"});
 
-  Formation other("b#1", {"a", "b", "c"});
+  Formation other("b#1", {"a", "b", "c"}, true);
   other.OnProbeReply(Reply("a#1", "b#1", false));
   other.OnProbeReply(Reply("c#1", "b#1", false));
   CHECK(other.decision() == Formation::Decision::kWait);
 }
 
 TEST_CASE("A founder that lost its disk joins the group that is there") {
-  Formation founder("a#2", {"a", "b", "c"});
+  Formation founder("a#2", {"a", "b", "c"}, true);
   founder.OnProbeReply(Reply("b#1", "a#2", true));
   CHECK(founder.decision() == Formation::Decision::kJoin);
 }
 
 TEST_CASE("A reply to an earlier incarnation is not counted") {
-  Formation founder("a#2", {"a", "b"});
+  Formation founder("a#2", {"a", "b"}, true);
   founder.OnProbeReply(Reply("b#1", "a#1", false));
   CHECK(founder.decision() == Formation::Decision::kWait);
 }
--- a/source/unit_tests/forwarding/retry_budget_test.cc
+++ b/source/unit_tests/forwarding/retry_budget_test.cc
@@ -1,22 +1,83 @@
 #include "core/forwarding/retry_budget.h"
 
+#include <deque>
+
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 namespace jacinth::forwarding {
+namespace {
 
-TEST_CASE("Retries stay a share of first attempts") {
+constexpr double kRatio = 0.2;
+constexpr int kReserve = 10;
+constexpr Duration kWindow = 10s;
+
+RetryBudget NewBudget() {
   RetryBudget budget;
+  budget.Configure(kRatio, kReserve, kWindow);
+  return budget;
+}
+
+}  // namespace
+
+TEST_CASE("Retries stay a share of first attempts") {
+  RetryBudget budget = NewBudget();
+  Time now{100s};
   int reserve = 0;
-  while (budget.TryRetry())
+  while (budget.TryRetry(now))
     ++reserve;
   int retries = 0;
   for (int i = 0; i < 1'000; ++i) {
-    budget.OnFirstAttempt(20);
-    if (budget.TryRetry())
+    budget.OnFirstAttempt(now);
+    if (budget.TryRetry(now))
       ++retries;
   }
   CHECK(reserve == 10);
   CHECK(retries == 200);
 }
 
+TEST_CASE("Attempts and retries of an earlier window no longer count") {
+  RetryBudget budget = NewBudget();
+  const Time start{100s};
+  for (int i = 0; i < 100; ++i)
+    budget.OnFirstAttempt(start);
+  const Time later = start + kWindow + 1s;
+  int retries = 0;
+  while (budget.TryRetry(later))
+    ++retries;
+  CHECK(retries == kReserve);
+}
+
+TEST_CASE("Property: no window holds more retries than its budget") {
+  rc::check([] {
+    RetryBudget budget = NewBudget();
+    Time now{100s};
+    std::deque<Time> attempts;
+    std::deque<Time> retries;
+    const int steps = *rc::gen::inRange(1, 400);
+    for (int i = 0; i < steps; ++i) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 800));
+      if (*rc::gen::inRange(0, 3) == 0) {
+        attempts.push_back(now);
+        budget.OnFirstAttempt(now);
+        continue;
+      }
+      if (!budget.TryRetry(now))
+        continue;
+      retries.push_back(now);
+      const auto in_window = [&](const std::deque<Time>& times) {
+        // First attempts of the slice that is being forgotten still count.
+        return std::count_if(times.begin(), times.end(), [&](Time at) {
+          return at > now - kWindow - kWindow / 20;
+        });
+      };
+      const auto recent = std::count_if(
+          retries.begin(), retries.end(),
+          [&](Time at) { return at > now - kWindow + kWindow / 20; });
+      RC_ASSERT(static_cast<double>(recent) <=
+                kRatio * static_cast<double>(in_window(attempts)) + kReserve);
+    }
+  });
+}
+
 }  // namespace jacinth::forwarding
--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -64,7 +64,7 @@
   options.replica.election_timeout = kElectionTimeout;
   options.replica.heartbeat = kHeartbeat;
   for (const Machine& other : machines_)
-    options.instances.push_back(other.instance);
+    options.contacts.push_back(other.instance);
   options.entry_timeout = 500ms;
   options.snapshot_entries = kSnapshotEntries;
   options.proposal_seed = static_cast<std::uint64_t>(++machine.starts);
--- a/source/unit_tests/support/entry_driver.h
+++ b/source/unit_tests/support/entry_driver.h
@@ -24,6 +24,7 @@
     options.control_timeout = 1s;
     options.drain_limit = 5s;
     options.max_requests = 64;
+    options.contacts = {"c1", "c2", "c3"};
     return options;
   }
 
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -35,6 +35,10 @@
   return {"e1", 1, "west", "west-a", "127.0.0.1:1", 2, true};
 }
 
+protocol::ListedEndpoint FullEndpoint() {
+  return {"i-1", 1, "s", "127.0.0.1:2", "west-a", 3, true, 4};
+}
+
 void CheckRoundTrip(const Envelope& envelope) {
   const auto decoded = DecodeEnvelope(EncodeEnvelope(envelope));
   REQUIRE(decoded);
@@ -48,9 +52,16 @@
   CheckRoundTrip(protocol::Hello{"e1", "mac"});
   CheckRoundTrip(protocol::Ping{true});
   CheckRoundTrip(FullPeerMessage());
-  CheckRoundTrip(protocol::Heartbeat{FullStatus(), 3, 4});
+  CheckRoundTrip(protocol::Heartbeat{FullStatus(), 3, 4, 5});
   CheckRoundTrip(protocol::HeartbeatReply{
-      1, true, "c1", 2, {3, "text", 4}, {5, {FullStatus()}}});
+      1,
+      true,
+      "c1",
+      2,
+      {3, "text", 4, 2, {{"service/a", {{"ttl_ms", "5"}}}}},
+      {5, {FullStatus()}},
+      {6, 5, {FullEndpoint()}, {"gone"}},
+      {"c1", "c2"}});
   CheckRoundTrip(protocol::ClaimRequest{"a", {"c", "k"}, 1, 2, "tp"});
   CheckRoundTrip(protocol::ClaimReply{
       "a", true, protocol::ClaimVerdict::kRan, {200, "t", "b", true}});
@@ -60,8 +71,15 @@
 }
 
 TEST_CASE("Every command survives the log") {
-  protocol::ChangeSettings change{
-      "alice", "key", 1, 2, true, {{"service/a", {{"ttl_ms", "5"}}}}};
+  protocol::ChangeSettings change;
+  change.operator_name = "alice";
+  change.idempotency_key = "key";
+  change.fingerprint = 1;
+  change.if_revision = 2;
+  change.any_revision = true;
+  change.version_step = protocol::VersionStep{3, 4};
+  change.replace_all = true;
+  change.changes = {{"service/a", {{"ttl_ms", "5"}}}};
   for (const protocol::Command& command :
        {protocol::Command{1, 2, change},
         protocol::Command{3, 4,
