--- a/source/core/consensus/formation.h
+++ b/source/core/consensus/formation.h
@@ -14,8 +14,8 @@
 /// Decides how a replica with an empty log begins.
 ///
 /// Only the founder (the first of the contacts by name) creates the group, and
-/// only after every other contact has said that it has no log. All others, and a
-/// founder that lost its disk, wait for a group to join.
+/// only after every other contact has said that it has no log. All others, and
+/// a founder that lost its disk, wait for a group to join.
 class Formation {
  public:
   enum class Decision {
@@ -26,8 +26,8 @@
     kJoin,
   };
 
-  /// `contacts` are the instances to ask, with this one if it is among the first
-  /// members. Without `may_found` the replica only joins.
+  /// `contacts` are the instances to ask, with this one if it is among the
+  /// first members. Without `may_found` the replica only joins.
   Formation(std::string id, std::vector<std::string> contacts, bool may_found);
 
   /// Replaces the contacts, as the settings may name others later on.
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -20,8 +20,8 @@
 
 /// Time between requests for admission, and between steps of admitting.
 constexpr Duration kAdmissionInterval = 100ms;
-/// Time between requests of a replica that hears from no leader, and the silence
-/// before the first, in election timeouts.
+/// Time between requests of a replica that hears from no leader, and the
+/// silence before the first, in election timeouts.
 constexpr Duration kRejoinInterval = 500ms;
 constexpr int kRejoinTimeouts = 3;
 /// Index and term of the snapshot that every founded group starts from.
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -162,8 +162,8 @@
   update.revision = state_.revision();
   std::string text = state_.tree().ToIni();
   update.checksum = Hash64(text);
-  auto changes = held_revision == 0 ? std::nullopt
-                                    : state_.ChangesSince(held_revision);
+  auto changes =
+      held_revision == 0 ? std::nullopt : state_.ChangesSince(held_revision);
   if (changes) {
     update.base_revision = held_revision;
     update.changes = std::move(*changes);
--- a/source/core/control/endpoint_catalog.cc
+++ b/source/core/control/endpoint_catalog.cc
@@ -83,9 +83,9 @@
   const auto [found, added] = rows_.try_emplace(endpoint.id);
   Row& row = found->second;
   ListedEndpoint next = endpoint;
-  const bool same_start =
-      !added && row.endpoint.started_ms == endpoint.started_ms &&
-      row.endpoint.address == endpoint.address;
+  const bool same_start = !added &&
+                          row.endpoint.started_ms == endpoint.started_ms &&
+                          row.endpoint.address == endpoint.address;
   if (same_start)
     next.draining |= row.endpoint.draining;
   const bool colder = cold_until > row.cold_until + kWarmupJitter &&
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -31,8 +31,8 @@
   /// look-ups or requests depend on.
   bool OnReply(const protocol::HeartbeatReply& reply, Time now);
 
-  /// True if the last heartbeats have not been answered by a leader, so that the
-  /// next must go to every replica known.
+  /// True if the last heartbeats have not been answered by a leader, so that
+  /// the next must go to every replica known.
   bool IsSearching(Time now) const;
 
   /// Instances that may know the leader.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -117,22 +117,23 @@
   if (!options_.can_list_endpoints || now < next_listing_)
     return;
   const bool first = next_listing_ == Time{};
-  const std::uint64_t draw = Hash64(
-      options_.self.id, static_cast<std::uint64_t>(now.time_since_epoch().count()));
-  next_listing_ = now + kListingInterval +
-                  Duration(static_cast<std::int64_t>(
-                      draw % static_cast<std::uint64_t>(
-                                 kListingInterval.count())));
+  const std::uint64_t draw =
+      Hash64(options_.self.id,
+             static_cast<std::uint64_t>(now.time_since_epoch().count()));
+  next_listing_ =
+      now + kListingInterval +
+      Duration(static_cast<std::int64_t>(
+          draw % static_cast<std::uint64_t>(kListingInterval.count())));
   const bool fresh = now < session_.endpoints_at() + kStaleList;
   actions_.list_endpoints = !first && !fresh;
 }
 
 void EntryNode::TakeFleet(Time now) {
   const auto& fleet = session_.fleet();
-  const bool same = fleet == nullptr ||
-                    (fleet->revision == fleet_revision_ &&
-                     endpoint_changes_ == session_.endpoint_changes() &&
-                     members_used_ == session_.members_version());
+  const bool same =
+      fleet == nullptr || (fleet->revision == fleet_revision_ &&
+                           endpoint_changes_ == session_.endpoint_changes() &&
+                           members_used_ == session_.members_version());
   if (same)
     return;
   if (fleet->revision != fleet_revision_)
@@ -202,8 +203,7 @@
     entries.push_back(member.id);
   if (limits.retry_ratio > 0) {
     const auto sharers = std::max(entries.size(), kCarefulSharers);
-    const auto reserve =
-        limits.retry_reserve / static_cast<int>(sharers);
+    const auto reserve = limits.retry_reserve / static_cast<int>(sharers);
     desk.retries.Configure(limits.retry_ratio, reserve, limits.retry_window);
   } else {
     desk.retries.Configure(desk.settings.retry_budget_percent / kPercent,
@@ -211,8 +211,8 @@
   }
   if (desk.settings.warmup_per_s <= 0)
     return;
-  const double bound = desk.settings.warmup_per_s * limits.warmup_factor +
-                       limits.warmup_slack;
+  const double bound =
+      desk.settings.warmup_per_s * limits.warmup_factor + limits.warmup_slack;
   desk.endpoints.SetWarmupGate(
       forwarding::WarmupGate(options_.self.id, std::move(entries), bound));
 }
--- a/source/core/entry/share_counter.h
+++ b/source/core/entry/share_counter.h
@@ -7,8 +7,9 @@
 
 namespace jacinth::entry {
 
-/// Deals a route's requests out to its services in proportion to the weights, so
-/// that every run of requests is close to them (smooth weighted round robin).
+/// Deals a route's requests out to its services in proportion to the weights,
+/// so that every run of requests is close to them (smooth weighted round
+/// robin).
 class ShareCounter {
  public:
   /// The service of the next request; empty if no share has a weight.
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -242,9 +242,9 @@
   if (!HasRoom(row, now) || placement.tried.count(name) != 0)
     return false;
   const auto& regions = placement.regions;
-  const bool allowed = regions.empty() ||
-                       std::find(regions.begin(), regions.end(),
-                                 row.settings.region) != regions.end();
+  const bool allowed =
+      regions.empty() || std::find(regions.begin(), regions.end(),
+                                   row.settings.region) != regions.end();
   return allowed && ColdAllows(row, now);
 }
 
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -63,9 +63,9 @@
   struct Row {
     settings::EndpointSettings settings;
     EndpointLoad load;
-    /// Requests that this instance may run there at once if the endpoint doesn't
-    /// tell its load: falls when the endpoint refuses, as others use its slots
-    /// too, and rises with answers.
+    /// Requests that this instance may run there at once if the endpoint
+    /// doesn't tell its load: falls when the endpoint refuses, as others use
+    /// its slots too, and rises with answers.
     double limit = 0;
     /// After a refusal, no work goes there until then.
     Time refused_until{};
--- a/source/core/forwarding/warmup_gate.cc
+++ b/source/core/forwarding/warmup_gate.cc
@@ -20,19 +20,17 @@
                        double per_second)
     : self_(std::move(self)),
       entries_(std::move(entries)),
-      allowed_(static_cast<std::size_t>(std::max(1.0, per_second * kUsedPart))) {
-}
+      allowed_(
+          static_cast<std::size_t>(std::max(1.0, per_second * kUsedPart))) {}
 
 bool WarmupGate::MayUse(const std::string& name) const {
   if (entries_.size() <= allowed_)
     return true;
   const std::uint64_t seed = Hash64(name);
   const std::uint64_t own = Hash64(self_, seed);
-  const auto ahead =
-      std::count_if(entries_.begin(), entries_.end(),
-                    [&](const std::string& entry) {
-                      return Hash64(entry, seed) > own;
-                    });
+  const auto ahead = std::count_if(
+      entries_.begin(), entries_.end(),
+      [&](const std::string& entry) { return Hash64(entry, seed) > own; });
   return static_cast<std::size_t>(ahead) < allowed_;
 }
 
--- a/source/core/forwarding/warmup_gate.h
+++ b/source/core/forwarding/warmup_gate.h
@@ -17,7 +17,8 @@
  public:
   /// `entries` are the live entry instances, `self` among them; `per_second` is
   /// what all of them together may send to one cold endpoint, at least 1.
-  WarmupGate(std::string self, std::vector<std::string> entries,
+  WarmupGate(std::string self,
+             std::vector<std::string> entries,
              double per_second);
   WarmupGate() = default;
 
--- a/source/core/http/event_client.cc
+++ b/source/core/http/event_client.cc
@@ -17,7 +17,7 @@
   Stop();
 }
 
-CallId EventClient::Start(ClientCall call, EndHandler on_end) {
+CallId EventClient::Start(const ClientCall& call, EndHandler on_end) {
   const CallId id = ++last_call_;
   ConnectionPtr connection = TakeKept(call.address, call.max_idle);
   if (!connection) {
@@ -99,7 +99,7 @@
   const auto found = kept_.find(address);
   if (found == kept_.end() || max_idle <= Duration{0})
     return nullptr;
-  const ConnectionPtr last = found->second.back();
+  ConnectionPtr last = found->second.back();
   const Time now = MonotonicNow();
   if (now > last->idle_since() + max_idle || now >= last->kept_until())
     return nullptr;
--- a/source/core/http/event_client.h
+++ b/source/core/http/event_client.h
@@ -47,7 +47,7 @@
 
   /// Sends the request; `on_end` is called later, once, unless the call is
   /// cancelled.
-  CallId Start(ClientCall call, EndHandler on_end);
+  CallId Start(const ClientCall& call, EndHandler on_end);
 
   /// Gives up: the connection is closed at once, and `on_end` isn't called.
   void Cancel(CallId id);
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -117,15 +117,16 @@
 }
 
 void EventConnection::Send() {
-  asio::async_write(
-      socket_, asio::buffer(output_),
-      [self = shared_from_this(), id = id_](asio::error_code error,
-                                            std::size_t) {
-        // An error shows on the reading side too, after the answer, if any.
-        const bool current = self->phase_ == Phase::kRunning && self->id_ == id;
-        if (current && !error)
-          self->sent_ = true;
-      });
+  asio::async_write(socket_, asio::buffer(output_),
+                    [self = shared_from_this(), id = id_](
+                        asio::error_code error, std::size_t) {
+                      // An error shows on the reading side too, after the
+                      // answer, if any.
+                      const bool current =
+                          self->phase_ == Phase::kRunning && self->id_ == id;
+                      if (current && !error)
+                        self->sent_ = true;
+                    });
 }
 
 void EventConnection::Read() {
@@ -205,8 +206,8 @@
   result.end = end;
   if (end == ExchangeEnd::kAnswered) {
     // Bytes after the answer, or a request not yet read, spoil what follows.
-    result.reusable = parser_->keep_alive() && parser_->is_framed() && sent_ &&
-                      !excess_;
+    result.reusable =
+        parser_->keep_alive() && parser_->is_framed() && sent_ && !excess_;
     result.response = parser_->TakeResponse();
     kept_until_ = MonotonicNow() + KeptTime(result.response.headers);
   }
--- a/source/core/http/event_server.cc
+++ b/source/core/http/event_server.cc
@@ -67,19 +67,18 @@
 }
 
 void EventServer::Accept(tcp::acceptor& acceptor) {
-  acceptor.async_accept(
-      [this, &acceptor](asio::error_code error, tcp::socket socket) {
-        if (stopped_)
-          return;
-        const bool room = sessions_.size() < limits_.max_connections;
-        if (!error && room) {
-          auto session =
-              std::make_shared<EventSession>(std::move(socket), *this);
-          sessions_.insert(session);
-          session->Start();
-        }
-        Accept(acceptor);
-      });
+  acceptor.async_accept([this, &acceptor](asio::error_code error,
+                                          tcp::socket socket) {
+    if (stopped_)
+      return;
+    const bool room = sessions_.size() < limits_.max_connections;
+    if (!error && room) {
+      auto session = std::make_shared<EventSession>(std::move(socket), *this);
+      sessions_.insert(session);
+      session->Start();
+    }
+    Accept(acceptor);
+  });
 }
 
 void EventServer::Remove(const std::shared_ptr<EventSession>& session) {
--- a/source/core/http/event_session.cc
+++ b/source/core/http/event_session.cc
@@ -33,7 +33,7 @@
 
   const Request& request() const override { return request_; }
   void Respond(Response response) override {
-    session_->Respond(number_, std::move(response));
+    session_->Respond(number_, response);
   }
   void OnGone(std::function<void()> on_gone) override {
     session_->SetOnGone(number_, std::move(on_gone));
@@ -78,7 +78,7 @@
     SetTimer(linger);
 }
 
-void EventSession::Respond(std::uint64_t number, Response response) {
+void EventSession::Respond(std::uint64_t number, const Response& response) {
   if (phase_ != Phase::kHandling || number != number_)
     return;
   on_gone_ = nullptr;
@@ -247,7 +247,8 @@
   timer_.expires_after(after);
   timer_.async_wait([self = shared_from_this()](asio::error_code error) {
     // A wait that had already ended when the timer was set anew.
-    const bool outdated = self->timer_.expiry() > asio::steady_timer::clock_type::now();
+    const bool outdated =
+        self->timer_.expiry() > asio::steady_timer::clock_type::now();
     if (!error && !outdated && self->phase_ != Phase::kClosed)
       self->OnTimer();
   });
--- a/source/core/http/event_session.h
+++ b/source/core/http/event_session.h
@@ -24,7 +24,7 @@
   void Drain(Duration linger);
 
   /// Sends the answer to request number `number`.
-  void Respond(std::uint64_t number, Response response);
+  void Respond(std::uint64_t number, const Response& response);
   void SetOnGone(std::uint64_t number, std::function<void()> on_gone);
   /// Request `number` was dropped without an answer.
   void Abandon(std::uint64_t number);
--- a/source/core/http/message_parser.cc
+++ b/source/core/http/message_parser.cc
@@ -15,10 +15,9 @@
 constexpr std::size_t kEscapeDigits = 2;
 
 std::size_t CountFields(const Headers& headers, std::string_view name) {
-  return static_cast<std::size_t>(
-      std::count_if(headers.begin(), headers.end(), [&](const auto& field) {
-        return SameName(field.first, name);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      headers.begin(), headers.end(),
+      [&](const auto& field) { return SameName(field.first, name); }));
 }
 
 std::optional<std::string> Unescape(std::string_view text) {
@@ -68,16 +67,15 @@
     return 0;
   started_ = true;
   const bool was_head = state_ == ParseState::kHead;
-  const std::size_t taken = http_parser_execute(&parser_, &Callbacks(),
-                                                bytes.data(), bytes.size());
+  const std::size_t taken =
+      http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   if (was_head)
     head_bytes_ += state_ == ParseState::kHead ? bytes.size() : 0;
   if (state_ == ParseState::kHead && head_bytes_ > limits_.head)
     state_ = ParseState::kHeadTooLarge;
   const bool failed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
                       HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED;
-  if (failed &&
-      (state_ == ParseState::kHead || state_ == ParseState::kBody)) {
+  if (failed && (state_ == ParseState::kHead || state_ == ParseState::kBody)) {
     state_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW
                  ? ParseState::kHeadTooLarge
                  : ParseState::kMalformed;
--- a/source/core/http/transaction.h
+++ b/source/core/http/transaction.h
@@ -6,8 +6,9 @@
 
 namespace jacinth::http {
 
-/// One request that an EventServer has read and that waits for its answer. Lives
-/// on the server's thread. Dropped without an answer, it closes the connection.
+/// One request that an EventServer has read and that waits for its answer.
+/// Lives on the server's thread. Dropped without an answer, it closes the
+/// connection.
 class Transaction {
  public:
   virtual ~Transaction() = default;
--- a/source/core/net/link_hub.cc
+++ b/source/core/net/link_hub.cc
@@ -267,9 +267,7 @@
   on_message_(instance, std::move(envelope));
 }
 
-void LinkHub::TickDialled(const std::string& instance,
-                          Dialled& row,
-                          Time now) {
+void LinkHub::TickDialled(const std::string& instance, Dialled& row, Time now) {
   if (row.connecting) {
     if (now < row.connect_started + kConnectTimeout)
       return;
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -15,8 +15,8 @@
 // Priorities are open-ended; ranks are three.
 Rank RankOfPriority(std::int64_t priority) {
   const auto last = static_cast<std::int64_t>(kRankCount) - 1;
-  return kRanks[static_cast<std::size_t>(std::clamp<std::int64_t>(
-      priority, 0, last))];
+  return kRanks[static_cast<std::size_t>(
+      std::clamp<std::int64_t>(priority, 0, last))];
 }
 
 class Builder {
--- a/source/core/settings/instance_settings.cc
+++ b/source/core/settings/instance_settings.cc
@@ -109,18 +109,16 @@
     out_.failure_domain = Required("instance", "failure_domain");
     out_.data_folder = Text("instance", "data_folder");
     out_.metrics_address = Text("instance", "metrics_address");
-    const auto interface =
-        InterfaceKindFromName(Text("instance", "interface"));
+    const auto interface = InterfaceKindFromName(Text("instance", "interface"));
     if (!interface) {
       Add("instance", "interface", Line("instance", "interface"),
           "must be native or platform");
     }
     out_.interface = interface.value_or(InterfaceKind::kNative);
     // The platform's settings hold no secret.
-    out_.cluster_secret_file =
-        out_.interface == InterfaceKind::kNative
-            ? Required("instance", "cluster_secret_file")
-            : Text("instance", "cluster_secret_file");
+    out_.cluster_secret_file = out_.interface == InterfaceKind::kNative
+                                   ? Required("instance", "cluster_secret_file")
+                                   : Text("instance", "cluster_secret_file");
     out_.log_level = Text("instance", "log_level");
     out_.trace_file = Text("instance", "trace_file");
     out_.trace_sample_percent = Number("instance", "trace_sample_percent");
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -18,11 +18,10 @@
 
 }  // namespace
 
-std::vector<const EntryStatus*> NearestEntries(
-    const SteeringSnapshot& snapshot,
-    std::string_view region,
-    std::string_view failure_domain,
-    std::size_t limit) {
+std::vector<const EntryStatus*> NearestEntries(const SteeringSnapshot& snapshot,
+                                               std::string_view region,
+                                               std::string_view failure_domain,
+                                               std::size_t limit) {
   std::vector<const EntryStatus*> all;
   for (const EntryStatus& member : snapshot.members) {
     if (IsUsable(snapshot, member))
--- a/source/jacinthroute/caller_dialect.h
+++ b/source/jacinthroute/caller_dialect.h
@@ -69,30 +69,22 @@
              const http::ExchangeResult& result,
              http::Response response,
              std::string page) {
-      { D::kTraced } -> std::convertible_to<bool>;
-      { dialect.limits() } -> std::convertible_to<settings::FleetLimits>;
-      {
-        dialect.Read(request, view)
-        } -> std::same_as<std::variant<http::Response, ForwardCall>>;
-      {
-        dialect.ForAttempt(call, attempt)
-        } -> std::same_as<http::Request>;
-      {
-        dialect.Judge(call, attempt, result)
-        } -> std::same_as<AttemptVerdict>;
-      {
-        dialect.PassOn(call, std::move(response))
-        } -> std::same_as<http::Response>;
-      { dialect.Repeat(recorded) } -> std::same_as<http::Response>;
-      { dialect.Refuse(call, refusal) } -> std::same_as<http::Response>;
-      { dialect.ForProbe(probe) } -> std::same_as<http::Request>;
-      {
-        dialect.JudgeProbe(probe, result)
-        } -> std::same_as<forwarding::ProbeEnd>;
-      { dialect.ForListing(page) } -> std::same_as<http::Request>;
-      {
-        dialect.ReadListing(result.response)
-        } -> std::same_as<Result<EndpointPage>>;
-    };
+  { D::kTraced } -> std::convertible_to<bool>;
+  { dialect.limits() } -> std::convertible_to<settings::FleetLimits>;
+  {
+    dialect.Read(request, view)
+    } -> std::same_as<std::variant<http::Response, ForwardCall>>;
+  { dialect.ForAttempt(call, attempt) } -> std::same_as<http::Request>;
+  { dialect.Judge(call, attempt, result) } -> std::same_as<AttemptVerdict>;
+  { dialect.PassOn(call, std::move(response)) } -> std::same_as<http::Response>;
+  { dialect.Repeat(recorded) } -> std::same_as<http::Response>;
+  { dialect.Refuse(call, refusal) } -> std::same_as<http::Response>;
+  { dialect.ForProbe(probe) } -> std::same_as<http::Request>;
+  { dialect.JudgeProbe(probe, result) } -> std::same_as<forwarding::ProbeEnd>;
+  { dialect.ForListing(page) } -> std::same_as<http::Request>;
+  {
+    dialect.ReadListing(result.response)
+    } -> std::same_as<Result<EndpointPage>>;
+};
 
 }  // namespace jacinth
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -58,7 +58,6 @@
   void Submit(const MakeEvent& make_event, ReplyHandler on_reply) override;
 
  private:
-
   Result<void> OpenNode();
   Result<void> ServeOperators();
   void OnStorageFailure(const Error& error);
--- a/source/jacinthroute/dialect_entry_host.h
+++ b/source/jacinthroute/dialect_entry_host.h
@@ -75,7 +75,7 @@
       const Dialect& dialect);
 
   void OnTransaction(const TransactionPtr& transaction);
-  void BeginCall(const TransactionPtr& transaction, ForwardCall forward);
+  void BeginCall(const TransactionPtr& transaction, ForwardCall&& forward);
   void BeginSpan(const http::Request& request, Call& call);
   void StartAttempt(const entry::StartAttempt& attempt);
   void OnExchangeEnd(const entry::StartAttempt& attempt,
@@ -220,7 +220,7 @@
 
 template <CallerDialect Dialect>
 void DialectEntryHost<Dialect>::BeginCall(const TransactionPtr& transaction,
-                                          ForwardCall forward) {
+                                          ForwardCall&& forward) {
   const entry::RequestTicket ticket = ++last_ticket_;
   Call& call = calls_[ticket];
   call.transaction = transaction;
@@ -241,9 +241,8 @@
                                           Call& call) {
   const auto parent = trace::ParseTraceparent(
       http::HeaderValue(request.headers, "traceparent"));
-  const bool sampled =
-      static_cast<int>(call.forward.arrival.ticket % 100) <
-      settings_.trace_sample_percent;
+  const bool sampled = static_cast<int>(call.forward.arrival.ticket % 100) <
+                       settings_.trace_sample_percent;
   call.span.context =
       parent ? trace::NewChild(*parent) : trace::NewTrace(sampled);
   if (parent)
@@ -283,8 +282,8 @@
                                      trace::FormatTraceparent(context));
   }
   call.exchange = client_.Start(
-      std::move(out), [this, attempt, started,
-                       context](http::ExchangeResult result) {
+      out,
+      [this, attempt, started, context](http::ExchangeResult result) {
         if (Dialect::kTraced) {
           trace::Span span;
           span.context = context;
@@ -322,8 +321,7 @@
   ended.answer.status = result.response.status;
   ended.answer.content_type = result.response.content_type;
   ended.answer.body_dropped = result.response.body.size() > kMaxRecordedBody;
-  if (!ended.answer.body_dropped &&
-      attempt.execution == Execution::kAtMostOnce)
+  if (!ended.answer.body_dropped && attempt.execution == Execution::kAtMostOnce)
     ended.answer.body = result.response.body;
   call.last = std::move(result.response);
   // What was kept to the endpoint is as dead as this connection.
@@ -386,7 +384,7 @@
   out.request = dialect_.ForProbe(probe);
   out.request.headers.emplace_back("Connection", "close");
   out.limits = {kProbeConnectTimeout, kProbeTimeout, kMaxProbeBody};
-  client_.Start(std::move(out), [this, probe](const http::ExchangeResult& end) {
+  client_.Start(out, [this, probe](const http::ExchangeResult& end) {
     Step(entry::ProbeEnded{probe.service, probe.endpoint,
                            dialect_.JudgeProbe(probe, end)});
   });
@@ -434,9 +432,9 @@
   if (!new_revision)
     return;
   const settings::FleetSettings& fleet = *snapshot_->fleet;
-  log::Info(log::Category::kEntry, "Settings revision " +
-                                       std::to_string(fleet.revision) +
-                                       " is in force.");
+  log::Info(
+      log::Category::kEntry,
+      "Settings revision " + std::to_string(fleet.revision) + " is in force.");
   http::EventServerLimits limits = server_.limits();
   limits.max_head_bytes = static_cast<std::size_t>(fleet.max_header_bytes);
   limits.max_body_bytes = static_cast<std::size_t>(fleet.max_body_bytes);
--- a/source/jacinthroute/endpoint_lister.cc
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -41,9 +41,8 @@
   call.request = make_request_(page);
   call.limits = kLimits;
   call.max_idle = kMaxIdle;
-  client_.Start(std::move(call), [this](const http::ExchangeResult& result) {
-    OnPage(result);
-  });
+  client_.Start(call,
+                [this](const http::ExchangeResult& result) { OnPage(result); });
 }
 
 void EndpointLister::OnPage(const http::ExchangeResult& result) {
@@ -76,9 +75,8 @@
   running_ = false;
   if (std::exchange(failing_, true))
     return;
-  log::Warning(log::Category::kEntry,
-               "The list of endpoints at " + address_ +
-                   " was not read: " + reason + ".");
+  log::Warning(log::Category::kEntry, "The list of endpoints at " + address_ +
+                                          " was not read: " + reason + ".");
 }
 
 }  // namespace jacinth
--- a/source/jacinthroute/main.cc
+++ b/source/jacinthroute/main.cc
@@ -109,8 +109,8 @@
     return EXIT_SUCCESS;
   }
   const char* from_environment = std::getenv(kSettingsVariable);
-  const char* path = line.settings_file != nullptr ? line.settings_file
-                                                   : from_environment;
+  const char* path =
+      line.settings_file != nullptr ? line.settings_file : from_environment;
   if (path == nullptr) {
     std::cerr << "jacinthroute: --settings FILE is required\n";
     return kExitUsage;
--- a/source/jacinthroute/native_dialect.cc
+++ b/source/jacinthroute/native_dialect.cc
@@ -101,8 +101,8 @@
   const auto client = request.query.find("client");
   const auto answer = steering::AnswerLookup(
       *view.snapshot, service->second,
-      client == request.query.end() ? std::string() : client->second,
-      view.draw, view.now);
+      client == request.query.end() ? std::string() : client->second, view.draw,
+      view.now);
   if (!answer)
     return ProblemResponse(answer.error());
   nlohmann::json body;
@@ -124,10 +124,9 @@
 }
 
 Response AnswerReady(const EntryView& view) {
-  const bool ready = view.snapshot != nullptr &&
-                     view.snapshot->fleet != nullptr &&
-                     view.now < view.snapshot->contact_until &&
-                     !view.snapshot->self.draining;
+  const bool ready =
+      view.snapshot != nullptr && view.snapshot->fleet != nullptr &&
+      view.now < view.snapshot->contact_until && !view.snapshot->self.draining;
   Response response = Text(ready ? "ready\n" : "not ready\n");
   response.status = ready ? kStatusOk : kNotReadyStatus;
   return response;
@@ -220,8 +219,7 @@
   const bool refused =
       HeaderValue(result.response.headers, "Jacinth-Outcome") ==
       OutcomeName(Outcome::kNotRun);
-  return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered,
-          std::nullopt};
+  return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered, std::nullopt};
 }
 
 Response NativeDialect::PassOn(const ForwardCall& /*call*/,
@@ -276,8 +274,8 @@
                                    const http::ExchangeResult& result) const {
   if (result.end != http::ExchangeEnd::kAnswered)
     return ProbeEnd::kFailed;
-  const bool draining = HeaderValue(result.response.headers,
-                                    "Endpoint-State") == "draining";
+  const bool draining =
+      HeaderValue(result.response.headers, "Endpoint-State") == "draining";
   if (draining)
     return ProbeEnd::kDraining;
   return result.response.status == kStatusOk ? ProbeEnd::kHealthy
--- a/source/jacinthroute/operator_front.h
+++ b/source/jacinthroute/operator_front.h
@@ -14,8 +14,7 @@
 class OperatorCalls {
  public:
   using ReplyHandler = std::function<void(control::AdminReply)>;
-  using MakeEvent =
-      std::function<control::ControlEvent(control::AdminTicket)>;
+  using MakeEvent = std::function<control::ControlEvent(control::AdminTicket)>;
 
   virtual ~OperatorCalls() = default;
 
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -17,9 +17,15 @@
   service.probe_failures = 2;
   service.probe_interval = 100ms;
   for (int i = 0; i < endpoints; ++i) {
-    service.endpoints.push_back(
-        {"p" + std::to_string(i), "127.0.0.1:" + std::to_string(i + 1),
-         i % 2 == 0 ? "west" : "east", "a", slots, false, "", 0, {}});
+    service.endpoints.push_back({"p" + std::to_string(i),
+                                 "127.0.0.1:" + std::to_string(i + 1),
+                                 i % 2 == 0 ? "west" : "east",
+                                 "a",
+                                 slots,
+                                 false,
+                                 "",
+                                 0,
+                                 {}});
   }
   return service;
 }
--- a/source/unit_tests/forwarding/retry_budget_test.cc
+++ b/source/unit_tests/forwarding/retry_budget_test.cc
@@ -1,9 +1,9 @@
 #include "core/forwarding/retry_budget.h"
 
 #include <deque>
+#include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
-#include <rapidcheck.h>
 
 namespace jacinth::forwarding {
 namespace {
