Log: Write decisions as JSON lines that never block

Cause: on-call engineers can't tell from sentences on standard error which inputs decided a request. Ruled out: spans (no place on the platform), a file of its own. Counters by rank, outcome, error and end of attempts.

--- a/source/core/common/split.cc
+++ b/source/core/common/split.cc
@@ -29,6 +29,16 @@
   return parts;
 }
 
+std::string JoinList(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts) {
+    if (!text.empty())
+      text += ',';
+    text += part;
+  }
+  return text;
+}
+
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kBlanks = " \t\r\n";
   const std::size_t first = text.find_first_not_of(kBlanks);
--- a/source/core/control/control_actions.h
+++ b/source/core/control/control_actions.h
@@ -10,6 +10,7 @@
 #include "core/consensus/replica_actions.h"
 #include "core/control/control_event.h"
 #include "core/control/control_view.h"
+#include "core/log/record.h"
 #include "core/protocol/envelope.h"
 
 namespace jacinth::control {
@@ -53,6 +54,8 @@
   std::vector<consensus::WriteRequest> writes;
   std::vector<AdminReply> replies;
   std::vector<ClaimTrace> claim_traces;
+  /// Decisions and changed beliefs.
+  std::vector<log::Record> notes;
   /// Latest time of the next Tick.
   Time wake{};
   /// The node has handed over and may be ended.
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -60,6 +60,7 @@
                                  ClockReading clock) {
   std::visit([&](const auto& body) { On(body, clock); }, event);
   Collect(clock);
+  NoteBeliefs(clock.now);
   actions_.wake = clock.now + kAdmissionInterval;
   if (replica_)
     actions_.wake = std::min(actions_.wake, replica_->NextWake());
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -119,6 +119,12 @@
   void PushSettings(ClockReading clock);
   void PushEndpoints(ClockReading clock);
   std::vector<std::string> ReplicaInstances() const;
+
+  // control_notes.cc
+  log::Record& Note(std::string_view event);
+  void NoteBeliefs(Time now);
+  void NoteChange(AdminTicket ticket, const ChangeOutcome& outcome);
+  void NoteRefusal(AdminTicket ticket, const Error& error);
   void SendToEntry(const std::string& entry, protocol::Envelope envelope);
   protocol::SettingsUpdate MakeUpdate(std::uint64_t held_revision) const;
 
@@ -147,6 +153,9 @@
   std::optional<Time> stop_deadline_;
   Time next_admission_{};
   Time next_rejoin_{};
+  std::string noted_leader_;
+  bool noted_lease_ = false;
+  protocol::Configuration noted_replicas_;
   ControlActions actions_;
 };
 
--- a/source/core/control/control_node_admin.cc
+++ b/source/core/control/control_node_admin.cc
@@ -65,6 +65,7 @@
                          std::string detail) {
   CallRefused refused;
   refused.error = {kind, std::move(detail)};
+  NoteRefusal(ticket, refused.error);
   refused.revision = state_.revision();
   refused.leader = LeaderInstance();
   actions_.replies.push_back({ticket, std::move(refused)});
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -62,6 +62,7 @@
   waiters_.erase(found);
   if (const auto* change = std::get_if<ChangeWaiter>(&waiter)) {
     const auto& outcome = std::get<ChangeOutcome>(result);
+    NoteChange(change->ticket, outcome);
     if (outcome.accepted) {
       actions_.replies.push_back(
           {change->ticket, ChangeAccepted{outcome.revision}});
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -47,6 +47,8 @@
   void TakeListed(const std::vector<protocol::ListedEndpoint>& list, Time now);
   /// When the endpoints were last known to be up to date.
   Time endpoints_at() const { return endpoints_at_; }
+  /// Version of the leader's list; 0 if this instance read the list itself.
+  std::uint64_t endpoints_version() const { return endpoints_version_; }
   /// Counts changes of endpoints().
   std::uint64_t endpoint_changes() const { return endpoint_changes_; }
 
--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -8,8 +9,10 @@
 #include "core/common/error.h"
 #include "core/common/execution.h"
 #include "core/common/outcome.h"
+#include "core/common/rank.h"
 #include "core/common/time.h"
 #include "core/entry/entry_event.h"
+#include "core/log/record.h"
 #include "core/protocol/claim.h"
 #include "core/protocol/envelope.h"
 #include "core/steering/steering_snapshot.h"
@@ -67,6 +70,8 @@
 struct RequestAnswer {
   RequestTicket ticket = 0;
   std::variant<PassOnAnswer, RepeatAnswer, RefuseRequest> body;
+  /// Rank of the request; nothing if it was refused before that was known.
+  std::optional<Rank> rank;
 };
 
 /// Ask an endpoint for its health.
@@ -89,6 +94,8 @@
   std::shared_ptr<const steering::SteeringSnapshot> snapshot;
   /// Read the platform's list of endpoints; the control role doesn't tell.
   bool list_endpoints = false;
+  /// Decisions and changed beliefs.
+  std::vector<log::Record> notes;
   /// Latest time of the next Tick.
   Time wake{};
   /// The node has finished its work and may be ended.
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -53,6 +53,7 @@
   record.attempt_started = now;
   record.tried.insert(*endpoint);
   ++record.attempts;
+  NoteAttempt(record, desk, placement, now);
   StartAttempt attempt;
   attempt.ticket = record.arrival.ticket;
   attempt.endpoint = *endpoint;
@@ -85,6 +86,7 @@
   const bool waits_again =
       refused && !options_.limits.refusals_are_retries && now < record.deadline;
   if (waits_again) {
+    NoteAttemptEnd(record, event.end, /*again=*/true, now);
     WaitAgain(record, desk, now);
     return;
   }
@@ -93,6 +95,8 @@
                          MayRetry(record, desk, event.end, now);
   record.may_have_run |= outcome != Outcome::kNotRun;
   record.connection_broke = outcome == Outcome::kUnknown;
+  if (event.end != AttemptEnd::kAnswered)
+    NoteAttemptEnd(record, event.end, may_retry, now);
   if (may_retry && TryAttempt(record, desk, now))
     return;
   const bool answered = event.end == AttemptEnd::kAnswered ||
@@ -100,7 +104,7 @@
   if (answered) {
     desk.NoteAnswer(record.kind.name, now - record.attempt_started);
     FinishClaim(record, Outcome::kRan, event.answer, now);
-    End(event.ticket, PassOnAnswer{});
+    End(event.ticket, PassOnAnswer{}, now);
     Pump(desk, now);
     return;
   }
@@ -114,7 +118,7 @@
   RefuseRequest refusal{ErrorOfAttempt(event.end), total, {}};
   if (total == Outcome::kNotRun)
     refusal.retry_after = RetryHint(record);
-  End(event.ticket, std::move(refusal));
+  End(event.ticket, std::move(refusal), now);
   Pump(desk, now);
 }
 
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -33,6 +33,7 @@
 
 EntryActions EntryNode::Step(const EntryEvent& event, Time now) {
   std::visit([&](const auto& body) { On(body, now); }, event);
+  NoteBeliefs(now);
   for (protocol::Envelope& message : claims_.TakeMessages(now))
     actions_.messages.push_back({session_.leader(), std::move(message)});
   actions_.wake = now + kTickInterval;
@@ -138,6 +139,7 @@
     return;
   if (fleet->revision != fleet_revision_)
     clients_ = steering::BuildClientMap(*fleet);
+  NoteFleet(now);
   fleet_revision_ = fleet->revision;
   endpoint_changes_ = session_.endpoint_changes();
   members_used_ = session_.members_version();
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -106,7 +106,25 @@
                    Outcome outcome,
                    const protocol::RecordedAnswer& answer,
                    Time now);
-  void End(RequestTicket ticket, decltype(RequestAnswer::body) body);
+  void End(RequestTicket ticket,
+           decltype(RequestAnswer::body) body,
+           Time now);
+  log::Record& Note(std::string_view event);
+  void NoteAttempt(const RequestRecord& record,
+                   const ServiceDesk& desk,
+                   const forwarding::Placement& placement,
+                   Time now);
+  void NoteAttemptEnd(const RequestRecord& record,
+                      forwarding::AttemptEnd end,
+                      bool again,
+                      Time now);
+  void NoteEnd(const RequestRecord& record,
+               const decltype(RequestAnswer::body)& body,
+               Time now);
+  void NoteRefusal(const RequestArrived& arrival,
+                   const RefuseRequest& refusal);
+  void NoteBeliefs(Time now);
+  void NoteFleet(Time now);
   RequestRecord* FindByClaim(const std::string& claim);
 
   EntryOptions options_;
@@ -122,6 +140,8 @@
   std::map<std::string, ServiceDesk> desks_;
   std::map<RequestTicket, RequestRecord> requests_;
   std::map<std::string, RequestTicket> tickets_by_claim_;
+  bool was_in_contact_ = false;
+  std::string noted_leader_;
   Phase phase_ = Phase::kServing;
   Time stop_started_{};
   EntryActions actions_;
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -50,7 +50,8 @@
 void EntryNode::On(const RequestArrived& event, Time now) {
   const auto refuse = [&](const Error& error, Duration retry_after) {
     RefuseRequest refusal{error, AnswerFor(error.kind).outcome, retry_after};
-    actions_.answers.push_back({event.ticket, std::move(refusal)});
+    NoteRefusal(event, refusal);
+    actions_.answers.push_back({event.ticket, std::move(refusal), {}});
   };
   if (const auto error = CheckArrival(event)) {
     refuse(*error, Duration{0});
@@ -170,7 +171,7 @@
   RefuseRequest gone{{ErrorKind::kDeadlineExceeded, "the caller has gone"},
                      may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
                      {}};
-  End(event.ticket, std::move(gone));
+  End(event.ticket, std::move(gone), now);
   Pump(desk, now);
 }
 
@@ -184,7 +185,9 @@
                 "too many requests of kind " + record.kind.name};
     RefuseRequest refusal{std::move(error), Outcome::kNotRun,
                           RetryHint(record)};
-    actions_.answers.push_back({ticket, std::move(refusal)});
+    NoteRefusal(record.arrival, refusal);
+    actions_.answers.push_back(
+        {ticket, std::move(refusal), record.kind.rank});
     return;
   }
   desk.retries.OnFirstAttempt(now);
@@ -227,12 +230,12 @@
     return;
   }
   if (reply.verdict == ClaimVerdict::kRan) {
-    End(ticket, RepeatAnswer{reply.answer});
+    End(ticket, RepeatAnswer{reply.answer}, now);
     return;
   }
   Error error = ErrorOfVerdict(reply.verdict);
   const Outcome outcome = AnswerFor(error.kind).outcome;
-  End(ticket, RefuseRequest{std::move(error), outcome, {}});
+  End(ticket, RefuseRequest{std::move(error), outcome, {}}, now);
 }
 
 void EntryNode::Pump(ServiceDesk& desk, Time now) {
@@ -291,7 +294,7 @@
   RefuseRequest refusal{std::move(error), outcome, {}};
   if (outcome == Outcome::kNotRun)
     refusal.retry_after = RetryHint(record);
-  End(ticket, std::move(refusal));
+  End(ticket, std::move(refusal), now);
 }
 
 void EntryNode::FinishClaim(const RequestRecord& record,
@@ -310,15 +313,18 @@
   claims_.Finish(std::move(finish), now);
 }
 
-void EntryNode::End(RequestTicket ticket, decltype(RequestAnswer::body) body) {
+void EntryNode::End(RequestTicket ticket,
+                    decltype(RequestAnswer::body) body,
+                    Time now) {
   const auto found = requests_.find(ticket);
   const RequestRecord& record = found->second;
   const bool running = record.phase == RequestPhase::kRunning;
   desks_.at(record.service).queue.Leave(record.kind.name, running);
   ceilings_.Leave(record.kind.rank);
   tickets_by_claim_.erase(record.claim);
+  NoteEnd(record, body, now);
+  actions_.answers.push_back({ticket, std::move(body), record.kind.rank});
   requests_.erase(found);
-  actions_.answers.push_back({ticket, std::move(body)});
 }
 
 RequestRecord* EntryNode::FindByClaim(const std::string& claim) {
--- a/source/core/forwarding/attempt.cc
+++ b/source/core/forwarding/attempt.cc
@@ -1,6 +1,26 @@
 #include "core/forwarding/attempt.h"
 
+#include <array>
+
+#include "core/common/name_table.h"
+
 namespace jacinth::forwarding {
+namespace {
+
+constexpr std::array kNames = {
+    NamedValue<AttemptEnd>{AttemptEnd::kAnswered, "answered"},
+    NamedValue<AttemptEnd>{AttemptEnd::kAnsweredFailure, "answered_failure"},
+    NamedValue<AttemptEnd>{AttemptEnd::kRefused, "refused"},
+    NamedValue<AttemptEnd>{AttemptEnd::kMisdirected, "misdirected"},
+    NamedValue<AttemptEnd>{AttemptEnd::kNotConnected, "not_connected"},
+    NamedValue<AttemptEnd>{AttemptEnd::kAnswerIncomplete, "answer_incomplete"},
+    NamedValue<AttemptEnd>{AttemptEnd::kConnectionLost, "connection_lost"},
+    NamedValue<AttemptEnd>{AttemptEnd::kTimedOut, "timed_out"},
+    NamedValue<AttemptEnd>{AttemptEnd::kAnswerTooLarge, "answer_too_large"},
+    NamedValue<AttemptEnd>{AttemptEnd::kCancelled, "cancelled"},
+};
+
+}  // namespace
 
 Outcome OutcomeOf(AttemptEnd end) {
   switch (end) {
@@ -21,6 +41,10 @@
   return Outcome::kUnknown;
 }
 
+std::string_view AttemptEndName(AttemptEnd end) {
+  return NameOf(kNames, end);
+}
+
 bool IsEndpointFailure(AttemptEnd end) {
   return end == AttemptEnd::kNotConnected ||
          end == AttemptEnd::kAnswerIncomplete ||
--- a/source/core/forwarding/attempt.h
+++ b/source/core/forwarding/attempt.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <string>
+#include <string_view>
 
 #include "core/common/outcome.h"
 
@@ -33,6 +33,9 @@
 /// What is known about the request after an attempt ended so.
 Outcome OutcomeOf(AttemptEnd end);
 
+/// Name of an end in logs and metrics.
+std::string_view AttemptEndName(AttemptEnd end);
+
 /// True if the end says that the endpoint is in trouble.
 bool IsEndpointFailure(AttemptEnd end);
 
--- a/source/core/forwarding/endpoint_load.h
+++ b/source/core/forwarding/endpoint_load.h
@@ -23,6 +23,9 @@
   /// Estimated requests at the endpoint, this entry's included.
   double Total(Time now) const;
 
+  /// Age of what the endpoint last told.
+  Duration ReportAge(Time now) const { return now - others_at_; }
+
   /// True once the endpoint has told its load.
   bool is_told() const { return told_; }
 
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -139,10 +139,11 @@
     return;
   if (end == AttemptEnd::kMisdirected) {
     row.misdirected = true;
+    Note("endpoint_replaced", row);
     return;
   }
   if (IsEndpointFailure(end)) {
-    OnFailure(row, now);
+    OnFailure(row, AttemptEndName(end), now);
     return;
   }
   row.failures = 0;
@@ -177,13 +178,16 @@
   Row& row = found->second;
   row.probing = false;
   if (end == ProbeEnd::kFailed) {
-    OnFailure(row, now);
+    OnFailure(row, "probe_failed", now);
     return;
   }
+  if (end == ProbeEnd::kDraining && !row.draining)
+    Note("endpoint_draining", row);
   row.draining = end == ProbeEnd::kDraining;
   // An endpoint put aside comes back with its first healthy probe after that.
   if (row.aside_until && now >= *row.aside_until) {
     row.aside_until.reset();
+    Note("endpoint_back", row);
     ChillRow(row, now);
   }
   if (!row.aside_until)
@@ -263,7 +267,7 @@
   row.limit = std::min<double>(row.settings.slots, row.limit + 1 / row.limit);
 }
 
-void EndpointTable::OnFailure(Row& row, Time now) {
+void EndpointTable::OnFailure(Row& row, std::string_view why, Time now) {
   ++row.failures;
   if (row.failures < probe_failures_)
     return;
@@ -275,6 +279,50 @@
       now +
       kFirstEjection * (1 << std::min(row.ejections, kMaxEjectionDoublings));
   ++row.ejections;
+  Note("endpoint_aside", row)
+      .With("why", why)
+      .With("failures", probe_failures_)
+      .With("for_ms", ToMillis(*row.aside_until - now));
+}
+
+std::string EndpointTable::PreferredFor(std::uint64_t object) const {
+  std::string best;
+  std::uint64_t best_weight = 0;
+  for (const auto& [name, row] : rows_) {
+    if (!IsUsable(row))
+      continue;
+    const std::uint64_t weight = Hash64(name, object);
+    if (!best.empty() && weight <= best_weight)
+      continue;
+    best = name;
+    best_weight = weight;
+  }
+  return best;
+}
+
+EndpointView EndpointTable::Describe(const std::string& name, Time now) const {
+  EndpointView view;
+  const auto found = rows_.find(name);
+  if (found == rows_.end())
+    return view;
+  const Row& row = found->second;
+  view.load = row.load.Total(now);
+  if (row.load.is_told())
+    view.load_age = row.load.ReportAge(now);
+  view.slots = row.settings.slots;
+  view.cold = now < row.cold_until;
+  return view;
+}
+
+log::Record& EndpointTable::Note(std::string_view event, const Row& row) {
+  log::Record note;
+  note.category = log::Category::kForwarding;
+  note.event = event;
+  note.With("endpoint", row.settings.name)
+      .With("address", row.settings.address)
+      .With("own_requests", row.load.own());
+  notes_.push_back(std::move(note));
+  return notes_.back();
 }
 
 std::size_t EndpointTable::AsideCount() const {
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/common/time.h"
@@ -13,6 +14,7 @@
 #include "core/forwarding/endpoint_load.h"
 #include "core/forwarding/placement.h"
 #include "core/forwarding/warmup_gate.h"
+#include "core/log/record.h"
 #include "core/settings/service_settings.h"
 
 namespace jacinth::forwarding {
@@ -25,6 +27,16 @@
   kFailed,
 };
 
+/// What an entry believes of an endpoint, for the log.
+struct EndpointView {
+  /// Estimated requests there and the age of what the endpoint told; nothing if
+  /// it never did.
+  double load = 0;
+  std::optional<Duration> load_age;
+  int slots = 0;
+  bool cold = false;
+};
+
 /// The endpoints of one service as one entry instance sees them.
 class EndpointTable {
  public:
@@ -50,6 +62,14 @@
   std::vector<std::string> DueProbes(Time now);
   void OnProbeEnd(const std::string& name, ProbeEnd end, Time now);
 
+  /// Name of the endpoint that comes first in the object's order among all that
+  /// may get new work, with room or not; empty if there is none.
+  std::string PreferredFor(std::uint64_t object) const;
+  EndpointView Describe(const std::string& name, Time now) const;
+
+  /// Moves out what changed in the beliefs since the last call.
+  std::vector<log::Record> TakeNotes() { return std::exchange(notes_, {}); }
+
   /// Settings of an endpoint, or nullptr.
   const settings::EndpointSettings* Find(const std::string& name) const;
 
@@ -95,7 +115,8 @@
   void ChillRow(Row& row, Time now) const;
   void OnRefusal(Row& row, Time now) const;
   static void OnAnswer(Row& row);
-  void OnFailure(Row& row, Time now);
+  void OnFailure(Row& row, std::string_view why, Time now);
+  log::Record& Note(std::string_view event, const Row& row);
   std::size_t AsideCount() const;
 
   std::map<std::string, Row> rows_;
@@ -107,6 +128,7 @@
   Duration warmup_{0};
   bool listed_ = false;
   int inflight_ = 0;
+  std::vector<log::Record> notes_;
 };
 
 }  // namespace jacinth::forwarding
--- a/source/core/log/log.cc
+++ b/source/core/log/log.cc
@@ -1,26 +1,24 @@
 #include "core/log/log.h"
 
 #include <array>
-#include <iostream>
+#include <chrono>
+#include <memory>
 #include <mutex>
-#include <string>
 
-#include <boost/log/attributes/clock.hpp>
-#include <boost/log/core.hpp>
-#include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/common/name_table.h"
 #include "core/common/process_clock.h"
+#include "core/log/line_budget.h"
+#include "core/log/line_sink.h"
 #include "core/log/repeat_limiter.h"
+#include "core/log/timestamp.h"
 
 namespace jacinth::log {
 namespace {
 
+using nlohmann::ordered_json;
+
 constexpr std::array kLevelNames = {
     NamedValue<Level>{Level::kTrace, "trace"},
     NamedValue<Level>{Level::kDebug, "debug"},
@@ -29,7 +27,7 @@
     NamedValue<Level>{Level::kError, "error"},
 };
 
-constexpr std::array kPrefixes = {
+constexpr std::array kParts = {
     NamedValue<Category>{Category::kMain, "main"},
     NamedValue<Category>{Category::kSettings, "settings"},
     NamedValue<Category>{Category::kStorage, "storage"},
@@ -42,55 +40,89 @@
     NamedValue<Category>{Category::kAdmin, "admin"},
 };
 
-namespace expr = boost::log::expressions;
+/// What Start has set up; lines before it and after Stop are dropped.
+struct Logger {
+  std::mutex mutex;
+  Level lowest = Level::kInfo;
+  std::string instance;
+  LineBudget budget;
+  RepeatLimiter limiter;
+  std::unique_ptr<LineSink> sink;
+};
 
-boost::log::sources::severity_logger_mt<int>& Logger() {
-  static boost::log::sources::severity_logger_mt<int> logger;
+Logger& TheLogger() {
+  static Logger logger;
   return logger;
 }
 
-std::mutex limiter_mutex;
+ordered_json Head(const Logger& logger,
+                  Level level,
+                  Category category,
+                  std::string_view event) {
+  ordered_json line;
+  line["time"] = FormatTimestamp(std::chrono::system_clock::now());
+  line["level"] = NameOf(kLevelNames, level);
+  line["part"] = NameOf(kParts, category);
+  line["instance"] = logger.instance;
+  line["event"] = event;
+  return line;
+}
 
-RepeatLimiter& Limiter() {
-  static RepeatLimiter limiter;
-  return limiter;
+// Called with the logger's mutex held.
+void Emit(Logger& logger, ordered_json& line, Time now) {
+  const auto left_out = logger.budget.Admit(now);
+  if (!left_out)
+    return;
+  if (*left_out > 0)
+    line["lines_left_out"] = *left_out;
+  logger.sink->Add(
+      line.dump(-1, ' ', false, ordered_json::error_handler_t::replace));
 }
 
 }  // namespace
 
-void Start(std::string_view level) {
-  const Level lowest = ValueOf(kLevelNames, level).value_or(Level::kInfo);
-  boost::log::add_common_attributes();
-  boost::log::add_console_log(
-      std::clog, boost::log::keywords::auto_flush = true,
-      boost::log::keywords::format =
-          (expr::stream << expr::format_date_time<boost::posix_time::ptime>(
-                               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                        << ' ' << expr::smessage));
-  boost::log::core::get()->set_filter(expr::attr<int>("Severity") >=
-                                      static_cast<int>(lowest));
+void Start(std::string_view level, std::string instance) {
+  Logger& logger = TheLogger();
+  const std::lock_guard lock(logger.mutex);
+  logger.lowest = ValueOf(kLevelNames, level).value_or(Level::kInfo);
+  logger.instance = std::move(instance);
+  logger.sink = std::make_unique<LineSink>();
 }
 
 void Stop() {
-  boost::log::core::get()->flush();
+  Logger& logger = TheLogger();
+  const std::lock_guard lock(logger.mutex);
+  logger.sink.reset();
+}
+
+void Write(const Record& record) {
+  Logger& logger = TheLogger();
+  const std::lock_guard lock(logger.mutex);
+  if (!logger.sink || record.level < logger.lowest)
+    return;
+  ordered_json line =
+      Head(logger, record.level, record.category, record.event);
+  for (const Field& field : record.fields) {
+    std::visit([&](const auto& value) { line[std::string(field.name)] = value; },
+               field.value);
+  }
+  Emit(logger, line, MonotonicNow());
 }
 
 void Write(Level level, Category category, std::string_view text) {
-  std::string line(NameOf(kLevelNames, level));
-  line += ' ';
-  line += NameOf(kPrefixes, category);
-  line += ": ";
-  line += text;
+  Logger& logger = TheLogger();
+  const std::lock_guard lock(logger.mutex);
+  if (!logger.sink || level < logger.lowest)
+    return;
   const Time now = MonotonicNow();
-  {
-    const std::lock_guard lock(limiter_mutex);
-    const auto suppressed = Limiter().Admit(line, now);
-    if (!suppressed)
-      return;
-    if (*suppressed > 0)
-      line += " (repeated " + std::to_string(*suppressed) + " times)";
-  }
-  BOOST_LOG_SEV(Logger(), static_cast<int>(level)) << line;
+  const auto repeated = logger.limiter.Admit(text, now);
+  if (!repeated)
+    return;
+  ordered_json line = Head(logger, level, category, "message");
+  line["message"] = text;
+  if (*repeated > 0)
+    line["repeated"] = *repeated;
+  Emit(logger, line, now);
 }
 
 }  // namespace jacinth::log
--- a/source/core/log/log.h
+++ b/source/core/log/log.h
@@ -1,39 +1,26 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
+#include "core/log/record.h"
+
 namespace jacinth::log {
 
-/// Importance of a line.
-enum class Level {
-  kTrace,
-  kDebug,
-  kInfo,
-  kWarning,
-  kError,
-};
-
-/// The part of the system that a line comes from; gives its prefix.
-enum class Category {
-  kMain,
-  kSettings,
-  kStorage,
-  kConsensus,
-  kControl,
-  kEntry,
-  kForwarding,
-  kNet,
-  kHttp,
-  kAdmin,
-};
-
-/// Directs lines of at least `level` (by name, see Level) to standard error.
-void Start(std::string_view level);
-
-/// Writes what is buffered.
+/// Directs lines of at least `level` (by name, see Level) to standard output,
+/// one JSON object each, with `instance` in every line. Lines are written on a
+/// thread of their own; those that it can't keep up with, or that exceed the
+/// budget of lines a second, are left out and counted.
+void Start(std::string_view level, std::string instance);
+
+/// Writes what is buffered, for a bounded time if the reader has stalled.
 void Stop();
 
-/// Writes one line. Equal lines within a second are counted, not written.
+/// Writes one line.
+void Write(const Record& record);
+
+/// Writes one line with a sentence as `message`. Equal lines within a second are
+/// counted, not written.
 void Write(Level level, Category category, std::string_view text);
 
 inline void Debug(Category category, std::string_view text) {
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -239,7 +239,8 @@
         span.end_unix_ns - std::chrono::nanoseconds(claim.took).count();
     spans_.Add(std::move(span));
   }
-  NoteLeadership();
+  for (const log::Record& note : actions.notes)
+    log::Write(note);
   timer_.Schedule(actions.wake);
   if (actions.stopped && on_stopped_)
     std::exchange(on_stopped_, nullptr)();
@@ -293,16 +294,4 @@
   return options;
 }
 
-void ControlHost::NoteLeadership() {
-  const consensus::Replica* replica = node_->replica();
-  if (replica == nullptr || replica->leader() == known_leader_)
-    return;
-  known_leader_ = replica->leader();
-  const std::string term = std::to_string(replica->term());
-  log::Info(log::Category::kConsensus,
-            known_leader_.empty()
-                ? "No leader is known in term " + term + "."
-                : known_leader_ + " leads term " + term + ".");
-}
-
 }  // namespace jacinth
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -67,7 +67,6 @@
   void CarryOut(control::ControlActions actions);
   Result<storage::LogStore> OpenStore(consensus::ReplicaStart& start);
   control::ControlOptions MakeOptions() const;
-  void NoteLeadership();
 
   // control_host_admin.cc
   http::Response HandleHttp(const http::Request& request);
@@ -96,7 +95,6 @@
   std::vector<std::string> contacts_;
   std::map<control::AdminTicket, ReplyHandler> calls_;
   control::AdminTicket last_ticket_ = 0;
-  std::string known_leader_;
   std::function<void()> on_stopped_;
 };
 
--- a/source/jacinthroute/dialect_entry_host.h
+++ b/source/jacinthroute/dialect_entry_host.h
@@ -212,6 +212,7 @@
                        MonotonicNow()};
   auto read = dialect_.Read(transaction->request(), view);
   if (auto* response = std::get_if<http::Response>(&read)) {
+    metrics_.Record("jacinth_direct_answer_seconds", MonotonicNow() - view.now);
     transaction->Respond(std::move(*response));
     return;
   }
@@ -314,6 +315,9 @@
   Call& call = found->second;
   call.exchange = 0;
   const AttemptVerdict verdict = dialect_.Judge(call.forward, attempt, result);
+  metrics_.Count(metrics::Series(
+      "jacinth_attempts_total", "end",
+      std::string(forwarding::AttemptEndName(verdict.end))));
   entry::AttemptEnded ended;
   ended.ticket = attempt.ticket;
   ended.end = verdict.end;
@@ -365,7 +369,11 @@
   const auto* refusal = std::get_if<entry::RefuseRequest>(&answer.body);
   const std::string outcome(
       OutcomeName(refusal == nullptr ? Outcome::kRan : refusal->outcome));
-  metrics_.Record("jacinth_request_seconds", MonotonicNow() - call.started);
+  const std::string rank(answer.rank ? RankName(*answer.rank) : "none");
+  metrics_.Record(metrics::Series("jacinth_request_seconds", "rank", rank),
+                  MonotonicNow() - call.started);
+  metrics_.Count(
+      metrics::Series("jacinth_requests_by_rank_total", "rank", rank));
   metrics_.Count(metrics::Series("jacinth_requests_total", "outcome", outcome));
   if (!Dialect::kTraced)
     return;
@@ -397,6 +405,8 @@
 
 template <CallerDialect Dialect>
 void DialectEntryHost<Dialect>::CarryOut(entry::EntryActions actions) {
+  for (const log::Record& note : actions.notes)
+    log::Write(note);
   if (actions.snapshot)
     TakeSnapshot(std::move(actions.snapshot));
   for (const entry::OutgoingMessage& message : actions.messages)
--- a/source/jacinthroute/instance.cc
+++ b/source/jacinthroute/instance.cc
@@ -36,17 +36,30 @@
 Result<void> Instance::Run() {
   if (auto started = Start(); !started)
     return started;
-  log::Info(log::Category::kMain, "Instance " + settings_.id + " is up.");
+  NoteStart();
   context_.run();
   if (entry_)
     entry_->Join();
   if (control_)
     control_->Join();
   spans_.Stop();
-  log::Info(log::Category::kMain, "Instance " + settings_.id + " has ended.");
+  log::Write(log::Record{log::Level::kInfo, log::Category::kMain, "stopped", {}});
   return {};
 }
 
+void Instance::NoteStart() const {
+  std::vector<std::string> roles;
+  for (const InstanceRole role : settings_.roles)
+    roles.emplace_back(InstanceRoleName(role));
+  log::Record note{log::Level::kInfo, log::Category::kMain, "started", {}};
+  note.With("version", JACINTH_VERSION)
+      .With("roles", JoinList(roles))
+      .With("region", settings_.region)
+      .With("failure_domain", settings_.failure_domain)
+      .With("contacts", JoinList(settings_.ControlContacts()));
+  log::Write(note);
+}
+
 Result<void> Instance::Start() {
   if (auto started = spans_.Start(settings_.trace_file); !started)
     return started;
@@ -161,7 +174,10 @@
     return;
   settings_.group.seeds = parsed.settings.group.seeds;
   settings_.replicas = parsed.settings.replicas;
-  log::Info(log::Category::kSettings, "The settings file was read again.");
+  log::Record note{
+      log::Level::kInfo, log::Category::kSettings, "reloaded", {}};
+  note.With("contacts", JoinList(contacts));
+  log::Write(note);
   if (entry_)
     entry_->SetContacts(contacts);
   if (control_)
@@ -181,7 +197,7 @@
 
 void Instance::BeginStop() {
   stopping_ = true;
-  log::Info(log::Category::kMain, "Stopping.");
+  log::Write(log::Record{log::Level::kInfo, log::Category::kMain, "stopping", {}});
   const auto done = [this] { OnHostStopped(); };
   // The entry goes first: ending its claims may need this replica.
   if (entry_) {
--- a/source/jacinthroute/instance.h
+++ b/source/jacinthroute/instance.h
@@ -35,6 +35,7 @@
 
  private:
   Result<void> Start();
+  void NoteStart() const;
   Result<std::string> ReadSecret() const;
   net::LinkHubOptions MakeLinkOptions(std::string secret) const;
   void OnMessage(const std::string& from, protocol::Envelope envelope);
--- a/source/jacinthroute/main.cc
+++ b/source/jacinthroute/main.cc
@@ -78,7 +78,7 @@
     std::cout << path << ": ok\n";
     return EXIT_SUCCESS;
   }
-  jacinth::log::Start(parsed.settings.log_level);
+  jacinth::log::Start(parsed.settings.log_level, parsed.settings.id);
   const jacinth::InterfaceKind interface = parsed.settings.interface;
   jacinth::Instance instance(std::move(parsed.settings), MakeParts(interface),
                              [path] { return ReadSettings(path); });
