Forwarding: Keep objects at the endpoint that knows them, in their region

Logs show that each object is asked for in one region only, until its clients move. Change: the leader keeps an owner for each slice of a service's objects; an entry proposes one in its region as far as capacity goes, of the first two by rendezvous hashing the one that owns less; two objections or spilled requests move a slice. Owners are recorded in the log, so that a new leader begins with them.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -24,6 +24,10 @@
 /// silence before the first, in election timeouts.
 constexpr Duration kRejoinInterval = 500ms;
 constexpr int kRejoinTimeouts = 3;
+/// Time between pushes of changed lists to entries.
+constexpr Duration kPushInterval = 100ms;
+/// Time between records of the slices' owners in the log.
+constexpr Duration kRecordInterval = 500ms;
 /// Index and term of the snapshot that every founded group starts from.
 constexpr std::uint64_t kFoundingIndex = 1;
 constexpr std::uint64_t kFoundingTerm = 1;
@@ -207,8 +211,53 @@
 void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
   if (!Leads(clock.now) || registry_term_ != replica_->term())
     return;
-  if (catalog_.Take(event.endpoints, clock.now))
-    PushEndpoints(clock);
+  BeginSlices();
+  catalog_.Take(event.endpoints, clock.now);
+  slices_.KeepOnly(UsableIds(event.endpoints));
+  PushLists(clock.now);
+}
+
+// Called once the lease is held: only then is all applied that earlier leaders
+// recorded.
+void ControlNode::BeginSlices() {
+  if (slices_term_ == registry_term_)
+    return;
+  slices_term_ = registry_term_;
+  slices_.Reset(slices_term_, state_.SliceOwners());
+}
+
+// Endpoints that may own slices.
+std::set<std::string> ControlNode::UsableIds(
+    const std::vector<protocol::ListedEndpoint>& endpoints) const {
+  std::set<std::string> ids;
+  for (const protocol::ListedEndpoint& endpoint : endpoints) {
+    const auto region = options_.domain_regions.find(endpoint.failure_domain);
+    const bool drained =
+        endpoint.draining ||
+        (region != options_.domain_regions.end() &&
+         IsDomainDrained(region->second, endpoint.failure_domain));
+    if (!drained)
+      ids.insert(endpoint.id);
+  }
+  return ids;
+}
+
+bool ControlNode::IsDomainDrained(const std::string& region,
+                                  const std::string& domain) const {
+  const auto drain = state_.tree().Effective(
+      "region/" + region + "/failure_domain/" + domain, "drain");
+  return drain && drain->value == "true";
+}
+
+// So that a new leader, or all of them after a loss of power, begin with the
+// owners that are warm.
+void ControlNode::RecordSlices(ClockReading clock) {
+  if (clock.now < next_record_)
+    return;
+  next_record_ = clock.now + kRecordInterval;
+  protocol::RecordOwners record{slices_.TakeUnrecorded()};
+  if (!record.owners.empty())
+    ProposeCommand(OwnersWaiter{}, std::move(record), clock);
 }
 
 void ControlNode::On(const ContactsChanged& event, ClockReading /*clock*/) {
@@ -250,8 +299,17 @@
     if (options_.open_membership)
       replica_->DropSilentLearner(clock.now);
   }
-  if (registry_term_ == replica_->term())
-    registry_.Expire(clock.now);
+  if (registry_term_ != replica_->term())
+    return;
+  registry_.Expire(clock.now);
+  if (!Leads(clock.now))
+    return;
+  BeginSlices();
+  if (clock.now >= next_push_) {
+    next_push_ = clock.now + kPushInterval;
+    PushLists(clock.now);
+    RecordSlices(clock);
+  }
 }
 
 void ControlNode::Collect(ClockReading clock) {
@@ -276,7 +334,7 @@
       registry_term_ = replica_->term();
       registry_.Reset(registry_term_, clock.now);
       catalog_.Reset(registry_term_);
-      entry_endpoints_.clear();
+      held_versions_.clear();
       pushed_revision_ = 0;
     }
     PushSettings(clock);
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "core/control/control_state.h"
 #include "core/control/endpoint_catalog.h"
 #include "core/control/entry_registry.h"
+#include "core/control/slice_assignment.h"
 
 namespace jacinth::control {
 
@@ -29,6 +31,8 @@
   bool may_found = true;
   /// Replicas other than the contacts may join.
   bool open_membership = false;
+  /// Region of each failure domain, for listed endpoints.
+  std::map<std::string, std::string> domain_regions;
   Duration entry_timeout{0};
   /// Log entries between snapshots.
   std::uint64_t snapshot_entries = 0;
@@ -75,7 +79,15 @@
     std::string entry;
     std::string attempt;
   };
-  using Waiter = std::variant<ChangeWaiter, ClaimWaiter, FinishWaiter>;
+  struct OwnersWaiter {};
+  using Waiter =
+      std::variant<ChangeWaiter, ClaimWaiter, FinishWaiter, OwnersWaiter>;
+
+  /// Versions of the lists that an entry holds.
+  struct HeldVersions {
+    std::uint64_t endpoints = 0;
+    std::uint64_t slices = 0;
+  };
 
   struct HeldMessage {
     consensus::SyncId after;
@@ -117,7 +129,13 @@
                       ClockReading clock);
   void AbandonWaiters();
   void PushSettings(ClockReading clock);
-  void PushEndpoints(ClockReading clock);
+  void PushLists(Time now);
+  void BeginSlices();
+  void RecordSlices(ClockReading clock);
+  std::set<std::string> UsableIds(
+      const std::vector<protocol::ListedEndpoint>& endpoints) const;
+  bool IsDomainDrained(const std::string& region,
+                       const std::string& domain) const;
   std::vector<std::string> ReplicaInstances() const;
 
   // control_notes.cc
@@ -141,8 +159,9 @@
   ControlState state_;
   EntryRegistry registry_;
   EndpointCatalog catalog_;
-  /// Version of the endpoint list that each entry holds, as far as known.
-  std::map<std::string, std::uint64_t> entry_endpoints_;
+  SliceAssignment slices_;
+  /// What each entry holds, as far as known.
+  std::map<std::string, HeldVersions> held_versions_;
   std::uint64_t registry_term_ = 0;
   std::uint64_t last_proposal_ = 0;
   std::map<std::uint64_t, Waiter> waiters_;
@@ -153,6 +172,10 @@
   std::optional<Time> stop_deadline_;
   Time next_admission_{};
   Time next_rejoin_{};
+  Time next_push_{};
+  Time next_record_{};
+  /// Term in which `slices_` began.
+  std::uint64_t slices_term_ = 0;
   std::string noted_leader_;
   bool noted_lease_ = false;
   protocol::Configuration noted_replicas_;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -20,6 +20,7 @@
     SendToEntry(from, reply);
     return;
   }
+  BeginSlices();
   registry_.OnHeartbeat(heartbeat.status, clock.now);
   reply.leader = true;
   reply.revision = state_.revision();
@@ -30,7 +31,10 @@
     reply.replicas = ReplicaInstances();
   }
   reply.endpoints = catalog_.UpdateFor(heartbeat.endpoints_version, clock.now);
-  entry_endpoints_[from] = heartbeat.endpoints_version;
+  for (const protocol::SliceClaim& claim : heartbeat.claims)
+    slices_.Claim(from, claim, clock.now);
+  reply.slices = slices_.UpdateFor(heartbeat.slices_version);
+  held_versions_[from] = {catalog_.version(), slices_.version()};
   SendToEntry(from, std::move(reply));
 }
 
@@ -86,8 +90,8 @@
     }
     return;
   }
-  const auto& finish = std::get<FinishWaiter>(waiter);
-  SendToEntry(finish.entry, protocol::FinishReply{finish.attempt});
+  if (const auto* finish = std::get_if<FinishWaiter>(&waiter))
+    SendToEntry(finish->entry, protocol::FinishReply{finish->attempt});
 }
 
 bool ControlNode::ProposeCommand(Waiter waiter,
@@ -139,15 +143,18 @@
   }
 }
 
-void ControlNode::PushEndpoints(ClockReading clock) {
+void ControlNode::PushLists(Time now) {
   for (const protocol::EntryStatus& entry : registry_.Statuses()) {
-    std::uint64_t& held = entry_endpoints_[entry.id];
+    HeldVersions& held = held_versions_[entry.id];
     protocol::HeartbeatReply reply;
+    reply.endpoints = catalog_.UpdateFor(held.endpoints, now);
+    reply.slices = slices_.UpdateFor(held.slices);
+    if (reply.endpoints.version == 0 && reply.slices.version == 0)
+      continue;
     reply.leader = true;
     reply.leader_hint = LeaderInstance();
-    reply.endpoints = catalog_.UpdateFor(held, clock.now);
     // If this is lost, the entry's next heartbeat tells.
-    held = catalog_.version();
+    held = {catalog_.version(), slices_.version()};
     SendToEntry(entry.id, std::move(reply));
   }
 }
--- a/source/core/control/control_state.cc
+++ b/source/core/control/control_state.cc
@@ -17,6 +17,7 @@
 using protocol::ClaimRequest;
 using protocol::Command;
 using protocol::FinishRequest;
+using protocol::RecordOwners;
 
 /// Answers to changes kept for resends.
 constexpr std::size_t kMaxResults = 4'096;
@@ -45,6 +46,10 @@
     return ApplyChange(*change, command.wall_ms);
   if (const auto* claim = std::get_if<ClaimRequest>(&command.body))
     return ledger_.Claim(*claim, log_time_);
+  if (const auto* owners = std::get_if<RecordOwners>(&command.body)) {
+    ApplyOwners(*owners);
+    return OwnersRecorded{};
+  }
   ledger_.Finish(std::get<FinishRequest>(command.body), log_time_);
   return FinishOutcome{};
 }
@@ -92,6 +97,22 @@
   return outcome;
 }
 
+std::vector<protocol::SliceOwner> ControlState::SliceOwners() const {
+  std::vector<protocol::SliceOwner> owners;
+  for (const auto& [key, endpoint] : slice_owners_)
+    owners.push_back({key.first, key.second, endpoint});
+  return owners;
+}
+
+void ControlState::ApplyOwners(const RecordOwners& record) {
+  for (const protocol::SliceOwner& owner : record.owners) {
+    if (owner.endpoint.empty())
+      slice_owners_.erase({owner.service, owner.slice});
+    else
+      slice_owners_[{owner.service, owner.slice}] = owner.endpoint;
+  }
+}
+
 bool ControlState::IsCurrent(const ChangeSettings& change) const {
   if (change.version_step) {
     return change.version_step->base == operator_version_ &&
@@ -163,6 +184,7 @@
   snapshot.forgotten_before_ms = ledger_.forgotten_before();
   for (const ResultKey& key : result_order_)
     snapshot.results.push_back(results_.at(key));
+  snapshot.slice_owners = SliceOwners();
   snapshot.audit.assign(audit_.begin(), audit_.end());
   return wire::EncodeControlSnapshot(snapshot);
 }
@@ -189,6 +211,7 @@
     results_[key] = std::move(result);
     result_order_.push_back(key);
   }
+  ApplyOwners({std::move(snapshot->slice_owners)});
   audit_.assign(snapshot->audit.begin(), snapshot->audit.end());
   return {};
 }
--- a/source/core/control/control_state.h
+++ b/source/core/control/control_state.h
@@ -32,8 +32,14 @@
   bool operator==(const FinishOutcome&) const = default;
 };
 
+/// Result of a record of slices' owners.
+struct OwnersRecorded {
+  bool operator==(const OwnersRecorded&) const = default;
+};
+
 /// What applying a command gave.
-using CommandResult = std::variant<ChangeOutcome, ClaimResult, FinishOutcome>;
+using CommandResult =
+    std::variant<ChangeOutcome, ClaimResult, FinishOutcome, OwnersRecorded>;
 
 /// The replicated state machine: equal logs give equal states and results.
 class ControlState {
@@ -58,6 +64,9 @@
   const Ledger& ledger() const { return ledger_; }
   const std::deque<protocol::AuditRecord>& audit() const { return audit_; }
 
+  /// Owners of slices as last recorded.
+  std::vector<protocol::SliceOwner> SliceOwners() const;
+
   /// Serialized state for a snapshot.
   std::string Save() const;
 
@@ -65,11 +74,13 @@
   Result<void> Load(const std::string& bytes);
 
  private:
+  using SliceKey = std::pair<std::string, std::uint32_t>;
   using ResultKey = std::pair<std::string, std::string>;
 
   ChangeOutcome ApplyChange(const protocol::ChangeSettings& change,
                             WallMillis wall_ms);
   bool IsCurrent(const protocol::ChangeSettings& change) const;
+  void ApplyOwners(const protocol::RecordOwners& record);
   void NoteChanges(const protocol::ChangeSettings& change);
   void Remember(const protocol::ChangeSettings& change,
                 const ChangeOutcome& outcome);
@@ -83,6 +94,7 @@
   std::map<ResultKey, protocol::ChangeResult> results_;
   std::deque<ResultKey> result_order_;
   std::deque<protocol::AuditRecord> audit_;
+  std::map<SliceKey, std::string> slice_owners_;
   /// Names of the branches that the latest revisions changed, oldest first.
   std::deque<std::vector<std::string>> recent_changes_;
 };
--- /dev/null
+++ b/source/core/control/slice_assignment.cc
@@ -0,0 +1,90 @@
+#include "core/control/slice_assignment.h"
+
+namespace jacinth::control {
+namespace {
+
+using protocol::SliceOwner;
+
+constexpr unsigned kTermShift = 32;
+/// Entries that must be unable to use an owner before it is displaced: one alone
+/// may be cut off.
+constexpr std::size_t kObjectionsNeeded = 2;
+constexpr Duration kObjectionLife = 3s;
+/// Bounds the table; slices beyond it are placed by hash alone.
+constexpr std::size_t kMaxRows = 100'000;
+
+}  // namespace
+
+void SliceAssignment::Reset(std::uint64_t term,
+                            const std::vector<SliceOwner>& recorded) {
+  rows_.clear();
+  unrecorded_.clear();
+  version_ = (term << kTermShift) + 1;
+  for (const SliceOwner& owner : recorded) {
+    Row& row = rows_[{owner.service, owner.slice}];
+    row.endpoint = owner.endpoint;
+    row.changed = version_;
+  }
+}
+
+void SliceAssignment::Claim(const std::string& entry,
+                            const protocol::SliceClaim& claim,
+                            Time now) {
+  if (claim.owner.endpoint.empty())
+    return;
+  const Key key{claim.owner.service, claim.owner.slice};
+  if (rows_.size() >= kMaxRows && rows_.count(key) == 0)
+    return;
+  Row& row = rows_[key];
+  if (row.endpoint.empty()) {
+    SetOwner(key, row, claim.owner.endpoint);
+    return;
+  }
+  if (!claim.displaces || row.endpoint == claim.owner.endpoint)
+    return;
+  row.objections[entry] = now;
+  std::erase_if(row.objections, [&](const auto& objection) {
+    return now > objection.second + kObjectionLife;
+  });
+  if (row.objections.size() >= kObjectionsNeeded)
+    SetOwner(key, row, claim.owner.endpoint);
+}
+
+void SliceAssignment::KeepOnly(const std::set<std::string>& usable) {
+  for (auto& [key, row] : rows_) {
+    if (!row.endpoint.empty() && usable.count(row.endpoint) == 0)
+      SetOwner(key, row, "");
+  }
+}
+
+std::vector<SliceOwner> SliceAssignment::TakeUnrecorded() {
+  std::vector<SliceOwner> owners;
+  for (const Key& key : unrecorded_)
+    owners.push_back({key.first, key.second, rows_.at(key).endpoint});
+  unrecorded_.clear();
+  return owners;
+}
+
+protocol::SliceUpdate SliceAssignment::UpdateFor(std::uint64_t version) const {
+  protocol::SliceUpdate update;
+  if (version_ == 0 || version == version_)
+    return update;
+  update.version = version_;
+  const bool other_term = version >> kTermShift != version_ >> kTermShift;
+  for (const auto& [key, row] : rows_) {
+    if (other_term || row.changed > version)
+      update.changed.push_back({key.first, key.second, row.endpoint});
+  }
+  return update;
+}
+
+void SliceAssignment::SetOwner(const Key& key,
+                               Row& row,
+                               const std::string& endpoint) {
+  unrecorded_.insert(key);
+  row.endpoint = endpoint;
+  row.changed = ++version_;
+  row.objections.clear();
+}
+
+}  // namespace jacinth::control
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -17,6 +17,8 @@
 /// Heartbeats without a leader's reply after which all replicas are asked.
 constexpr int kSearchHeartbeats = 3;
 constexpr std::size_t kMaxContacts = 32;
+/// Time in which claims are gathered before they are told.
+constexpr Duration kClaimDelay = 40ms;
 
 }  // namespace
 
@@ -38,6 +40,8 @@
   heartbeat.members_version = members_.version;
   heartbeat.sequence = sequence_;
   heartbeat.endpoints_version = endpoints_version_;
+  heartbeat.slices_version = slices_.version();
+  heartbeat.claims = slices_.TakeClaims();
   return heartbeat;
 }
 
@@ -67,6 +71,7 @@
     members_ = reply.members;
     changed = true;
   }
+  slices_.Take(reply.slices);
   if (TakeEndpoints(reply.endpoints)) {
     endpoints_at_ = now;
     changed = true;
@@ -74,6 +79,10 @@
   return changed;
 }
 
+void ControlSession::HastenHeartbeat(Time now) {
+  next_heartbeat_ = std::min(next_heartbeat_, now + kClaimDelay);
+}
+
 bool ControlSession::IsSearching(Time now) const {
   return leader_.empty() || now > vouched_at_ + kSearchHeartbeats * heartbeat_;
 }
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/forwarding/slice_map.h"
 #include "core/protocol/heartbeat.h"
 #include "core/settings/fleet_settings.h"
 
@@ -49,6 +50,12 @@
   Time endpoints_at() const { return endpoints_at_; }
   /// Version of the leader's list; 0 if this instance read the list itself.
   std::uint64_t endpoints_version() const { return endpoints_version_; }
+  /// Owners of slices, and the claims to be told.
+  forwarding::SliceMap& slices() { return slices_; }
+  const forwarding::SliceMap& slices() const { return slices_; }
+  /// Makes the next heartbeat come soon, as there are claims to tell.
+  void HastenHeartbeat(Time now);
+
   /// Counts changes of endpoints().
   std::uint64_t endpoint_changes() const { return endpoint_changes_; }
 
@@ -98,6 +105,7 @@
   protocol::MemberList members_;
   std::vector<std::string> contacts_;
   std::map<std::string, protocol::ListedEndpoint> endpoints_;
+  forwarding::SliceMap slices_;
   std::uint64_t endpoints_version_ = 0;
   std::uint64_t endpoint_changes_ = 0;
   Time endpoints_at_{};
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -39,7 +39,7 @@
       Hash64(options_.self.id, record.arrival.ticket * 16 +
                                    static_cast<std::uint64_t>(record.attempts));
   if (record.kind.affinity && !record.arrival.object.empty())
-    placement.object = Hash64(record.arrival.object);
+    PlaceObject(record, desk, placement, now);
   auto endpoint = desk.endpoints.Take(placement, now);
   // After a broken connection, a new one to the same endpoint may do.
   if (!endpoint && record.connection_broke) {
@@ -49,6 +49,8 @@
   if (!endpoint)
     return false;
   const settings::EndpointSettings& row = *desk.endpoints.Find(*endpoint);
+  if (placement.object)
+    NoteOwner(record, desk, placement, *endpoint, now);
   record.endpoint = *endpoint;
   record.attempt_started = now;
   record.tried.insert(*endpoint);
@@ -122,6 +124,42 @@
   Pump(desk, now);
 }
 
+// Finds the owner of the object's slice, or who shall own it.
+void EntryNode::PlaceObject(const RequestRecord& record,
+                            const ServiceDesk& desk,
+                            forwarding::Placement& placement,
+                            Time now) const {
+  const forwarding::SliceMap& slices = session_.slices();
+  const std::uint32_t slice =
+      forwarding::SliceMap::SliceOf(record.arrival.object);
+  placement.object = Hash64(record.service, slice);
+  placement.owner = slices.OwnerOf(record.service, slice);
+  if (!placement.owner.empty() && desk.endpoints.MayUse(placement.owner))
+    return;
+  placement.owner = desk.endpoints.ProposeOwner(
+      placement,
+      [&](const std::string& endpoint) { return slices.OwnedBy(endpoint); },
+      now);
+}
+
+// Claims the slice for the endpoint if nobody else that can be used owns it.
+void EntryNode::NoteOwner(const RequestRecord& record,
+                          const ServiceDesk& desk,
+                          const forwarding::Placement& placement,
+                          const std::string& endpoint,
+                          Time now) {
+  forwarding::SliceMap& slices = session_.slices();
+  const std::uint32_t slice =
+      forwarding::SliceMap::SliceOf(record.arrival.object);
+  const std::string& owner = slices.OwnerOf(record.service, slice);
+  const bool usable = !owner.empty() && desk.endpoints.MayUse(owner);
+  // A request that found no room at the owner warms the endpoint it went to.
+  slices.OnSend(record.service, slice, endpoint,
+                usable && owner == endpoint);
+  if (slices.has_claims())
+    session_.HastenHeartbeat(now);
+}
+
 // A refusal costs nothing but time: the request waits for a slot that is really
 // free, ahead of those that came after it.
 void EntryNode::WaitAgain(RequestRecord& record, ServiceDesk& desk, Time now) {
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -93,6 +93,15 @@
   void StartClaim(RequestRecord& record, Time now);
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
   void Pump(ServiceDesk& desk, Time now);
+  void PlaceObject(const RequestRecord& record,
+                   const ServiceDesk& desk,
+                   forwarding::Placement& placement,
+                   Time now) const;
+  void NoteOwner(const RequestRecord& record,
+                 const ServiceDesk& desk,
+                 const forwarding::Placement& placement,
+                 const std::string& endpoint,
+                 Time now);
   bool TryAttempt(RequestRecord& record, ServiceDesk& desk, Time now);
   void WaitAgain(RequestRecord& record, ServiceDesk& desk, Time now);
   bool MayRetry(const RequestRecord& record,
--- a/source/core/entry/entry_notes.cc
+++ b/source/core/entry/entry_notes.cc
@@ -35,9 +35,9 @@
   if (view.cold)
     note.With("cold", true);
   if (placement.object) {
-    const std::string preferred =
-        desk.endpoints.PreferredFor(*placement.object);
-    note.With("preferred", preferred == record.endpoint);
+    note.With("object", record.arrival.object);
+    note.With("owner", placement.owner)
+        .With("preferred", placement.owner == record.endpoint);
   }
 }
 
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -22,6 +22,18 @@
 constexpr double kPercent = 100;
 constexpr unsigned kSecondDrawShift = 32;
 
+/// Endpoints compared by what they own before a slice gets an owner.
+constexpr std::size_t kOwnersCompared = 2;
+
+/// Place of an endpoint in an object's order; the greatest comes first.
+struct Preference {
+  /// In the region that the object is placed in.
+  bool in_place = false;
+  std::uint64_t weight = 0;
+
+  auto operator<=>(const Preference&) const = default;
+};
+
 bool SameStart(const settings::EndpointSettings& left,
                const settings::EndpointSettings& right) {
   return left.address == right.address &&
@@ -88,20 +100,76 @@
 // endpoints changes only where endpoints come or go.
 const std::string* EndpointTable::ChooseByObject(const Placement& placement,
                                                  Time now) const {
+  const auto owner = rows_.find(placement.owner);
+  if (owner != rows_.end() &&
+      MayServe(owner->first, owner->second, placement, now))
+    return &owner->first;
+  const std::string region =
+      Shares().RegionFor(placement.home, *placement.object);
   const std::string* best = nullptr;
-  std::uint64_t best_weight = 0;
+  Preference best_preference;
   for (const auto& [name, row] : rows_) {
     if (!MayServe(name, row, placement, now))
       continue;
-    const std::uint64_t weight = Hash64(name, *placement.object);
-    if (best != nullptr && weight <= best_weight)
+    const Preference preference{row.settings.region == region,
+                                Hash64(name, *placement.object)};
+    if (best != nullptr && !(best_preference < preference))
       continue;
     best = &name;
-    best_weight = weight;
+    best_preference = preference;
   }
   return best;
 }
 
+std::string EndpointTable::ProposeOwner(const Placement& placement,
+                                        const CountOwned& count_owned,
+                                        Time now) const {
+  const std::string region =
+      Shares().RegionFor(placement.home, *placement.object);
+  std::vector<std::pair<Preference, const std::string*>> order;
+  for (const auto& [name, row] : rows_) {
+    const bool allowed = IsUsable(row) && MayServeRegion(row, placement) &&
+                         placement.tried.count(name) == 0;
+    // What is cold is left to those slices that have no other choice.
+    if (!allowed)
+      continue;
+    const bool warm_here =
+        row.settings.region == region && now >= row.cold_until;
+    order.emplace_back(
+        Preference{warm_here, Hash64(name, *placement.object)}, &name);
+  }
+  if (order.empty())
+    return "";
+  const std::size_t compared = std::min(kOwnersCompared, order.size());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(compared),
+                    order.end(), [](const auto& left, const auto& right) {
+                      return right.first < left.first;
+                    });
+  const std::string* best = order.front().second;
+  for (std::size_t i = 1; i < compared; ++i) {
+    const auto& [preference, name] = order[i];
+    const bool same_place = preference.in_place == order.front().first.in_place;
+    if (same_place && count_owned(*name) < count_owned(*best))
+      best = name;
+  }
+  return *best;
+}
+
+bool EndpointTable::MayUse(const std::string& name) const {
+  const auto found = rows_.find(name);
+  return found != rows_.end() && IsUsable(found->second);
+}
+
+RegionShare EndpointTable::Shares() const {
+  std::map<std::string, double> slots;
+  for (const auto& [name, row] : rows_) {
+    if (IsUsable(row))
+      slots[row.settings.region] += row.settings.slots;
+  }
+  return RegionShare(std::move(slots));
+}
+
 // The power of two choices (Mitzenmacher, 2001).
 const std::string* EndpointTable::ChooseByLoad(const Placement& placement,
                                                Time now) const {
@@ -245,11 +313,13 @@
                              Time now) const {
   if (!HasRoom(row, now) || placement.tried.count(name) != 0)
     return false;
+  return MayServeRegion(row, placement) && ColdAllows(row, now);
+}
+
+bool EndpointTable::MayServeRegion(const Row& row, const Placement& placement) {
   const auto& regions = placement.regions;
-  const bool allowed =
-      regions.empty() || std::find(regions.begin(), regions.end(),
-                                   row.settings.region) != regions.end();
-  return allowed && ColdAllows(row, now);
+  return regions.empty() || std::find(regions.begin(), regions.end(),
+                                      row.settings.region) != regions.end();
 }
 
 void EndpointTable::ChillRow(Row& row, Time now) const {
@@ -285,21 +355,6 @@
       .With("for_ms", ToMillis(*row.aside_until - now));
 }
 
-std::string EndpointTable::PreferredFor(std::uint64_t object) const {
-  std::string best;
-  std::uint64_t best_weight = 0;
-  for (const auto& [name, row] : rows_) {
-    if (!IsUsable(row))
-      continue;
-    const std::uint64_t weight = Hash64(name, object);
-    if (!best.empty() && weight <= best_weight)
-      continue;
-    best = name;
-    best_weight = weight;
-  }
-  return best;
-}
-
 EndpointView EndpointTable::Describe(const std::string& name, Time now) const {
   EndpointView view;
   const auto found = rows_.find(name);
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,6 +14,7 @@
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/endpoint_load.h"
 #include "core/forwarding/placement.h"
+#include "core/forwarding/region_share.h"
 #include "core/forwarding/warmup_gate.h"
 #include "core/log/record.h"
 #include "core/settings/service_settings.h"
@@ -46,12 +48,25 @@
   /// Decides which entries may use cold endpoints.
   void SetWarmupGate(WarmupGate gate) { gate_ = std::move(gate); }
 
+  /// Counts the slices that an endpoint owns.
+  using CountOwned = std::function<int(const std::string& endpoint)>;
+
   /// Chooses the endpoint for an attempt and takes one of its slots. With an
-  /// object, the first with room in the object's order of all endpoints, by
-  /// rendezvous hashing; otherwise the less loaded of two drawn, in the home
-  /// region if any has room there. Nothing if no endpoint has room.
+  /// object, its slice's owner, or the first with room in the object's order of
+  /// all endpoints, by rendezvous hashing within the region that the object is
+  /// placed in; otherwise the less loaded of two drawn, in the home region if any
+  /// has room there. Nothing if no endpoint has room.
   std::optional<std::string> Take(const Placement& placement, Time now);
 
+  /// The owner to be of a slice that has none: of the first two in the object's
+  /// order the one that owns less. Empty if none may get new work.
+  std::string ProposeOwner(const Placement& placement,
+                           const CountOwned& count_owned,
+                           Time now) const;
+
+  /// True if the endpoint may get new work, with room or not.
+  bool MayUse(const std::string& name) const;
+
   /// Gives the slot back and learns from how the attempt ended.
   void OnAttemptEnd(const std::string& name,
                     AttemptEnd end,
@@ -62,9 +77,6 @@
   std::vector<std::string> DueProbes(Time now);
   void OnProbeEnd(const std::string& name, ProbeEnd end, Time now);
 
-  /// Name of the endpoint that comes first in the object's order among all that
-  /// may get new work, with room or not; empty if there is none.
-  std::string PreferredFor(std::uint64_t object) const;
   EndpointView Describe(const std::string& name, Time now) const;
 
   /// Moves out what changed in the beliefs since the last call.
@@ -110,7 +122,9 @@
                 const Row& row,
                 const Placement& placement,
                 Time now) const;
+  static bool MayServeRegion(const Row& row, const Placement& placement);
   const std::string* ChooseByObject(const Placement& placement, Time now) const;
+  RegionShare Shares() const;
   const std::string* ChooseByLoad(const Placement& placement, Time now) const;
   void ChillRow(Row& row, Time now) const;
   void OnRefusal(Row& row, Time now) const;
--- /dev/null
+++ b/source/core/forwarding/slice_map.cc
@@ -0,0 +1,80 @@
+#include "core/forwarding/slice_map.h"
+
+#include <utility>
+
+#include "core/common/hash.h"
+
+namespace jacinth::forwarding {
+namespace {
+
+constexpr unsigned kTermShift = 32;
+/// Claims sent with one heartbeat.
+constexpr std::size_t kMaxClaims = 256;
+
+}  // namespace
+
+std::uint32_t SliceMap::SliceOf(std::string_view object) {
+  return static_cast<std::uint32_t>(Hash64(object) % kSliceCount);
+}
+
+void SliceMap::Take(const protocol::SliceUpdate& update) {
+  if (update.version == 0 || update.version < version_)
+    return;
+  version_ = update.version;
+  for (const protocol::SliceOwner& owner : update.changed) {
+    Row& row = rows_[{owner.service, owner.slice}];
+    SetOwner(row, owner.endpoint);
+    row.term = version_ >> kTermShift;
+    claims_.erase({owner.service, owner.slice});
+  }
+}
+
+const std::string& SliceMap::OwnerOf(const std::string& service,
+                                     std::uint32_t slice) const {
+  static const std::string kNone;
+  const auto found = rows_.find({service, slice});
+  return found == rows_.end() ? kNone : found->second.endpoint;
+}
+
+void SliceMap::OnSend(const std::string& service,
+                      std::uint32_t slice,
+                      const std::string& endpoint,
+                      bool owner_usable) {
+  const Key key{service, slice};
+  Row& row = rows_[key];
+  const bool known = row.term == version_ >> kTermShift && version_ != 0;
+  const bool has_owner = !row.endpoint.empty();
+  if (has_owner && owner_usable) {
+    // A new leader learns the owner from whoever uses it.
+    if (!known)
+      claims_[key] = {{service, slice, row.endpoint}, false};
+    return;
+  }
+  claims_[key] = {{service, slice, endpoint}, has_owner && known};
+  if (!has_owner || !known)
+    SetOwner(row, endpoint);
+}
+
+int SliceMap::OwnedBy(const std::string& endpoint) const {
+  const auto found = owned_.find(endpoint);
+  return found == owned_.end() ? 0 : found->second;
+}
+
+std::vector<protocol::SliceClaim> SliceMap::TakeClaims() {
+  std::vector<protocol::SliceClaim> claims;
+  while (!claims_.empty() && claims.size() < kMaxClaims) {
+    claims.push_back(std::move(claims_.begin()->second));
+    claims_.erase(claims_.begin());
+  }
+  return claims;
+}
+
+void SliceMap::SetOwner(Row& row, const std::string& endpoint) {
+  if (!row.endpoint.empty())
+    --owned_[row.endpoint];
+  row.endpoint = endpoint;
+  if (!endpoint.empty())
+    ++owned_[endpoint];
+}
+
+}  // namespace jacinth::forwarding
--- a/source/core/protocol/command.h
+++ b/source/core/protocol/command.h
@@ -9,6 +9,7 @@
 
 #include "core/common/time.h"
 #include "core/protocol/claim.h"
+#include "core/protocol/slice_list.h"
 
 namespace jacinth::protocol {
 
@@ -50,13 +51,20 @@
   bool operator==(const ChangeSettings&) const = default;
 };
 
+/// Owners of slices, so that a new leader knows them.
+struct RecordOwners {
+  std::vector<SliceOwner> owners;
+
+  bool operator==(const RecordOwners&) const = default;
+};
+
 /// One input of the replicated state machine.
 struct Command {
   /// The leader's wall clock when it proposed the command.
   WallMillis wall_ms = 0;
   /// Names the proposal to the replica that waits for its result.
   std::uint64_t proposal = 0;
-  std::variant<ChangeSettings, ClaimRequest, FinishRequest> body;
+  std::variant<ChangeSettings, ClaimRequest, FinishRequest, RecordOwners> body;
 
   bool operator==(const Command&) const = default;
 };
--- a/source/core/protocol/control_snapshot.h
+++ b/source/core/protocol/control_snapshot.h
@@ -6,6 +6,7 @@
 
 #include "core/common/time.h"
 #include "core/protocol/claim.h"
+#include "core/protocol/slice_list.h"
 
 namespace jacinth::protocol {
 
@@ -67,6 +68,7 @@
   WallMillis forgotten_before_ms = 0;
   std::vector<ChangeResult> results;
   std::vector<AuditRecord> audit;
+  std::vector<SliceOwner> slice_owners;
 
   bool operator==(const ControlSnapshot&) const = default;
 };
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -7,6 +7,7 @@
 #include "core/protocol/command.h"
 #include "core/protocol/endpoint_list.h"
 #include "core/protocol/entry_status.h"
+#include "core/protocol/slice_list.h"
 
 namespace jacinth::protocol {
 
@@ -19,6 +20,9 @@
   std::uint64_t sequence = 0;
   /// Version of the endpoint list that the entry holds.
   std::uint64_t endpoints_version = 0;
+  /// Version of the slices' owners that the entry holds.
+  std::uint64_t slices_version = 0;
+  std::vector<SliceClaim> claims;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -61,6 +65,8 @@
   EndpointUpdate endpoints;
   /// Instances of the replicas known to the sender.
   std::vector<std::string> replicas;
+  /// Set when owners of slices changed (`version` is 0 otherwise).
+  SliceUpdate slices;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/wire/command_codec.cc
+++ b/source/core/wire/command_codec.cc
@@ -18,6 +18,12 @@
   void operator()(const protocol::FinishRequest& body) const {
     out.__set_finish(ToWire(body));
   }
+  void operator()(const protocol::RecordOwners& body) const {
+    std::vector<generated::SliceOwner> owners;
+    for (const protocol::SliceOwner& owner : body.owners)
+      owners.push_back(ToWire(owner));
+    out.__set_owners(owners);
+  }
 };
 
 }  // namespace
@@ -48,6 +54,13 @@
     out.body = FromWire(in->claim);
     return out;
   }
+  if (in->__isset.owners) {
+    protocol::RecordOwners body;
+    for (const generated::SliceOwner& owner : in->owners)
+      body.owners.push_back(FromWire(owner));
+    out.body = std::move(body);
+    return out;
+  }
   if (!in->__isset.finish)
     return Fail(ErrorKind::kCorruptData, "empty command");
   auto finish = FromWire(in->finish);
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -52,6 +52,15 @@
 generated::EndpointUpdate ToWire(const protocol::EndpointUpdate& update);
 protocol::EndpointUpdate FromWire(const generated::EndpointUpdate& update);
 
+generated::SliceOwner ToWire(const protocol::SliceOwner& owner);
+protocol::SliceOwner FromWire(const generated::SliceOwner& owner);
+
+generated::SliceClaim ToWire(const protocol::SliceClaim& claim);
+protocol::SliceClaim FromWire(const generated::SliceClaim& claim);
+
+generated::SliceUpdate ToWire(const protocol::SliceUpdate& update);
+protocol::SliceUpdate FromWire(const generated::SliceUpdate& update);
+
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change);
 protocol::ChangeSettings FromWire(const generated::ChangeSettings& change);
 
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -51,6 +51,9 @@
   out.members_version = static_cast<std::int64_t>(heartbeat.members_version);
   out.endpoints_version =
       static_cast<std::int64_t>(heartbeat.endpoints_version);
+  out.slices_version = static_cast<std::int64_t>(heartbeat.slices_version);
+  for (const protocol::SliceClaim& claim : heartbeat.claims)
+    out.claims.push_back(ToWire(claim));
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -61,6 +64,9 @@
   out.members_version = static_cast<std::uint64_t>(heartbeat.members_version);
   out.endpoints_version =
       static_cast<std::uint64_t>(heartbeat.endpoints_version);
+  out.slices_version = static_cast<std::uint64_t>(heartbeat.slices_version);
+  for (const generated::SliceClaim& claim : heartbeat.claims)
+    out.claims.push_back(FromWire(claim));
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -87,6 +93,8 @@
   if (reply.endpoints.version != 0)
     out.__set_endpoints(ToWire(reply.endpoints));
   out.replicas = reply.replicas;
+  if (reply.slices.version != 0)
+    out.__set_slices(ToWire(reply.slices));
   return out;
 }
 
@@ -110,6 +118,8 @@
   if (reply.__isset.endpoints)
     out.endpoints = FromWire(reply.endpoints);
   out.replicas = reply.replicas;
+  if (reply.__isset.slices)
+    out.slices = FromWire(reply.slices);
   return out;
 }
 
--- /dev/null
+++ b/source/core/wire/convert_slices.cc
@@ -0,0 +1,45 @@
+#include "core/wire/convert.h"
+
+namespace jacinth::wire {
+
+generated::SliceOwner ToWire(const protocol::SliceOwner& owner) {
+  generated::SliceOwner out;
+  out.service_name = owner.service;
+  out.slice = static_cast<std::int32_t>(owner.slice);
+  out.endpoint = owner.endpoint;
+  return out;
+}
+
+protocol::SliceOwner FromWire(const generated::SliceOwner& owner) {
+  return {owner.service_name, static_cast<std::uint32_t>(owner.slice),
+          owner.endpoint};
+}
+
+generated::SliceClaim ToWire(const protocol::SliceClaim& claim) {
+  generated::SliceClaim out;
+  out.owner = ToWire(claim.owner);
+  out.displaces = claim.displaces;
+  return out;
+}
+
+protocol::SliceClaim FromWire(const generated::SliceClaim& claim) {
+  return {FromWire(claim.owner), claim.displaces};
+}
+
+generated::SliceUpdate ToWire(const protocol::SliceUpdate& update) {
+  generated::SliceUpdate out;
+  out.version = static_cast<std::int64_t>(update.version);
+  for (const protocol::SliceOwner& owner : update.changed)
+    out.changed.push_back(ToWire(owner));
+  return out;
+}
+
+protocol::SliceUpdate FromWire(const generated::SliceUpdate& update) {
+  protocol::SliceUpdate out;
+  out.version = static_cast<std::uint64_t>(update.version);
+  for (const generated::SliceOwner& owner : update.changed)
+    out.changed.push_back(FromWire(owner));
+  return out;
+}
+
+}  // namespace jacinth::wire
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -17,9 +17,12 @@
   1: string id, 2: i64 incarnation, 3: string region, 4: string failure_domain,
   5: string address, 6: i64 revision, 7: bool draining
 }
+struct SliceOwner { 1: string service_name, 2: i32 slice, 3: string endpoint }
+struct SliceClaim { 1: SliceOwner owner, 2: bool displaces }
+struct SliceUpdate { 1: i64 version, 2: list<SliceOwner> changed }
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
-  4: i64 endpoints_version
+  4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -39,7 +42,8 @@
 struct HeartbeatReply {
   1: i64 sequence, 2: bool leader, 3: string leader_hint, 4: i64 revision,
   5: optional SettingsUpdate update, 6: optional MemberList members,
-  7: optional EndpointUpdate endpoints, 8: list<string> replicas
+  7: optional EndpointUpdate endpoints, 8: list<string> replicas,
+  9: optional SliceUpdate slices
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
@@ -85,7 +89,7 @@
 struct Command {
   1: i32 version, 2: i64 wall_ms, 3: i64 proposal,
   4: optional ChangeSettings change, 5: optional ClaimRequest claim,
-  6: optional FinishRequest finish
+  6: optional FinishRequest finish, 7: optional list<SliceOwner> owners
 }
 
 struct ClaimRecord {
@@ -103,7 +107,7 @@
   1: i32 version, 2: i64 revision, 3: string tree_text, 4: i64 log_time_ms,
   5: list<ClaimRecord> claims, 6: list<ChangeResult> results,
   7: list<AuditRecord> audit, 8: i64 forgotten_before_ms,
-  9: i64 operator_version
+  9: i64 operator_version, 10: list<SliceOwner> slice_owners
 }
 
 // One synced write of a replica's log; see core/storage.
--- a/source/core/wire/state_codec.cc
+++ b/source/core/wire/state_codec.cc
@@ -68,6 +68,8 @@
     out.results.push_back(ToWire(result));
   for (const auto& record : state.audit)
     out.audit.push_back(ToWire(record));
+  for (const auto& owner : state.slice_owners)
+    out.slice_owners.push_back(ToWire(owner));
   return Serialize(out);
 }
 
@@ -94,6 +96,8 @@
     out.results.push_back(FromWire(result));
   for (const auto& record : in->audit)
     out.audit.push_back(FromWire(record));
+  for (const auto& owner : in->slice_owners)
+    out.slice_owners.push_back(FromWire(owner));
   return out;
 }
 
