Entry: Tell callers when to come back before settings are in force

Cause: 503 without Retry-After after a loss of power; clients came back at once and were refused again.

--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -54,7 +54,7 @@
     actions_.answers.push_back({event.ticket, std::move(refusal), {}});
   };
   if (const auto error = CheckArrival(event)) {
-    refuse(*error, Duration{0});
+    refuse(*error, kRetryAfter);
     return;
   }
   auto resolved = Resolve(event);
@@ -142,8 +142,9 @@
   return std::nullopt;
 }
 
-// When a caller refused for lack of capacity may come again: well inside the
-// objective, if there is one.
+// When a caller refused for lack of room may come again: well inside the
+// objective, if there is one. Whoever is refused for want of settings waits
+// longer, as these take a second to come.
 Duration EntryNode::RetryHint(const RequestRecord& record) const {
   const Duration objective = record.kind.objective;
   if (objective <= Duration{0})
