--- a/source/core/control/slice_assignment.cc
+++ b/source/core/control/slice_assignment.cc
@@ -3,6 +3,7 @@
 namespace jacinth::control {
 namespace {
 
+using protocol::SliceClaimReason;
 using protocol::SliceOwner;
 
 constexpr unsigned kTermShift = 32;
@@ -10,6 +11,9 @@
 /// alone may be cut off.
 constexpr std::size_t kObjectionsNeeded = 2;
 constexpr Duration kObjectionLife = 3s;
+/// Shortest time between two moves of a slice for a lack of room: a moved object
+/// is cold once, which is what an overloaded service has no time for.
+constexpr Duration kCrowdedMoveInterval = 10s;
 /// Bounds the table; slices beyond it are placed by hash alone.
 constexpr std::size_t kMaxRows = 100'000;
 
@@ -40,14 +44,20 @@
     SetOwner(key, row, claim.owner.endpoint);
     return;
   }
-  if (!claim.displaces || row.endpoint == claim.owner.endpoint)
+  const bool displaces = claim.reason != SliceClaimReason::kNoOwner &&
+                         row.endpoint != claim.owner.endpoint;
+  const bool crowded = claim.reason == SliceClaimReason::kOwnerCrowded;
+  if (!displaces || (crowded && now < row.crowded_move + kCrowdedMoveInterval))
     return;
   row.objections[entry] = now;
   std::erase_if(row.objections, [&](const auto& objection) {
     return now > objection.second + kObjectionLife;
   });
-  if (row.objections.size() >= kObjectionsNeeded)
-    SetOwner(key, row, claim.owner.endpoint);
+  if (row.objections.size() < kObjectionsNeeded)
+    return;
+  SetOwner(key, row, claim.owner.endpoint);
+  if (crowded)
+    row.crowded_move = now;
 }
 
 void SliceAssignment::KeepOnly(const std::set<std::string>& usable) {
--- a/source/core/control/slice_assignment.h
+++ b/source/core/control/slice_assignment.h
@@ -26,7 +26,8 @@
              const std::vector<protocol::SliceOwner>& recorded);
 
   /// Takes an entry's claim: a slice without an owner gets the one claimed; an
-  /// owner is displaced once several entries can't use it.
+  /// owner is displaced once several entries can't use it, or had no room there
+  /// and the slice hasn't moved lately.
   void Claim(const std::string& entry,
              const protocol::SliceClaim& claim,
              Time now);
@@ -49,6 +50,8 @@
   struct Row {
     std::string endpoint;
     std::uint64_t changed = 0;
+    /// When the owner was last displaced for a lack of room.
+    Time crowded_move{};
     /// Entries that lately could not use the owner.
     std::map<std::string, Time> objections;
   };
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -14,6 +14,8 @@
 using protocol::HeartbeatReply;
 using protocol::SettingsUpdate;
 
+/// How much faster heartbeats are before the first settings.
+constexpr int kFirstSettingsHaste = 3;
 /// Heartbeats without a leader's reply after which all replicas are asked.
 constexpr int kSearchHeartbeats = 3;
 constexpr std::size_t kMaxContacts = 32;
@@ -30,7 +32,9 @@
 std::optional<Heartbeat> ControlSession::OnTick(Time now) {
   if (now < next_heartbeat_)
     return std::nullopt;
-  next_heartbeat_ = now + heartbeat_;
+  // Without settings nothing can be served: whoever leads next is asked soon.
+  next_heartbeat_ =
+      now + (fleet_ == nullptr ? heartbeat_ / kFirstSettingsHaste : heartbeat_);
   ++sequence_;
   sent_.push_back({sequence_, now});
   while (sent_.front().sent + timeout_ < now)
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -154,7 +154,7 @@
   const std::string& owner = slices.OwnerOf(record.service, slice);
   const bool usable = !owner.empty() && desk.endpoints.MayUse(owner);
   // A request that found no room at the owner warms the endpoint it went to.
-  slices.OnSend(record.service, slice, endpoint, usable && owner == endpoint);
+  slices.OnSend(record.service, slice, endpoint, usable);
   if (slices.has_claims())
     session_.HastenHeartbeat(now);
 }
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -109,7 +109,10 @@
   const std::string* best = nullptr;
   Preference best_preference;
   for (const auto& [name, row] : rows_) {
-    if (!MayServe(name, row, placement, now))
+    // Work is several times longer where the object isn't known: such requests
+    // get idle slots only, lest an overload feed itself.
+    const bool fits = placement.owner.empty() || HasIdleSlot(row, now);
+    if (!fits || !MayServe(name, row, placement, now))
       continue;
     const Preference preference{row.settings.region == region,
                                 Hash64(name, *placement.object)};
@@ -295,6 +298,10 @@
                             : row.load.own() < static_cast<int>(RoomOf(row));
 }
 
+bool EndpointTable::HasIdleSlot(const Row& row, Time now) const {
+  return row.load.Total(now) < row.settings.slots;
+}
+
 bool EndpointTable::ColdAllows(const Row& row, Time now) const {
   if (now >= row.cold_until)
     return true;
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -116,6 +116,7 @@
 
   bool IsUsable(const Row& row) const;
   bool HasRoom(const Row& row, Time now) const;
+  bool HasIdleSlot(const Row& row, Time now) const;
   bool ColdAllows(const Row& row, Time now) const;
   double RoomOf(const Row& row) const;
   bool MayServe(const std::string& name,
--- a/source/core/forwarding/slice_map.cc
+++ b/source/core/forwarding/slice_map.cc
@@ -7,6 +7,8 @@
 namespace jacinth::forwarding {
 namespace {
 
+using protocol::SliceClaimReason;
+
 constexpr unsigned kTermShift = 32;
 /// Claims sent with one heartbeat.
 constexpr std::size_t kMaxClaims = 256;
@@ -43,15 +45,19 @@
   const Key key{service, slice};
   Row& row = rows_[key];
   const bool known = row.term == version_ >> kTermShift && version_ != 0;
-  const bool has_owner = !row.endpoint.empty();
-  if (has_owner && owner_usable) {
+  if (row.endpoint == endpoint) {
     // A new leader learns the owner from whoever uses it.
     if (!known)
-      claims_[key] = {{service, slice, row.endpoint}, false};
+      claims_[key] = {{service, slice, endpoint}, SliceClaimReason::kNoOwner};
     return;
   }
-  claims_[key] = {{service, slice, endpoint}, has_owner && known};
-  if (!has_owner || !known)
+  SliceClaimReason reason = SliceClaimReason::kNoOwner;
+  if (!row.endpoint.empty() && known) {
+    reason = owner_usable ? SliceClaimReason::kOwnerCrowded
+                          : SliceClaimReason::kOwnerUnusable;
+  }
+  claims_[key] = {{service, slice, endpoint}, reason};
+  if (reason == SliceClaimReason::kNoOwner)
     SetOwner(row, endpoint);
 }
 
--- a/source/core/forwarding/slice_map.h
+++ b/source/core/forwarding/slice_map.h
@@ -29,9 +29,8 @@
   const std::string& OwnerOf(const std::string& service,
                              std::uint32_t slice) const;
 
-  /// A request of the slice was sent to `endpoint`; `owner_usable` if the owner
-  /// could have been sent it but for a lack of room. Claims the slice for the
-  /// endpoint if the leader doesn't know an owner that can be used.
+  /// A request of the slice was sent to `endpoint`. Claims the slice for it
+  /// unless that is the owner that the leader knows.
   void OnSend(const std::string& service,
               std::uint32_t slice,
               const std::string& endpoint,
--- a/source/core/protocol/slice_list.h
+++ b/source/core/protocol/slice_list.h
@@ -17,12 +17,20 @@
   bool operator==(const SliceOwner&) const = default;
 };
 
+/// Why an entry claims a slice.
+enum class SliceClaimReason {
+  kNoOwner,
+  /// The owner may not get new work from this entry.
+  kOwnerUnusable,
+  /// The owner had no room for a request.
+  kOwnerCrowded,
+};
+
 /// Entry to control: where an entry has sent requests of a slice that has no
 /// owner it could use.
 struct SliceClaim {
   SliceOwner owner;
-  /// The slice has an owner, which the entry can't use.
-  bool displaces = false;
+  SliceClaimReason reason = SliceClaimReason::kNoOwner;
 
   bool operator==(const SliceClaim&) const = default;
 };
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -25,7 +25,7 @@
 Result<protocol::PeerMessage> FromWire(const generated::PeerMessage& message);
 
 generated::Heartbeat ToWire(const protocol::Heartbeat& heartbeat);
-protocol::Heartbeat FromWire(const generated::Heartbeat& heartbeat);
+Result<protocol::Heartbeat> FromWire(const generated::Heartbeat& heartbeat);
 
 generated::HeartbeatReply ToWire(const protocol::HeartbeatReply& reply);
 protocol::HeartbeatReply FromWire(const generated::HeartbeatReply& reply);
@@ -56,7 +56,7 @@
 protocol::SliceOwner FromWire(const generated::SliceOwner& owner);
 
 generated::SliceClaim ToWire(const protocol::SliceClaim& claim);
-protocol::SliceClaim FromWire(const generated::SliceClaim& claim);
+Result<protocol::SliceClaim> FromWire(const generated::SliceClaim& claim);
 
 generated::SliceUpdate ToWire(const protocol::SliceUpdate& update);
 protocol::SliceUpdate FromWire(const generated::SliceUpdate& update);
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -58,15 +58,19 @@
   return out;
 }
 
-protocol::Heartbeat FromWire(const generated::Heartbeat& heartbeat) {
+Result<protocol::Heartbeat> FromWire(const generated::Heartbeat& heartbeat) {
   protocol::Heartbeat out;
   out.status = StatusFromWire(heartbeat.status);
   out.members_version = static_cast<std::uint64_t>(heartbeat.members_version);
   out.endpoints_version =
       static_cast<std::uint64_t>(heartbeat.endpoints_version);
   out.slices_version = static_cast<std::uint64_t>(heartbeat.slices_version);
-  for (const generated::SliceClaim& claim : heartbeat.claims)
-    out.claims.push_back(FromWire(claim));
+  for (const generated::SliceClaim& claim : heartbeat.claims) {
+    auto converted = FromWire(claim);
+    if (!converted)
+      return tl::unexpected(converted.error());
+    out.claims.push_back(*converted);
+  }
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
--- a/source/core/wire/convert_slices.cc
+++ b/source/core/wire/convert_slices.cc
@@ -1,4 +1,5 @@
 #include "core/wire/convert.h"
+#include "core/wire/thrift_buffer.h"
 
 namespace jacinth::wire {
 
@@ -18,12 +19,16 @@
 generated::SliceClaim ToWire(const protocol::SliceClaim& claim) {
   generated::SliceClaim out;
   out.owner = ToWire(claim.owner);
-  out.displaces = claim.displaces;
+  out.reason = static_cast<std::int32_t>(claim.reason);
   return out;
 }
 
-protocol::SliceClaim FromWire(const generated::SliceClaim& claim) {
-  return {FromWire(claim.owner), claim.displaces};
+Result<protocol::SliceClaim> FromWire(const generated::SliceClaim& claim) {
+  const auto reason =
+      ToEnum(claim.reason, protocol::SliceClaimReason::kOwnerCrowded);
+  if (!reason)
+    return tl::unexpected(reason.error());
+  return protocol::SliceClaim{FromWire(claim.owner), *reason};
 }
 
 generated::SliceUpdate ToWire(const protocol::SliceUpdate& update) {
--- a/source/core/wire/envelope_codec.cc
+++ b/source/core/wire/envelope_codec.cc
@@ -87,7 +87,7 @@
   if (set.ping)
     return protocol::Envelope(protocol::Ping{in->ping.reply});
   if (set.heartbeat)
-    return protocol::Envelope(FromWire(in->heartbeat));
+    return Wrap(FromWire(in->heartbeat));
   if (set.heartbeat_reply)
     return protocol::Envelope(FromWire(in->heartbeat_reply));
   if (set.claim)
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -18,7 +18,7 @@
   5: string address, 6: i64 revision, 7: bool draining
 }
 struct SliceOwner { 1: string service_name, 2: i32 slice, 3: string endpoint }
-struct SliceClaim { 1: SliceOwner owner, 2: bool displaces }
+struct SliceClaim { 1: SliceOwner owner, 2: i32 reason }
 struct SliceUpdate { 1: i64 version, 2: list<SliceOwner> changed }
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
--- a/source/unit_tests/control/slice_assignment_test.cc
+++ b/source/unit_tests/control/slice_assignment_test.cc
@@ -9,11 +9,13 @@
 
 using forwarding::SliceMap;
 using protocol::SliceClaim;
+using protocol::SliceClaimReason;
 
 constexpr Time kNow{100s};
 
-SliceClaim Claim(const std::string& endpoint, bool displaces = false) {
-  return {{"s", 7, endpoint}, displaces};
+SliceClaim Claim(const std::string& endpoint,
+                 SliceClaimReason reason = SliceClaimReason::kNoOwner) {
+  return {{"s", 7, endpoint}, reason};
 }
 
 }  // namespace
@@ -43,19 +45,34 @@
     map.Take(leader.UpdateFor(map.version()));
     return map.OwnerOf("s", 7);
   };
-  leader.Claim("e1", Claim("b", true), kNow);
-  leader.Claim("e1", Claim("b", true), kNow + 1s);
+  leader.Claim("e1", Claim("b", SliceClaimReason::kOwnerUnusable), kNow);
+  leader.Claim("e1", Claim("b", SliceClaimReason::kOwnerUnusable), kNow + 1s);
   CHECK(owner() == "a");
   SECTION("another one in time") {
-    leader.Claim("e2", Claim("c", true), kNow + 2s);
+    leader.Claim("e2", Claim("c", SliceClaimReason::kOwnerUnusable), kNow + 2s);
     CHECK(owner() == "c");
   }
   SECTION("another one long after") {
-    leader.Claim("e2", Claim("c", true), kNow + 10s);
+    leader.Claim("e2", Claim("c", SliceClaimReason::kOwnerUnusable), kNow + 10s);
     CHECK(owner() == "a");
   }
 }
 
+TEST_CASE("A crowded slice moves once, and then not for a while") {
+  SliceAssignment leader;
+  leader.Reset(1, {{"s", 7, "a"}});
+  SliceMap map;
+  const auto owner_after = [&](const std::string& wanted, Time now) {
+    for (const char* entry : {"e1", "e2"})
+      leader.Claim(entry, Claim(wanted, SliceClaimReason::kOwnerCrowded), now);
+    map.Take(leader.UpdateFor(map.version()));
+    return map.OwnerOf("s", 7);
+  };
+  CHECK(owner_after("b", kNow) == "b");
+  CHECK(owner_after("c", kNow + 3s) == "b");
+  CHECK(owner_after("c", kNow + 20s) == "c");
+}
+
 TEST_CASE("Slices of an endpoint that is gone are free again") {
   SliceAssignment leader;
   leader.Reset(1, {{"s", 7, "a"}});
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -123,6 +123,32 @@
   CHECK(*spilled != "p3");
 }
 
+TEST_CASE("An object's requests wait at its owner if no slot is idle elsewhere") {
+  EndpointTable table;
+  settings::ServiceSettings service = Service(2, 2);
+  service.endpoint_queue_percent = 300;
+  table.Update(service, kNow);
+  const auto report = [&](const std::string& name, int running) {
+    Placement any;
+    any.owner = name;
+    any.object = 1;
+    REQUIRE(table.Take(any, kNow) == name);
+    table.OnAttemptEnd(name, AttemptEnd::kAnswered,
+                       LoadReport{running, 0, 2}, kNow);
+  };
+  report("p0", 0);
+  report("p1", 2);
+  Placement placement;
+  placement.home = "west";
+  placement.object = 1;
+  placement.owner = "p0";
+  for (int i = 0; i < 6; ++i)
+    CHECK(table.Take(placement, kNow) == "p0");
+  // The other one works on what it knows: the request is not for it.
+  CHECK_FALSE(table.Take(placement, kNow));
+  CHECK(table.Take(placement, kNow + 4s) == "p1");
+}
+
 TEST_CASE("An object's place moves only if its endpoint goes") {
   const auto in_one_region = [](int endpoints) {
     settings::ServiceSettings service = Service(endpoints, 100);
