--- a/source/core/control/slice_assignment.cc
+++ b/source/core/control/slice_assignment.cc
@@ -11,8 +11,8 @@
 /// alone may be cut off.
 constexpr std::size_t kObjectionsNeeded = 2;
 constexpr Duration kObjectionLife = 3s;
-/// Shortest time between two moves of a slice for a lack of room: a moved object
-/// is cold once, which is what an overloaded service has no time for.
+/// Shortest time between two moves of a slice for a lack of room: a moved
+/// object is cold once, which is what an overloaded service has no time for.
 constexpr Duration kCrowdedMoveInterval = 10s;
 /// Bounds the table; slices beyond it are placed by hash alone.
 constexpr std::size_t kMaxRows = 100'000;
--- a/source/core/http/message_parser.cc
+++ b/source/core/http/message_parser.cc
@@ -221,9 +221,9 @@
 
 bool MessageParser::HeadIsValid() const {
   // The library takes blanks in names, which others read in their own way.
-  const bool names_valid = std::all_of(
-      headers_.begin(), headers_.end(),
-      [](const auto& field) { return IsToken(field.first); });
+  const bool names_valid =
+      std::all_of(headers_.begin(), headers_.end(),
+                  [](const auto& field) { return IsToken(field.first); });
   if (!names_valid)
     return false;
   const std::size_t lengths = CountFields(headers_, "Content-Length");
--- a/source/unit_tests/control/slice_assignment_test.cc
+++ b/source/unit_tests/control/slice_assignment_test.cc
@@ -53,7 +53,8 @@
     CHECK(owner() == "c");
   }
   SECTION("another one long after") {
-    leader.Claim("e2", Claim("c", SliceClaimReason::kOwnerUnusable), kNow + 10s);
+    leader.Claim("e2", Claim("c", SliceClaimReason::kOwnerUnusable),
+                 kNow + 10s);
     CHECK(owner() == "a");
   }
 }
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -101,7 +101,8 @@
   REQUIRE(driver.Refusal(ticket) != nullptr);
   CHECK(driver.Refusal(ticket)->error.kind == ErrorKind::kNotReady);
   CHECK(driver.Refusal(ticket)->outcome == Outcome::kNotRun);
-  // Settings take seconds to come: a caller that comes at once is refused again.
+  // Settings take seconds to come: a caller that comes at once is refused
+  // again.
   CHECK(driver.Refusal(ticket)->retry_after == kRetryAfter);
 }
 
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -123,7 +123,8 @@
   CHECK(*spilled != "p3");
 }
 
-TEST_CASE("An object's requests wait at its owner if no slot is idle elsewhere") {
+TEST_CASE(
+    "An object's requests wait at its owner if no slot is idle elsewhere") {
   EndpointTable table;
   settings::ServiceSettings service = Service(2, 2);
   service.endpoint_queue_percent = 300;
@@ -133,8 +134,8 @@
     any.owner = name;
     any.object = 1;
     REQUIRE(table.Take(any, kNow) == name);
-    table.OnAttemptEnd(name, AttemptEnd::kAnswered,
-                       LoadReport{running, 0, 2}, kNow);
+    table.OnAttemptEnd(name, AttemptEnd::kAnswered, LoadReport{running, 0, 2},
+                       kNow);
   };
   report("p0", 0);
   report("p1", 2);
