Forwarding: Wait at an owner while the objective can be met

Ruled out: the change of leader in the same second (entries served on). Change: endpoint_wait_percent; a timeout doesn't count against an endpoint that answered others within a second.

--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -1,6 +1,7 @@
 #include "core/forwarding/endpoint_table.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "core/common/hash.h"
@@ -15,6 +16,9 @@
 constexpr Duration kAsideProbes = 500ms;
 /// Most endpoints of a service that may be put aside, in percent.
 constexpr std::size_t kMaxAsidePercent = 50;
+/// Age of an endpoint's last answer up to which a timeout is put down to its
+/// load.
+constexpr Duration kBusyAnswerAge = 1s;
 /// Factor of the limit after a refusal.
 constexpr double kLimitDecrease = 0.7;
 /// Time that an endpoint is left alone after a refusal.
@@ -31,7 +35,9 @@
   bool in_place = false;
   std::uint64_t weight = 0;
 
-  auto operator<=>(const Preference&) const = default;
+  bool operator<(const Preference& other) const {
+    return std::tie(in_place, weight) < std::tie(other.in_place, other.weight);
+  }
 };
 
 bool SameStart(const settings::EndpointSettings& left,
@@ -47,6 +53,7 @@
   probe_failures_ = service.probe_failures;
   probe_interval_ = service.probe_interval;
   queue_percent_ = service.endpoint_queue_percent;
+  wait_percent_ = service.endpoint_wait_percent;
   warmup_ = service.warmup;
   std::set<std::string> kept;
   for (const settings::EndpointSettings& endpoint : service.endpoints) {
@@ -101,8 +108,10 @@
 const std::string* EndpointTable::ChooseByObject(const Placement& placement,
                                                  Time now) const {
   const auto owner = rows_.find(placement.owner);
-  if (owner != rows_.end() &&
-      MayServe(owner->first, owner->second, placement, now))
+  const bool owner_serves =
+      owner != rows_.end() &&
+      MayServe(owner->first, owner->second, placement, now);
+  if (owner_serves && !IsCrowded(owner->second, now))
     return &owner->first;
   const std::string region =
       Shares().RegionFor(placement.home, *placement.object);
@@ -121,7 +130,7 @@
     best = &name;
     best_preference = preference;
   }
-  return best;
+  return best == nullptr && owner_serves ? &owner->first : best;
 }
 
 std::string EndpointTable::ProposeOwner(const Placement& placement,
@@ -213,11 +222,17 @@
     Note("endpoint_replaced", row);
     return;
   }
+  // An endpoint that answers others in time is busy, not broken.
+  const bool busy =
+      end == AttemptEnd::kTimedOut && now < row.last_answer + kBusyAnswerAge;
+  if (busy)
+    return;
   if (IsEndpointFailure(end)) {
     OnFailure(row, AttemptEndName(end), now);
     return;
   }
   row.failures = 0;
+  row.last_answer = now;
   if (end == AttemptEnd::kRefused) {
     OnRefusal(row, now);
     return;
@@ -298,10 +313,15 @@
                             : row.load.own() < static_cast<int>(RoomOf(row));
 }
 
-bool EndpointTable::HasIdleSlot(const Row& row, Time now) const {
+bool EndpointTable::HasIdleSlot(const Row& row, Time now) {
   return row.load.Total(now) < row.settings.slots;
 }
 
+bool EndpointTable::IsCrowded(const Row& row, Time now) const {
+  return row.load.Total(now) * kPercent >=
+         static_cast<double>(row.settings.slots) * wait_percent_;
+}
+
 bool EndpointTable::ColdAllows(const Row& row, Time now) const {
   if (now >= row.cold_until)
     return true;
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -112,11 +112,13 @@
     Time probe_due{};
     Time cold_until{};
     Time last_cold_send{};
+    Time last_answer{};
   };
 
   bool IsUsable(const Row& row) const;
   bool HasRoom(const Row& row, Time now) const;
-  bool HasIdleSlot(const Row& row, Time now) const;
+  static bool HasIdleSlot(const Row& row, Time now);
+  bool IsCrowded(const Row& row, Time now) const;
   bool ColdAllows(const Row& row, Time now) const;
   double RoomOf(const Row& row) const;
   bool MayServe(const std::string& name,
@@ -140,6 +142,7 @@
   /// Zero if only endpoints put aside are probed.
   Duration probe_interval_{0};
   int queue_percent_ = 100;
+  int wait_percent_ = 100;
   Duration warmup_{0};
   bool listed_ = false;
   int inflight_ = 0;
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -115,6 +115,7 @@
     service.health_path = Text(branch, "health_path");
     service.endpoint_connections = Small(branch, "endpoint_connections");
     service.endpoint_queue_percent = Small(branch, "endpoint_queue_percent");
+    service.endpoint_wait_percent = Small(branch, "endpoint_wait_percent");
     service.warmup = Millis(branch, "warmup_ms");
     service.warmup_per_s =
         static_cast<double>(Integer(branch, "warmup_per_1000_s")) / kPerSecond;
--- a/source/core/settings/service_settings.h
+++ b/source/core/settings/service_settings.h
@@ -30,6 +30,7 @@
   std::string health_path;
   int endpoint_connections = 0;
   int endpoint_queue_percent = 100;
+  int endpoint_wait_percent = 100;
   /// Time for which an endpoint is cold after its start.
   Duration warmup{0};
   /// Requests per second that a cold endpoint bears; 0 for no limit.
--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -291,6 +291,14 @@
                 "100",
                 "Requests that may be at one endpoint, running or waiting "
                 "there, in percent of its slots."},
+    TreeSetting{"endpoint_wait_percent",
+                kAnyService,
+                SettingType::kInteger,
+                {1, 10'000},
+                "100",
+                "Requests at the owner of an object, in percent of its slots, "
+                "up to which one more waits there; above, it goes to an idle "
+                "slot elsewhere if there is one."},
     TreeSetting{"health_path",
                 kAnyService,
                 SettingType::kText,
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -128,6 +128,7 @@
   EndpointTable table;
   settings::ServiceSettings service = Service(2, 2);
   service.endpoint_queue_percent = 300;
+  service.endpoint_wait_percent = 200;
   table.Update(service, kNow);
   const auto report = [&](const std::string& name, int running) {
     Placement any;
@@ -150,6 +151,38 @@
   CHECK(table.Take(placement, kNow + 4s) == "p1");
 }
 
+TEST_CASE("Above what may wait, an idle slot elsewhere goes first") {
+  EndpointTable table;
+  settings::ServiceSettings service = Service(2, 2);
+  service.endpoint_queue_percent = 300;
+  service.endpoint_wait_percent = 200;
+  table.Update(service, kNow);
+  Placement placement;
+  placement.home = "west";
+  placement.object = 1;
+  placement.owner = "p0";
+  REQUIRE(table.Take(placement, kNow) == "p0");
+  table.OnAttemptEnd("p0", AttemptEnd::kAnswered, LoadReport{0, 0, 2}, kNow);
+  for (int i = 0; i < 4; ++i)
+    CHECK(table.Take(placement, kNow) == "p0");
+  CHECK(table.Take(placement, kNow) == "p1");
+  CHECK(table.Take(placement, kNow) == "p1");
+  CHECK(table.Take(placement, kNow) == "p0");
+}
+
+TEST_CASE("Timeouts put a silent endpoint aside, not a busy one") {
+  EndpointTable table;
+  table.Update(Service(4, 10), kNow);
+  const std::string busy = TakeAny(table);
+  table.OnAttemptEnd(busy, AttemptEnd::kAnswered, {}, kNow);
+  for (int i = 0; i < 6; ++i)
+    table.OnAttemptEnd(busy, AttemptEnd::kTimedOut, {}, kNow + 500ms);
+  CHECK(table.MayUse(busy));
+  for (int i = 0; i < 6; ++i)
+    table.OnAttemptEnd(busy, AttemptEnd::kTimedOut, {}, kNow + 5s);
+  CHECK_FALSE(table.MayUse(busy));
+}
+
 TEST_CASE("An object's place moves only if its endpoint goes") {
   const auto in_one_region = [](int endpoints) {
     settings::ServiceSettings service = Service(endpoints, 100);
