--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -117,16 +117,16 @@
 void EntryNode::TickListing(Time now) {
   if (!options_.can_list_endpoints || now < next_listing_)
     return;
-  const bool first = next_listing_ == Time{};
   const std::uint64_t draw =
       Hash64(options_.self.id,
              static_cast<std::uint64_t>(now.time_since_epoch().count()));
-  next_listing_ =
-      now + kListingInterval +
-      Duration(static_cast<std::int64_t>(
-          draw % static_cast<std::uint64_t>(kListingInterval.count())));
-  const bool fresh = now < session_.endpoints_at() + kStaleList;
-  actions_.list_endpoints = !first && !fresh;
+  const auto spread = static_cast<std::uint64_t>(kListingInterval.count());
+  next_listing_ = now + kListingInterval +
+                  Duration(static_cast<std::int64_t>(draw % spread));
+  // A fresh entry doesn't wait for a leader that may have to be elected first.
+  const bool fresh = session_.endpoints_at() != Time{} &&
+                     now < session_.endpoints_at() + kStaleList;
+  actions_.list_endpoints = !fresh;
 }
 
 void EntryNode::TakeFleet(Time now) {
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -246,6 +246,16 @@
   CHECK(to_other == 10);
 }
 
+TEST_CASE("A fresh entry reads the list at once, before any settings") {
+  EntryDriver driver(Options());
+  CHECK(driver.node.Step(Tick{}, driver.now).list_endpoints);
+  driver.Step(EndpointsListed{{Listed("a")}});
+  driver.Apply(RouteTree());
+  Arrive(driver, "/once/x");
+  REQUIRE(driver.attempts.size() == 1);
+  CHECK(driver.attempts[0].endpoint == "a");
+}
+
 TEST_CASE("Without the control role an entry reads the list itself") {
   EntryDriver driver = Ready();
   int listings = 0;
