Forwarding: Put aside endpoints that fail while they are idle

Change: a good answer makes up for one failure, no longer for all; a refusal with idle slots is a failure; a timeout is excused only at an endpoint with a queue.

--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -222,21 +222,27 @@
     Note("endpoint_replaced", row);
     return;
   }
-  // An endpoint that answers others in time is busy, not broken.
-  const bool busy =
-      end == AttemptEnd::kTimedOut && now < row.last_answer + kBusyAnswerAge;
+  // An endpoint with a queue that answers others in time is busy, not broken.
+  const bool busy = end == AttemptEnd::kTimedOut && !HasIdleSlot(row, now) &&
+                    now < row.last_answer + kBusyAnswerAge;
   if (busy)
     return;
   if (IsEndpointFailure(end)) {
     OnFailure(row, AttemptEndName(end), now);
     return;
   }
-  row.failures = 0;
   row.last_answer = now;
   if (end == AttemptEnd::kRefused) {
+    const bool idle =
+        load && load->running + load->waiting < row.settings.slots;
+    if (idle)
+      OnFailure(row, "refused_while_idle", now);
     OnRefusal(row, now);
     return;
   }
+  // One good answer makes up for one failure, so that an endpoint which fails
+  // every second request is noticed, too.
+  row.failures = std::max(0, row.failures - 1);
   OnAnswer(row);
 }
 
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -174,7 +174,8 @@
   EndpointTable table;
   table.Update(Service(4, 10), kNow);
   const std::string busy = TakeAny(table);
-  table.OnAttemptEnd(busy, AttemptEnd::kAnswered, {}, kNow);
+  // As many wait there as run.
+  table.OnAttemptEnd(busy, AttemptEnd::kAnswered, LoadReport{10, 10, 10}, kNow);
   for (int i = 0; i < 6; ++i)
     table.OnAttemptEnd(busy, AttemptEnd::kTimedOut, {}, kNow + 500ms);
   CHECK(table.MayUse(busy));
@@ -183,6 +184,30 @@
   CHECK_FALSE(table.MayUse(busy));
 }
 
+TEST_CASE("An endpoint that fails two requests of three is put aside") {
+  EndpointTable table;
+  table.Update(Service(4, 10), kNow);
+  for (int i = 0; i < 9 && table.MayUse("p0"); ++i) {
+    table.OnAttemptEnd("p0",
+                       i % 3 == 0 ? AttemptEnd::kAnswered
+                                  : AttemptEnd::kConnectionLost,
+                       {}, kNow);
+  }
+  CHECK_FALSE(table.MayUse("p0"));
+}
+
+TEST_CASE("Refusals put an endpoint aside only if it has idle slots") {
+  EndpointTable table;
+  table.Update(Service(4, 10), kNow);
+  for (int i = 0; i < 4; ++i) {
+    table.OnAttemptEnd("p0", AttemptEnd::kRefused, LoadReport{2, 0, 10}, kNow);
+    table.OnAttemptEnd("p1", AttemptEnd::kRefused, LoadReport{10, 30, 10},
+                       kNow);
+  }
+  CHECK_FALSE(table.MayUse("p0"));
+  CHECK(table.MayUse("p1"));
+}
+
 TEST_CASE("An object's place moves only if its endpoint goes") {
   const auto in_one_region = [](int endpoints) {
     settings::ServiceSettings service = Service(endpoints, 100);
