--- /dev/null
+++ b/source/core/control/control_lists.cc
@@ -0,0 +1,82 @@
+#include <set>
+#include <utility>
+
+#include "core/control/control_node.h"
+
+namespace jacinth::control {
+namespace {
+
+/// Time between records of the slices' owners in the log.
+constexpr Duration kRecordInterval = 500ms;
+
+}  // namespace
+
+void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
+  if (!Leads(clock.now) || registry_term_ != replica_->term())
+    return;
+  BeginSlices();
+  catalog_.Take(event.endpoints, clock.now);
+  slices_.KeepOnly(UsableIds(event.endpoints));
+  PushLists(clock.now);
+}
+
+// Called once the lease is held: only then is all applied that earlier leaders
+// recorded.
+void ControlNode::BeginSlices() {
+  if (slices_term_ == registry_term_)
+    return;
+  slices_term_ = registry_term_;
+  slices_.Reset(slices_term_, state_.SliceOwners());
+}
+
+// Endpoints that may own slices.
+std::set<std::string> ControlNode::UsableIds(
+    const std::vector<protocol::ListedEndpoint>& endpoints) const {
+  std::set<std::string> ids;
+  for (const protocol::ListedEndpoint& endpoint : endpoints) {
+    const auto region = options_.domain_regions.find(endpoint.failure_domain);
+    const bool drained =
+        endpoint.draining ||
+        (region != options_.domain_regions.end() &&
+         IsDomainDrained(region->second, endpoint.failure_domain));
+    if (!drained)
+      ids.insert(endpoint.id);
+  }
+  return ids;
+}
+
+bool ControlNode::IsDomainDrained(const std::string& region,
+                                  const std::string& domain) const {
+  const auto drain = state_.tree().Effective(
+      "region/" + region + "/failure_domain/" + domain, "drain");
+  return drain && drain->value == "true";
+}
+
+// So that a new leader, or all of them after a loss of power, begin with the
+// owners that are warm.
+void ControlNode::RecordSlices(ClockReading clock) {
+  if (clock.now < next_record_)
+    return;
+  next_record_ = clock.now + kRecordInterval;
+  protocol::RecordOwners record{slices_.TakeUnrecorded()};
+  if (!record.owners.empty())
+    ProposeCommand(OwnersWaiter{}, std::move(record), clock);
+}
+
+void ControlNode::PushLists(Time now) {
+  for (const protocol::EntryStatus& entry : registry_.Statuses()) {
+    HeldVersions& held = held_versions_[entry.id];
+    protocol::HeartbeatReply reply;
+    reply.endpoints = catalog_.UpdateFor(held.endpoints, now);
+    reply.slices = slices_.UpdateFor(held.slices);
+    if (reply.endpoints.version == 0 && reply.slices.version == 0)
+      continue;
+    reply.leader = true;
+    reply.leader_hint = LeaderInstance();
+    // If this is lost, the entry's next heartbeat tells.
+    held = {catalog_.version(), slices_.version()};
+    SendToEntry(entry.id, std::move(reply));
+  }
+}
+
+}  // namespace jacinth::control
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -102,10 +102,7 @@
   void On(const StorageFailed& event, ClockReading clock);
   void On(const Tick& event, ClockReading clock);
   void On(const StopRequested& event, ClockReading clock);
-  void On(const EndpointsListed& event, ClockReading clock);
-  void On(const ContactsChanged& event, ClockReading clock);
 
-  void OnPeer(const protocol::PeerMessage& message, ClockReading clock);
   void OnHeartbeat(const std::string& from,
                    const protocol::Heartbeat& heartbeat,
                    ClockReading clock);
@@ -116,10 +113,7 @@
                 const protocol::FinishRequest& request,
                 ClockReading clock);
 
-  void TickFormation(ClockReading clock);
-  void TickRejoin(ClockReading clock);
   void TickLeader(ClockReading clock);
-  void FoundGroup(ClockReading clock);
   void Collect(ClockReading clock);
   void ApplyCommitted(const std::vector<protocol::LogEntry>& entries,
                       ClockReading clock);
@@ -129,6 +123,17 @@
                       ClockReading clock);
   void AbandonWaiters();
   void PushSettings(ClockReading clock);
+
+  // control_membership.cc
+  void On(const ContactsChanged& event, ClockReading clock);
+  void OnPeer(const protocol::PeerMessage& message, ClockReading clock);
+  void TickFormation(ClockReading clock);
+  void TickRejoin(ClockReading clock);
+  void FoundGroup(ClockReading clock);
+  std::vector<std::string> ReplicaInstances() const;
+
+  // control_lists.cc
+  void On(const EndpointsListed& event, ClockReading clock);
   void PushLists(Time now);
   void BeginSlices();
   void RecordSlices(ClockReading clock);
@@ -136,7 +141,6 @@
       const std::vector<protocol::ListedEndpoint>& endpoints) const;
   bool IsDomainDrained(const std::string& region,
                        const std::string& domain) const;
-  std::vector<std::string> ReplicaInstances() const;
 
   // control_notes.cc
   log::Record& Note(std::string_view event);
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -143,22 +143,6 @@
   }
 }
 
-void ControlNode::PushLists(Time now) {
-  for (const protocol::EntryStatus& entry : registry_.Statuses()) {
-    HeldVersions& held = held_versions_[entry.id];
-    protocol::HeartbeatReply reply;
-    reply.endpoints = catalog_.UpdateFor(held.endpoints, now);
-    reply.slices = slices_.UpdateFor(held.slices);
-    if (reply.endpoints.version == 0 && reply.slices.version == 0)
-      continue;
-    reply.leader = true;
-    reply.leader_hint = LeaderInstance();
-    // If this is lost, the entry's next heartbeat tells.
-    held = {catalog_.version(), slices_.version()};
-    SendToEntry(entry.id, std::move(reply));
-  }
-}
-
 void ControlNode::SendToEntry(const std::string& entry,
                               protocol::Envelope envelope) {
   actions_.messages.push_back({entry, std::move(envelope)});
--- a/source/core/control/endpoint_catalog.cc
+++ b/source/core/control/endpoint_catalog.cc
@@ -16,7 +16,7 @@
 constexpr Duration kWarmupJitter = 1s;
 
 bool SameBut(ListedEndpoint left, const ListedEndpoint& right) {
-  left.warmup_left_ms = right.warmup_left_ms;
+  left.cold_for_ms = right.cold_for_ms;
   return left == right;
 }
 
@@ -78,8 +78,7 @@
 bool EndpointCatalog::TakeRow(const ListedEndpoint& endpoint,
                               std::uint64_t version,
                               Time now) {
-  const Time cold_until =
-      now + std::chrono::milliseconds(endpoint.warmup_left_ms);
+  const Time cold_until = now + std::chrono::milliseconds(endpoint.cold_for_ms);
   const auto [found, added] = rows_.try_emplace(endpoint.id);
   Row& row = found->second;
   ListedEndpoint next = endpoint;
@@ -88,8 +87,8 @@
                           row.endpoint.address == endpoint.address;
   if (same_start)
     next.draining |= row.endpoint.draining;
-  const bool colder = cold_until > row.cold_until + kWarmupJitter &&
-                      endpoint.warmup_left_ms > 0;
+  const bool colder =
+      cold_until > row.cold_until + kWarmupJitter && endpoint.cold_for_ms > 0;
   if (!added && SameBut(row.endpoint, next) && !colder)
     return false;
   row.endpoint = std::move(next);
@@ -100,7 +99,7 @@
 
 ListedEndpoint EndpointCatalog::Describe(const Row& row, Time now) {
   ListedEndpoint endpoint = row.endpoint;
-  endpoint.warmup_left_ms =
+  endpoint.cold_for_ms =
       std::max<std::int64_t>(0, ToMillis(row.cold_until - now));
   return endpoint;
 }
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -190,7 +190,7 @@
   if (region != options_.domain_regions.end())
     endpoint.region = region->second;
   endpoint.slots = row.slots;
-  endpoint.warmup_left = std::chrono::milliseconds(row.warmup_left_ms);
+  endpoint.cold_for = std::chrono::milliseconds(row.cold_for_ms);
   const bool domain_drained =
       session_.fleet()->drained_domains.count(row.failure_domain) != 0;
   endpoint.drained = row.draining || domain_drained;
--- a/source/core/protocol/endpoint_list.h
+++ b/source/core/protocol/endpoint_list.h
@@ -22,7 +22,7 @@
   bool draining = false;
   /// How much longer the endpoint was cold when the list was read, in
   /// milliseconds.
-  std::int64_t warmup_left_ms = 0;
+  std::int64_t cold_for_ms = 0;
 
   bool operator==(const ListedEndpoint&) const = default;
 };
--- a/source/core/settings/endpoint_settings.h
+++ b/source/core/settings/endpoint_settings.h
@@ -22,7 +22,7 @@
   /// Start of the endpoint in Unix milliseconds; 0 if unknown.
   std::int64_t started_ms = 0;
   /// How long the endpoint was still cold when it was listed.
-  Duration warmup_left{0};
+  Duration cold_for{0};
 };
 
 }  // namespace jacinth::settings
--- a/source/core/wire/convert_endpoints.cc
+++ b/source/core/wire/convert_endpoints.cc
@@ -12,7 +12,7 @@
   out.failure_domain = row.failure_domain;
   out.slots = row.slots;
   out.draining = row.draining;
-  out.warmup_left_ms = row.warmup_left_ms;
+  out.cold_for_ms = row.cold_for_ms;
   return out;
 }
 
@@ -25,7 +25,7 @@
   out.failure_domain = row.failure_domain;
   out.slots = row.slots;
   out.draining = row.draining;
-  out.warmup_left_ms = row.warmup_left_ms;
+  out.cold_for_ms = row.cold_for_ms;
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -32,7 +32,7 @@
 struct ListedEndpoint {
   1: string id, 2: i64 started_ms, 3: string service_name, 4: string address,
   5: string failure_domain, 6: i32 slots, 7: bool draining,
-  8: i64 warmup_left_ms
+  8: i64 cold_for_ms
 }
 struct EndpointUpdate {
   1: i64 version, 2: i64 base, 3: list<ListedEndpoint> changed,
--- a/source/unit_tests/control/endpoint_catalog_test.cc
+++ b/source/unit_tests/control/endpoint_catalog_test.cc
@@ -80,9 +80,9 @@
   catalog.Reset(1);
   ListedEndpoint endpoint = Endpoint("a");
   catalog.Take({endpoint}, kNow);
-  endpoint.warmup_left_ms = 3'000;
+  endpoint.cold_for_ms = 3'000;
   CHECK(catalog.Take({endpoint}, kNow));
-  endpoint.warmup_left_ms = 2'500;
+  endpoint.cold_for_ms = 2'500;
   CHECK_FALSE(catalog.Take({endpoint}, kNow + 500ms));
 }
 
