--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -188,10 +188,9 @@
   EndpointTable table;
   table.Update(Service(4, 10), kNow);
   for (int i = 0; i < 9 && table.MayUse("p0"); ++i) {
-    table.OnAttemptEnd("p0",
-                       i % 3 == 0 ? AttemptEnd::kAnswered
-                                  : AttemptEnd::kConnectionLost,
-                       {}, kNow);
+    table.OnAttemptEnd(
+        "p0", i % 3 == 0 ? AttemptEnd::kAnswered : AttemptEnd::kConnectionLost,
+        {}, kNow);
   }
   CHECK_FALSE(table.MayUse("p0"));
 }
