Http: Answer unreadable requests in the interface's own form

Cause: scripts/demo expected body_too_large as a problem answer and got plain text from the event server. Change: the server asks its owner for such answers; the dialect forms them. The duplicate line on settings in force is gone.

--- a/source/core/http/event_server.h
+++ b/source/core/http/event_server.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -40,6 +41,10 @@
  public:
   using Handler = std::function<void(std::shared_ptr<Transaction>)>;
 
+  /// Makes the answer to a request that can't be read, from its status and a
+  /// sentence on what is wrong.
+  using Refuser = std::function<Response(int status, const std::string& why)>;
+
   EventServer(asio::io_context& context, Handler handler);
   ~EventServer();
   EventServer(const EventServer&) = delete;
@@ -48,6 +53,9 @@
   /// Binds `address` (`ip:port`) and starts to accept.
   Result<void> Listen(const std::string& address);
 
+  /// Without a refuser, such answers are plain text.
+  void SetRefuser(Refuser refuser) { refuser_ = std::move(refuser); }
+
   /// Takes effect on requests that begin later.
   void SetLimits(const EventServerLimits& limits) { limits_ = limits; }
   const EventServerLimits& limits() const { return limits_; }
@@ -69,6 +77,7 @@
 
   asio::io_context& context_;
   Handler handler_;
+  Refuser refuser_;
   EventServerLimits limits_;
   std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors_;
   std::set<std::shared_ptr<EventSession>> sessions_;
--- a/source/core/http/event_session.cc
+++ b/source/core/http/event_session.cc
@@ -198,11 +198,15 @@
 }
 
 void EventSession::Refuse(int status, const std::string& detail) {
+  ++number_;
+  if (server_.refuser_) {
+    Write(server_.refuser_(status, detail), /*close=*/true);
+    return;
+  }
   Response response;
   response.status = status;
   response.content_type = "text/plain";
   response.body = detail + "\n";
-  ++number_;
   Write(response, /*close=*/true);
 }
 
--- a/source/jacinthroute/caller_dialect.h
+++ b/source/jacinthroute/caller_dialect.h
@@ -79,6 +79,7 @@
   { dialect.PassOn(call, std::move(response)) } -> std::same_as<http::Response>;
   { dialect.Repeat(recorded) } -> std::same_as<http::Response>;
   { dialect.Refuse(call, refusal) } -> std::same_as<http::Response>;
+  { dialect.Unreadable(0, page) } -> std::same_as<http::Response>;
   { dialect.ForProbe(probe) } -> std::same_as<http::Request>;
   { dialect.JudgeProbe(probe, result) } -> std::same_as<forwarding::ProbeEnd>;
   { dialect.ForListing(page) } -> std::same_as<http::Request>;
--- a/source/jacinthroute/dialect_entry_host_inl.h
+++ b/source/jacinthroute/dialect_entry_host_inl.h
@@ -68,6 +68,9 @@
       static_cast<std::size_t>(settings_.entry_connections);
   limits.max_body_bytes = kFirstMaxBody;
   server_.SetLimits(limits);
+  server_.SetRefuser([this](int status, const std::string& why) {
+    return dialect_.Unreadable(status, why);
+  });
   for (const std::string& address :
        {settings_.entry_address, settings_.lookup_address,
         settings_.ready_address, settings_.metrics_address}) {
@@ -344,9 +347,6 @@
   if (!new_revision)
     return;
   const settings::FleetSettings& fleet = *snapshot_->fleet;
-  log::Info(
-      log::Category::kEntry,
-      "Settings revision " + std::to_string(fleet.revision) + " is in force.");
   http::EventServerLimits limits = server_.limits();
   limits.max_head_bytes = static_cast<std::size_t>(fleet.max_header_bytes);
   limits.max_body_bytes = static_cast<std::size_t>(fleet.max_body_bytes);
--- a/source/jacinthroute/native_dialect.cc
+++ b/source/jacinthroute/native_dialect.cc
@@ -26,7 +26,8 @@
 constexpr std::size_t kMaxKeyLength = 200;
 constexpr std::size_t kMaxCallerLength = 100;
 constexpr int kStatusOk = 200;
-constexpr int kNotReadyStatus = 503;
+constexpr int kContentTooLarge = 413;
+constexpr int kUnavailable = 503;
 
 bool IsPrintable(std::string_view text) {
   for (const char c : text) {
@@ -128,7 +129,7 @@
       view.snapshot != nullptr && view.snapshot->fleet != nullptr &&
       view.now < view.snapshot->contact_until && !view.snapshot->self.draining;
   Response response = Text(ready ? "ready\n" : "not ready\n");
-  response.status = ready ? kStatusOk : kNotReadyStatus;
+  response.status = ready ? kStatusOk : kUnavailable;
   return response;
 }
 
@@ -263,6 +264,17 @@
   return response;
 }
 
+Response NativeDialect::Unreadable(int status, const std::string& why) const {
+  ErrorKind kind = ErrorKind::kBadRequest;
+  if (status == kContentTooLarge)
+    kind = ErrorKind::kBodyTooLarge;
+  if (status == kUnavailable)
+    kind = ErrorKind::kOverloaded;
+  Response response = ProblemResponse({kind, why}, Outcome::kNotRun);
+  response.status = status;
+  return response;
+}
+
 Request NativeDialect::ForProbe(const entry::StartProbe& probe) const {
   Request request;
   request.method = "GET";
--- a/source/unit_tests/http/event_server_test.cc
+++ b/source/unit_tests/http/event_server_test.cc
@@ -95,6 +95,26 @@
             .rfind("HTTP/1.1 413", 0) == 0);
 }
 
+TEST_CASE("A request that can't be read is answered in the interface's form") {
+  test::PortReservation ports(1);
+  const std::string address = "127.0.0.1:" + std::to_string(ports.ports()[0]);
+  asio::io_context context;
+  EventServer server(context, AnswerBody);
+  server.SetRefuser([](int status, const std::string& why) {
+    Response response;
+    response.status = status;
+    response.body = "own form: " + why;
+    return response;
+  });
+  REQUIRE(server.Listen(address));
+  std::thread thread([&] { context.run(); });
+  const std::string talk = test::Talk(address, "nonsense\r\n\r\n");
+  context.stop();
+  thread.join();
+  CHECK(talk.rfind("HTTP/1.1 400", 0) == 0);
+  CHECK(talk.find("own form: ") != std::string::npos);
+}
+
 TEST_CASE("A head that doesn't arrive is answered 408") {
   EventServerLimits limits;
   limits.head_timeout = 50ms;
