Tests: Nobody founds after the first start, members are asked

Cause: with the guard on the first start taken out of Formation on a scratch copy, all tests stayed green. After: the new case fails without the guard and passes with it.

--- a/source/unit_tests/consensus/formation_test.cc
+++ b/source/unit_tests/consensus/formation_test.cc
@@ -43,4 +43,23 @@
   CHECK(founder.decision() == Formation::Decision::kWait);
 }
 
+TEST_CASE("Nobody founds a group after the first start of the system") {
+  Formation founder("a#2", {"a", "b", "c"}, /*may_found=*/false);
+  founder.OnProbeReply(Reply("b#2", "a#2", false));
+  founder.OnProbeReply(Reply("c#2", "a#2", false));
+  CHECK(founder.decision() == Formation::Decision::kWait);
+}
+
+TEST_CASE("Members that a contact names are asked, too") {
+  Formation joining("d#1", {"a", "b", "c"}, true);
+  protocol::PeerMessage probe;
+  probe.from = "d#1";
+  joining.OnProbeReply(
+      MakeProbeReply(probe, "a#1", true, {{"a#1", "e#1"}, {}}));
+  std::vector<std::string> asked;
+  for (const protocol::PeerMessage& message : joining.OnTick(Time{1s}))
+    asked.push_back(message.to);
+  CHECK(asked == std::vector<std::string>{"a", "b", "c", "e"});
+}
+
 }  // namespace jacinth::consensus
