Tests: Let properties that fail fail their test

Cause: with the warm-up gate taken out on a scratch copy the property printed 'Falsifiable' and its test passed: rc::check only returns false. Ruled out: older properties, which check the result.

--- a/source/unit_tests/control/control_growth_test.cc
+++ b/source/unit_tests/control/control_growth_test.cc
@@ -141,6 +141,18 @@
   }
 }
 
+TEST_CASE("A further replica waits while all voters follow") {
+  Group group(4, kFiveAndOne);
+  group.cluster.LoseDisk(5);
+  REQUIRE(group.WaitForVoters(kAllFive, 5s));
+  group.cluster.Restart(5);
+  for (int i = 0; i < 40; ++i) {
+    group.cluster.Run(100ms);
+    const auto voters = group.VoterInstances();
+    CHECK((voters.empty() || voters == kAllFive));
+  }
+}
+
 TEST_CASE("A wiped replica is made up for before the next is wiped") {
   Group group(3, kFive);
   REQUIRE(group.WaitForVoters(kAllFive, 5s));
@@ -190,7 +202,7 @@
 }
 
 TEST_CASE("Property: membership changes lose nothing that was accepted") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
     Group group(seed, kFiveAndOne);
     group.cluster.LoseDisk(5);
@@ -234,7 +246,7 @@
       group.cluster.Run(50ms);
     RC_ASSERT(group.HoldsAll());
     RC_ASSERT(group.Change());
-  });
+  }));
 }
 
 }  // namespace jacinth::control
--- a/source/unit_tests/control/endpoint_catalog_test.cc
+++ b/source/unit_tests/control/endpoint_catalog_test.cc
@@ -87,7 +87,7 @@
 }
 
 TEST_CASE("Property: whoever follows the changes holds the list") {
-  rc::check([] {
+  CHECK(rc::check([] {
     EndpointCatalog catalog;
     catalog.Reset(1);
     Follower often;
@@ -114,7 +114,7 @@
     seldom.Follow(catalog);
     RC_ASSERT(often.rows() == last);
     RC_ASSERT(seldom.rows() == last);
-  });
+  }));
 }
 
 }  // namespace jacinth::control
--- a/source/unit_tests/entry/share_counter_test.cc
+++ b/source/unit_tests/entry/share_counter_test.cc
@@ -9,7 +9,7 @@
 namespace jacinth::entry {
 
 TEST_CASE("Property: after any number of requests each share is within one") {
-  rc::check([] {
+  CHECK(rc::check([] {
     std::vector<settings::RouteShare> shares;
     const int count = *rc::gen::inRange(1, 5);
     int total = 0;
@@ -31,7 +31,7 @@
       const double due = requests * static_cast<double>(share.weight) / total;
       RC_ASSERT(std::abs(dealt[share.service] - due) <= count);
     }
-  });
+  }));
 }
 
 }  // namespace jacinth::entry
--- a/source/unit_tests/forwarding/retry_budget_test.cc
+++ b/source/unit_tests/forwarding/retry_budget_test.cc
@@ -49,7 +49,7 @@
 }
 
 TEST_CASE("Property: no window holds more retries than its budget") {
-  rc::check([] {
+  CHECK(rc::check([] {
     RetryBudget budget = NewBudget();
     Time now{100s};
     std::deque<Time> attempts;
@@ -77,7 +77,7 @@
       RC_ASSERT(static_cast<double>(recent) <=
                 kRatio * static_cast<double>(in_window(attempts)) + kReserve);
     }
-  });
+  }));
 }
 
 }  // namespace jacinth::forwarding
--- a/source/unit_tests/forwarding/warmup_gate_test.cc
+++ b/source/unit_tests/forwarding/warmup_gate_test.cc
@@ -9,10 +9,11 @@
 namespace jacinth::forwarding {
 
 TEST_CASE("Property: all entries together keep a cold endpoint's rate") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const int count = *rc::gen::inRange(1, 100);
     const double bound = *rc::gen::inRange(2, 20);
     std::vector<std::string> entries;
+    entries.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
       entries.push_back("e" + std::to_string(i));
     const auto endpoint = "p" + std::to_string(*rc::gen::inRange(0, 1'000));
@@ -25,7 +26,7 @@
     RC_ASSERT(WarmupGate::interval() > 1s);
     RC_ASSERT(allowed >= 1);
     RC_ASSERT(allowed <= bound);
-  });
+  }));
 }
 
 }  // namespace jacinth::forwarding
--- a/source/unit_tests/http/message_parser_test.cc
+++ b/source/unit_tests/http/message_parser_test.cc
@@ -116,7 +116,7 @@
 }
 
 TEST_CASE("Property: what is written is read again, however it is cut") {
-  rc::check([] {
+  CHECK(rc::check([] {
     Request request;
     request.method = "PUT";
     request.target = "/x";
@@ -128,11 +128,11 @@
     RC_ASSERT(parsed.state == ParseState::kDone);
     RC_ASSERT(parsed.request.body == request.body);
     RC_ASSERT(parsed.taken == bytes.size() - 4);
-  });
+  }));
 }
 
 TEST_CASE("Property: any bytes end in a state, and taking stops there") {
-  rc::check([] {
+  CHECK(rc::check([] {
     // Mutations of a valid request reach deeper than noise.
     std::string bytes =
         Post("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n");
@@ -149,7 +149,7 @@
       RC_ASSERT(whole.taken == single.taken);
       RC_ASSERT(whole.request.body == single.request.body);
     }
-  });
+  }));
 }
 
 TEST_CASE("Targets are split into a decoded path and query") {
