--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -20,6 +20,9 @@
       return {ErrorKind::kTimeout, "the endpoint gave no whole answer in time"};
     case AttemptEnd::kRefused:
       return {ErrorKind::kOverloaded, "the endpoints refused the request"};
+    case AttemptEnd::kAmbiguousRefusal:
+      return {ErrorKind::kEndpointFailed,
+              "the endpoint refused without saying that it ran nothing"};
     case AttemptEnd::kNotConnected:
     case AttemptEnd::kMisdirected:
       return {ErrorKind::kNoEndpoint, "no endpoint could be connected to"};
--- a/source/core/forwarding/attempt.cc
+++ b/source/core/forwarding/attempt.cc
@@ -11,6 +11,7 @@
     NamedValue<AttemptEnd>{AttemptEnd::kAnswered, "answered"},
     NamedValue<AttemptEnd>{AttemptEnd::kAnsweredFailure, "answered_failure"},
     NamedValue<AttemptEnd>{AttemptEnd::kRefused, "refused"},
+    NamedValue<AttemptEnd>{AttemptEnd::kAmbiguousRefusal, "ambiguous_refusal"},
     NamedValue<AttemptEnd>{AttemptEnd::kMisdirected, "misdirected"},
     NamedValue<AttemptEnd>{AttemptEnd::kNotConnected, "not_connected"},
     NamedValue<AttemptEnd>{AttemptEnd::kAnswerIncomplete, "answer_incomplete"},
@@ -32,6 +33,7 @@
     case AttemptEnd::kMisdirected:
     case AttemptEnd::kNotConnected:
       return Outcome::kNotRun;
+    case AttemptEnd::kAmbiguousRefusal:
     case AttemptEnd::kAnswerIncomplete:
     case AttemptEnd::kConnectionLost:
     case AttemptEnd::kTimedOut:
@@ -47,6 +49,7 @@
 
 bool IsEndpointFailure(AttemptEnd end) {
   return end == AttemptEnd::kNotConnected ||
+         end == AttemptEnd::kAmbiguousRefusal ||
          end == AttemptEnd::kAnswerIncomplete ||
          end == AttemptEnd::kConnectionLost || end == AttemptEnd::kTimedOut;
 }
--- a/source/core/forwarding/attempt.h
+++ b/source/core/forwarding/attempt.h
@@ -14,6 +14,8 @@
   kAnsweredFailure,
   /// The endpoint said that it did not run the request.
   kRefused,
+  /// The endpoint refused without saying whether it ran the request.
+  kAmbiguousRefusal,
   /// Another endpoint has the address now; it did not run the request.
   kMisdirected,
   /// No connection was made, so no byte was handed over.
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -116,6 +116,7 @@
                             Case{AttemptEnd::kNotConnected, true},
                             Case{AttemptEnd::kConnectionLost, false},
                             Case{AttemptEnd::kAnswerIncomplete, false},
+                            Case{AttemptEnd::kAmbiguousRefusal, false},
                             Case{AttemptEnd::kTimedOut, false},
                             Case{AttemptEnd::kAnsweredFailure, false});
   EntryDriver driver = Ready();
