Entry: Retry a request shed by an idle endpoint at the object's owner

Ruled out: full endpoints (the load told with the refusals was below the slots). Change: an endpoint that refuses with idle slots isn't ruled out for the next attempt, and isn't paused.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -86,8 +86,12 @@
   RequestRecord& record = found->second;
   ServiceDesk& desk = desks_.at(record.service);
   desk.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load, now);
-  record.endpoint.clear();
   const bool refused = event.end == AttemptEnd::kRefused;
+  // Refused for no want of room: the object's owner is as good a choice for the
+  // next attempt as any, and knows the object.
+  if (refused && event.load && event.load->HasIdleSlot())
+    record.tried.erase(record.endpoint);
+  record.endpoint.clear();
   const bool waits_again =
       refused && !options_.limits.refusals_are_retries && now < record.deadline;
   if (waits_again) {
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -100,11 +100,10 @@
   }
   row.last_answer = now;
   if (end == AttemptEnd::kRefused) {
-    const bool idle =
-        load && load->running + load->waiting < row.settings.slots;
-    if (idle)
+    if (load && load->HasIdleSlot())
       OnFailure(row, "refused_while_idle", now);
-    OnRefusal(row, now);
+    else
+      OnRefusal(row, now);
     return;
   }
   // One good answer makes up for one failure, so that an endpoint which fails
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -129,6 +129,26 @@
   }
 }
 
+TEST_CASE("A request refused while slots are idle goes to the owner again") {
+  struct Case {
+    forwarding::LoadReport load;
+    bool same;
+  };
+  const Case row =
+      GENERATE(Case{{0, 0, 2}, true}, Case{{1, 0, 2}, true},
+               Case{{2, 0, 2}, false}, Case{{2, 6, 2}, false});
+  EntryDriver driver = Ready();
+  Arrive(driver, "/safe/x", "17");
+  const std::string owner = driver.attempts.at(0).endpoint;
+  AttemptEnded ended;
+  ended.ticket = driver.attempts[0].ticket;
+  ended.end = AttemptEnd::kRefused;
+  ended.load = row.load;
+  driver.Step(ended);
+  REQUIRE(driver.attempts.size() == 2);
+  CHECK((driver.attempts[1].endpoint == owner) == row.same);
+}
+
 TEST_CASE("After a doubtful attempt nothing is called not run any more") {
   EntryDriver driver = Ready();
   const RequestTicket ticket = Arrive(driver, "/safe/x");
