--- a/source/core/forwarding/endpoint_choice.cc
+++ b/source/core/forwarding/endpoint_choice.cc
@@ -12,6 +12,10 @@
 constexpr unsigned kSecondDrawShift = 32;
 /// Endpoints compared by what they own before a slice gets an owner.
 constexpr std::size_t kOwnersCompared = 2;
+/// Part of a service's slots in use up to which requests may leave a crowded
+/// owner: work is up to four times as long where the object isn't known, so
+/// that every eighth request may do so without filling the rest.
+constexpr double kMaxBusyForSpill = 0.7;
 
 /// Place of an endpoint in an object's order; the greatest comes first.
 struct Preference {
@@ -50,13 +54,18 @@
       MayServe(owner->first, owner->second, placement, now);
   if (owner_serves && !IsCrowded(owner->second, now))
     return &owner->first;
+  const bool stays = owner != rows_.end() && IsUsable(owner->second) &&
+                     placement.tried.count(owner->first) == 0 &&
+                     ColdAllows(owner->second, now) &&
+                     busy_share_ > kMaxBusyForSpill;
+  if (stays)
+    return owner_serves ? &owner->first : nullptr;
   const std::string region =
       Shares().RegionFor(placement.home, *placement.object);
   const std::string* best = nullptr;
   Preference best_preference;
   for (const auto& [name, row] : rows_) {
-    // Work is several times longer where the object isn't known: such requests
-    // get idle slots only, lest an overload feed itself.
+    // Such requests get idle slots only, lest an overload feed itself.
     const bool fits = placement.owner.empty() || HasIdleSlot(row, now);
     if (!fits || !MayServe(name, row, placement, now))
       continue;
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -18,6 +18,8 @@
 /// Age of an endpoint's last answer up to which a timeout is put down to its
 /// load.
 constexpr Duration kBusyAnswerAge = 1s;
+/// Share of a new answer in averages over a service's answers.
+constexpr double kAverageWeight = 1.0 / 16;
 /// Factor of the limit after a refusal.
 constexpr double kLimitDecrease = 0.7;
 /// Time that an endpoint is left alone after a refusal.
@@ -82,6 +84,8 @@
   Row& row = found->second;
   row.load.OnEnd(load, now);
   --inflight_;
+  if (load)
+    NoteLoad(*load);
   if (end == AttemptEnd::kCancelled)
     return;
   if (end == AttemptEnd::kMisdirected) {
@@ -182,6 +186,14 @@
   row.cold_until = std::max(row.cold_until, now + warmup_);
 }
 
+void EndpointTable::NoteLoad(const LoadReport& load) {
+  if (load.slots <= 0)
+    return;
+  const double busy =
+      std::min(1.0, static_cast<double>(load.running) / load.slots);
+  busy_share_ += (busy - busy_share_) * kAverageWeight;
+}
+
 void EndpointTable::OnRefusal(Row& row, Time now) const {
   row.limit = std::max(1.0, row.limit * kLimitDecrease);
   row.refused_until = now + kRefusalPause;
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -130,6 +130,7 @@
   RegionShare Shares() const;
   const std::string* ChooseByLoad(const Placement& placement, Time now) const;
   void ChillRow(Row& row, Time now) const;
+  void NoteLoad(const LoadReport& load);
   void OnRefusal(Row& row, Time now) const;
   static void OnAnswer(Row& row);
   void OnFailure(Row& row, std::string_view why, Time now);
@@ -146,6 +147,9 @@
   Duration warmup_{0};
   bool listed_ = false;
   int inflight_ = 0;
+  /// Part of the slots in use where this entry's requests went, as the answers
+  /// told; a moving average.
+  double busy_share_ = 0;
   std::vector<log::Record> notes_;
 };
 
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -170,6 +170,35 @@
   CHECK(table.Take(placement, kNow) == "p0");
 }
 
+TEST_CASE("In a busy service requests don't leave a crowded owner") {
+  EndpointTable table;
+  settings::ServiceSettings service = Service(2, 2);
+  service.endpoint_queue_percent = 300;
+  service.endpoint_wait_percent = 200;
+  table.Update(service, kNow);
+  Placement placement;
+  placement.home = "west";
+  placement.object = 1;
+  placement.owner = "p0";
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE(table.Take(placement, kNow) == "p0");
+    table.OnAttemptEnd("p0", AttemptEnd::kAnswered, LoadReport{2, 0, 2}, kNow);
+  }
+  // The other endpoint has told nothing and passes for idle.
+  const Time later = kNow + 4s;
+  for (int i = 0; i < 6; ++i)
+    CHECK(table.Take(placement, later) == "p0");
+  CHECK_FALSE(table.Take(placement, later));
+  SECTION("an owner that can't be used is left") {
+    placement.tried = {"p0"};
+    CHECK(table.Take(placement, later) == "p1");
+  }
+  SECTION("requests of objects without an owner are placed") {
+    placement.owner = "";
+    CHECK(table.Take(placement, later) == "p1");
+  }
+}
+
 TEST_CASE("Timeouts put a silent endpoint aside, not a busy one") {
   EndpointTable table;
   table.Update(Service(4, 10), kNow);
