Forwarding: In a busy service, spill only to endpoints that told of idle slots

Change: above 70 % busy, an owner is left only for an endpoint whose report of an idle slot is at most two seconds old.

--- a/source/core/forwarding/endpoint_choice.cc
+++ b/source/core/forwarding/endpoint_choice.cc
@@ -12,10 +12,13 @@
 constexpr unsigned kSecondDrawShift = 32;
 /// Endpoints compared by what they own before a slice gets an owner.
 constexpr std::size_t kOwnersCompared = 2;
-/// Part of a service's slots in use up to which requests may leave a crowded
-/// owner: work is up to four times as long where the object isn't known, so
-/// that every eighth request may do so without filling the rest.
-constexpr double kMaxBusyForSpill = 0.7;
+/// Part of a service's slots in use above which an endpoint passes for idle
+/// only if it said so lately: work is up to four times as long where the object
+/// isn't known, so that wrong guesses fill the rest.
+constexpr double kBusyShare = 0.7;
+/// Age up to which an endpoint's report of idle slots is relied upon then: a
+/// few times of what most requests take.
+constexpr Duration kFreshReport = 2s;
 
 /// Place of an endpoint in an object's order; the greatest comes first.
 struct Preference {
@@ -54,19 +57,19 @@
       MayServe(owner->first, owner->second, placement, now);
   if (owner_serves && !IsCrowded(owner->second, now))
     return &owner->first;
-  const bool stays = owner != rows_.end() && IsUsable(owner->second) &&
-                     placement.tried.count(owner->first) == 0 &&
-                     ColdAllows(owner->second, now) &&
-                     busy_share_ > kMaxBusyForSpill;
-  if (stays)
-    return owner_serves ? &owner->first : nullptr;
+  const bool owner_usable = owner != rows_.end() && IsUsable(owner->second) &&
+                            placement.tried.count(owner->first) == 0 &&
+                            ColdAllows(owner->second, now);
+  const bool needs_report = owner_usable && busy_share_ > kBusyShare;
   const std::string region =
       Shares().RegionFor(placement.home, *placement.object);
   const std::string* best = nullptr;
   Preference best_preference;
   for (const auto& [name, row] : rows_) {
     // Such requests get idle slots only, lest an overload feed itself.
-    const bool fits = placement.owner.empty() || HasIdleSlot(row, now);
+    const bool idle =
+        HasIdleSlot(row, now) && (!needs_report || HasFreshReport(row, now));
+    const bool fits = placement.owner.empty() || idle;
     if (!fits || !MayServe(name, row, placement, now))
       continue;
     const Preference preference{row.settings.region == region,
@@ -162,6 +165,10 @@
   return row.load.Total(now) < row.settings.slots;
 }
 
+bool EndpointTable::HasFreshReport(const Row& row, Time now) {
+  return row.load.is_told() && row.load.ReportAge(now) <= kFreshReport;
+}
+
 bool EndpointTable::IsCrowded(const Row& row, Time now) const {
   return row.load.Total(now) * kPercent >=
          static_cast<double>(row.settings.slots) * wait_percent_;
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -118,6 +118,7 @@
   bool IsUsable(const Row& row) const;
   bool HasRoom(const Row& row, Time now) const;
   static bool HasIdleSlot(const Row& row, Time now);
+  static bool HasFreshReport(const Row& row, Time now);
   bool IsCrowded(const Row& row, Time now) const;
   bool ColdAllows(const Row& row, Time now) const;
   double RoomOf(const Row& row) const;
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -170,7 +170,7 @@
   CHECK(table.Take(placement, kNow) == "p0");
 }
 
-TEST_CASE("In a busy service requests don't leave a crowded owner") {
+TEST_CASE("In a busy service requests leave an owner for known idle slots") {
   EndpointTable table;
   settings::ServiceSettings service = Service(2, 2);
   service.endpoint_queue_percent = 300;
@@ -189,6 +189,10 @@
   for (int i = 0; i < 6; ++i)
     CHECK(table.Take(placement, later) == "p0");
   CHECK_FALSE(table.Take(placement, later));
+  SECTION("an endpoint that told of idle slots just now gets the request") {
+    table.OnAttemptEnd("p1", AttemptEnd::kAnswered, LoadReport{0, 0, 2}, later);
+    CHECK(table.Take(placement, later) == "p1");
+  }
   SECTION("an owner that can't be used is left") {
     placement.tried = {"p0"};
     CHECK(table.Take(placement, later) == "p1");
