Forwarding: Put endpoints aside for what the others of the service don't do

On the other hand an endpoint that answers 500 to all counted as answering (log-archive: 300 failures of five endpoints in 7 s), and a full endpoint failed its probe. Ruled out: more failures before an endpoint is put aside: an entry of 64 sends an endpoint one request in six seconds.

--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -20,6 +20,9 @@
 constexpr Duration kBusyAnswerAge = 1s;
 /// Share of a new answer in averages over a service's answers.
 constexpr double kAverageWeight = 1.0 / 16;
+/// Share of a service's attempts that end in failures of the softer kinds above
+/// which these are put down to the service and not to the endpoint.
+constexpr double kMaxOutlierShare = 0.2;
 /// Factor of the limit after a refusal.
 constexpr double kLimitDecrease = 0.7;
 /// Time that an endpoint is left alone after a refusal.
@@ -93,27 +96,45 @@
     Note("endpoint_replaced", row);
     return;
   }
-  // An endpoint with a queue that answers others in time is busy, not broken.
-  const bool busy = end == AttemptEnd::kTimedOut && !HasIdleSlot(row, now) &&
-                    now < row.last_answer + kBusyAnswerAge;
-  if (busy)
-    return;
-  if (IsEndpointFailure(end)) {
-    OnFailure(row, AttemptEndName(end), now);
+  const std::string_view soft_failure = SoftFailure(row, end, load, now);
+  soft_failure_share_ +=
+      ((soft_failure.empty() ? 0.0 : 1.0) - soft_failure_share_) *
+      kAverageWeight;
+  if (end != AttemptEnd::kTimedOut && !IsEndpointFailure(end))
+    row.last_answer = now;
+  if (end == AttemptEnd::kRefused && soft_failure.empty())
+    OnRefusal(row, now);
+  if (!soft_failure.empty()) {
+    // What most endpoints do doesn't make this one an outlier.
+    if (soft_failure_share_ <= kMaxOutlierShare)
+      OnFailure(row, soft_failure, now);
     return;
   }
-  row.last_answer = now;
-  if (end == AttemptEnd::kRefused) {
-    if (load && load->HasIdleSlot())
-      OnFailure(row, "refused_while_idle", now);
-    else
-      OnRefusal(row, now);
+  if (IsEndpointFailure(end) && end != AttemptEnd::kTimedOut) {
+    OnFailure(row, AttemptEndName(end), now);
     return;
   }
-  // One good answer makes up for one failure, so that an endpoint which fails
-  // every second request is noticed, too.
-  row.failures = std::max(0, row.failures - 1);
-  OnAnswer(row);
+  if (end == AttemptEnd::kAnswered || end == AttemptEnd::kAnswerTooLarge)
+    OnAnswer(row);
+}
+
+// Why an attempt's end speaks against the endpoint, if the end might as well be
+// due to the load of the whole service; otherwise empty.
+std::string_view EndpointTable::SoftFailure(
+    const Row& row,
+    AttemptEnd end,
+    const std::optional<LoadReport>& load,
+    Time now) {
+  if (end == AttemptEnd::kAnsweredFailure)
+    return AttemptEndName(end);
+  if (end == AttemptEnd::kRefused && load && load->HasIdleSlot())
+    return "refused_while_idle";
+  if (end != AttemptEnd::kTimedOut)
+    return {};
+  // An endpoint with a queue that answers others in time is busy, not broken.
+  const bool busy =
+      !HasIdleSlot(row, now) && now < row.last_answer + kBusyAnswerAge;
+  return busy ? std::string_view{} : AttemptEndName(end);
 }
 
 std::vector<std::string> EndpointTable::DueProbes(Time now) {
@@ -200,6 +221,9 @@
 }
 
 void EndpointTable::OnAnswer(Row& row) {
+  // One good answer makes up for one failure, so that an endpoint which fails
+  // every second request is noticed, too.
+  row.failures = std::max(0, row.failures - 1);
   row.ejections = 0;
   // One more for each time that all which may run have been answered.
   row.limit = std::min<double>(row.settings.slots, row.limit + 1 / row.limit);
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -131,6 +131,10 @@
   RegionShare Shares() const;
   const std::string* ChooseByLoad(const Placement& placement, Time now) const;
   void ChillRow(Row& row, Time now) const;
+  static std::string_view SoftFailure(const Row& row,
+                                      AttemptEnd end,
+                                      const std::optional<LoadReport>& load,
+                                      Time now);
   void NoteLoad(const LoadReport& load);
   void OnRefusal(Row& row, Time now) const;
   static void OnAnswer(Row& row);
@@ -151,6 +155,8 @@
   /// Part of the slots in use where this entry's requests went, as the answers
   /// told; a moving average.
   double busy_share_ = 0;
+  /// Part of the attempts that ended in soft failures; a moving average.
+  double soft_failure_share_ = 0;
   std::vector<log::Record> notes_;
 };
 
--- a/source/jacinthroute/dialect_entry_host.h
+++ b/source/jacinthroute/dialect_entry_host.h
@@ -32,7 +32,8 @@
 inline constexpr Duration kMaxIdleRepeatable = 30s;
 inline constexpr Duration kMaxIdleOnce = 1s;
 inline constexpr Duration kProbeConnectTimeout = 250ms;
-inline constexpr Duration kProbeTimeout = 500ms;
+/// Probes wait for a slot like requests.
+inline constexpr Duration kProbeTimeout = 1500ms;
 inline constexpr std::size_t kMaxProbeBody = 4'096;
 /// Largest answer body that the ledger keeps.
 inline constexpr std::size_t kMaxRecordedBody = 1'024;
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -228,6 +228,42 @@
   CHECK_FALSE(table.MayUse("p0"));
 }
 
+TEST_CASE("An endpoint that answers failures is put aside") {
+  EndpointTable table;
+  table.Update(Service(4, 10), kNow);
+  for (int i = 0; i < 12 && table.MayUse("p0"); ++i) {
+    for (const std::string other : {"p1", "p2", "p3"})
+      table.OnAttemptEnd(other, AttemptEnd::kAnswered, {}, kNow);
+    table.OnAttemptEnd(
+        "p0", i % 3 == 0 ? AttemptEnd::kAnswered : AttemptEnd::kAnsweredFailure,
+        {}, kNow);
+  }
+  CHECK_FALSE(table.MayUse("p0"));
+}
+
+TEST_CASE("What all endpoints of a service do puts none aside") {
+  const AttemptEnd end = GENERATE(AttemptEnd::kTimedOut, AttemptEnd::kRefused,
+                                  AttemptEnd::kAnsweredFailure);
+  EndpointTable table;
+  table.Update(Service(4, 10), kNow);
+  // Answers and failures by turns, so that the service is known to fail.
+  for (int i = 0; i < 60; ++i) {
+    const std::string name = "p" + std::to_string(i % 4);
+    const bool fails = i % 8 >= 4 || i < 3;
+    table.OnAttemptEnd(name, fails ? end : AttemptEnd::kAnswered,
+                       LoadReport{1, 0, 10}, kNow + i * 1s);
+  }
+  CAPTURE(AttemptEndName(end));
+  for (int i = 0; i < 20; ++i) {
+    table.OnAttemptEnd("p0", end, LoadReport{1, 0, 10}, kNow + 100s + i * 2s);
+    CHECK(table.MayUse("p0"));
+  }
+  // A connection that fails is the endpoint's own failure.
+  for (int i = 0; i < 2; ++i)
+    table.OnAttemptEnd("p1", AttemptEnd::kNotConnected, {}, kNow + 200s);
+  CHECK_FALSE(table.MayUse("p1"));
+}
+
 TEST_CASE("Refusals put an endpoint aside only if it has idle slots") {
   EndpointTable table;
   table.Update(Service(4, 10), kNow);
