Control: Move slices from owners where requests wait to idle endpoints

Ruled out: the popularity of objects (the busiest of 510 asks for 6 of 900 a second). Change: entries tell with their heartbeats how long requests of each slice were at its owner; every second the leader takes one slice from each owner with more requests than slots and gives it to the least loaded endpoint of its service and region, to at most 0.7 of that one's slots; a slice moves once in ten seconds.

--- a/source/core/control/control_lists.cc
+++ b/source/core/control/control_lists.cc
@@ -8,6 +8,9 @@
 
 /// Time between records of the slices' owners in the log.
 constexpr Duration kRecordInterval = 500ms;
+/// Time over which the use of slices is gathered before some are moved: longer
+/// than most requests take.
+constexpr Duration kRebalanceInterval = 1s;
 
 }  // namespace
 
@@ -52,6 +55,36 @@
   return drain && drain->value == "true";
 }
 
+// Endpoints that may own slices, with what the balancer goes by.
+std::map<std::string, SliceHost> ControlNode::SliceHosts(Time now) const {
+  std::map<std::string, SliceHost> hosts;
+  for (const protocol::ListedEndpoint& endpoint : catalog_.All(now)) {
+    const auto region = options_.domain_regions.find(endpoint.failure_domain);
+    if (region == options_.domain_regions.end() || endpoint.slots <= 0)
+      continue;
+    const bool drained =
+        endpoint.draining ||
+        IsDomainDrained(region->second, endpoint.failure_domain);
+    if (drained)
+      continue;
+    hosts[endpoint.id] = {endpoint.service, region->second, endpoint.slots,
+                          endpoint.cold_for_ms == 0};
+  }
+  return hosts;
+}
+
+void ControlNode::RebalanceSlices(Time now) {
+  const Duration elapsed = now - last_rebalance_;
+  if (elapsed < kRebalanceInterval)
+    return;
+  last_rebalance_ = now;
+  const std::size_t moved = slices_.Rebalance(SliceHosts(now), elapsed, now);
+  if (moved != 0)
+    Note("slices_rebalanced")
+        .With("moved", moved)
+        .With("slices", slices_.size());
+}
+
 // So that a new leader, or all of them after a loss of power, begin with the
 // owners that are warm.
 void ControlNode::RecordSlices(ClockReading clock) {
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -133,6 +133,7 @@
   BeginSlices();
   if (clock.now >= next_push_) {
     next_push_ = clock.now + kPushInterval;
+    RebalanceSlices(clock.now);
     PushLists(clock.now);
     RecordSlices(clock);
   }
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -136,6 +136,8 @@
   void On(const EndpointsListed& event, ClockReading clock);
   void PushLists(Time now);
   void BeginSlices();
+  void RebalanceSlices(Time now);
+  std::map<std::string, SliceHost> SliceHosts(Time now) const;
   void RecordSlices(ClockReading clock);
   std::set<std::string> UsableIds(
       const std::vector<protocol::ListedEndpoint>& endpoints) const;
@@ -178,6 +180,7 @@
   Time next_rejoin_{};
   Time next_push_{};
   Time next_record_{};
+  Time last_rebalance_{};
   /// Term in which `slices_` began.
   std::uint64_t slices_term_ = 0;
   std::string noted_leader_;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -33,6 +33,8 @@
   reply.endpoints = catalog_.UpdateFor(heartbeat.endpoints_version, clock.now);
   for (const protocol::SliceClaim& claim : heartbeat.claims)
     slices_.Claim(from, claim, clock.now);
+  for (const protocol::SliceUse& use : heartbeat.uses)
+    slices_.NoteUse(use);
   reply.slices = slices_.UpdateFor(heartbeat.slices_version);
   held_versions_[from] = {catalog_.version(), slices_.version()};
   SendToEntry(from, std::move(reply));
--- a/source/core/control/endpoint_catalog.cc
+++ b/source/core/control/endpoint_catalog.cc
@@ -75,6 +75,13 @@
   return update;
 }
 
+std::vector<ListedEndpoint> EndpointCatalog::All(Time now) const {
+  std::vector<ListedEndpoint> all;
+  for (const auto& [id, row] : rows_)
+    all.push_back(Describe(row, now));
+  return all;
+}
+
 bool EndpointCatalog::TakeRow(const ListedEndpoint& endpoint,
                               std::uint64_t version,
                               Time now) {
--- a/source/core/control/endpoint_catalog.h
+++ b/source/core/control/endpoint_catalog.h
@@ -31,6 +31,9 @@
   /// What an entry that holds `version` lacks.
   protocol::EndpointUpdate UpdateFor(std::uint64_t version, Time now) const;
 
+  /// All endpoints as of `now`.
+  std::vector<protocol::ListedEndpoint> All(Time now) const;
+
   std::size_t size() const { return rows_.size(); }
 
  private:
--- a/source/core/control/slice_assignment.cc
+++ b/source/core/control/slice_assignment.cc
@@ -14,6 +14,8 @@
 /// Shortest time between two moves of a slice for a lack of room: a moved
 /// object is cold once, which is what an overloaded service has no time for.
 constexpr Duration kCrowdedMoveInterval = 10s;
+/// Share of the newest interval in the moving average of a slice's use.
+constexpr double kNewUseShare = 0.5;
 /// Bounds the table; slices beyond it are placed by hash alone.
 constexpr std::size_t kMaxRows = 100'000;
 
@@ -67,6 +69,39 @@
   }
 }
 
+void SliceAssignment::NoteUse(const protocol::SliceUse& use) {
+  const auto found = rows_.find({use.service, use.slice});
+  if (found != rows_.end())
+    found->second.busy += std::chrono::milliseconds(use.busy_ms);
+}
+
+std::size_t SliceAssignment::Rebalance(
+    const std::map<std::string, SliceHost>& hosts,
+    Duration elapsed,
+    Time now) {
+  std::vector<const Key*> keys;
+  std::vector<SliceLoad> loads;
+  for (auto& [key, row] : rows_) {
+    const double requests = static_cast<double>(row.busy.count()) /
+                            static_cast<double>(elapsed.count());
+    row.requests += (requests - row.requests) * kNewUseShare;
+    row.busy = Duration{0};
+    if (row.endpoint.empty())
+      continue;
+    keys.push_back(&key);
+    loads.push_back({row.endpoint, row.requests,
+                     now >= row.crowded_move + kCrowdedMoveInterval});
+  }
+  const std::vector<SliceMove> moves = BalanceSlices(hosts, loads);
+  for (const SliceMove& move : moves) {
+    const Key& key = *keys[move.slice];
+    Row& row = rows_.at(key);
+    SetOwner(key, row, move.to);
+    row.crowded_move = now;
+  }
+  return moves.size();
+}
+
 std::vector<SliceOwner> SliceAssignment::TakeUnrecorded() {
   std::vector<SliceOwner> owners;
   for (const Key& key : unrecorded_)
--- a/source/core/control/slice_assignment.h
+++ b/source/core/control/slice_assignment.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/control/slice_balancer.h"
 #include "core/protocol/slice_list.h"
 
 namespace jacinth::control {
@@ -35,6 +36,16 @@
   /// Frees the slices of endpoints that are not among `usable`.
   void KeepOnly(const std::set<std::string>& usable);
 
+  /// An entry tells how long requests of a slice were at its owner.
+  void NoteUse(const protocol::SliceUse& use);
+
+  /// Moves slices from owners where requests wait to idle endpoints, by the
+  /// uses told since the last call. `elapsed` is the time since then. Returns
+  /// how many were moved.
+  std::size_t Rebalance(const std::map<std::string, SliceHost>& hosts,
+                        Duration elapsed,
+                        Time now);
+
   /// Owners that changed since the last call, to be recorded.
   std::vector<protocol::SliceOwner> TakeUnrecorded();
 
@@ -50,6 +61,10 @@
   struct Row {
     std::string endpoint;
     std::uint64_t changed = 0;
+    /// Time that requests were at the owner since the last rebalancing.
+    Duration busy{0};
+    /// Requests at the owner at a time, a moving average.
+    double requests = 0;
     /// When the owner was last displaced for a lack of room.
     Time crowded_move{};
     /// Entries that lately could not use the owner.
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -46,6 +46,7 @@
   heartbeat.endpoints_version = endpoints_version_;
   heartbeat.slices_version = slices_.version();
   heartbeat.claims = slices_.TakeClaims();
+  heartbeat.uses = slices_.TakeUses();
   return heartbeat;
 }
 
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -86,6 +86,7 @@
   RequestRecord& record = found->second;
   ServiceDesk& desk = desks_.at(record.service);
   desk.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load, now);
+  NoteUse(record, now);
   const bool refused = event.end == AttemptEnd::kRefused;
   // Refused for no want of room: the object's owner is as good a choice for the
   // next attempt as any, and knows the object.
@@ -166,6 +167,15 @@
     session_.HastenHeartbeat(now);
 }
 
+// What the control role evens the owners' load by.
+void EntryNode::NoteUse(const RequestRecord& record, Time now) {
+  if (!record.kind.affinity || record.arrival.object.empty())
+    return;
+  session_.slices().OnUse(
+      record.service, forwarding::SliceMap::SliceOf(record.arrival.object),
+      record.endpoint, now - record.attempt_started);
+}
+
 // A refusal costs nothing but time: the request waits for a slot that is really
 // free, ahead of those that came after it.
 void EntryNode::WaitAgain(RequestRecord& record, ServiceDesk& desk, Time now) {
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -102,6 +102,7 @@
                  const forwarding::Placement& placement,
                  const std::string& endpoint,
                  Time now);
+  void NoteUse(const RequestRecord& record, Time now);
   bool TryAttempt(RequestRecord& record, ServiceDesk& desk, Time now);
   void WaitAgain(RequestRecord& record, ServiceDesk& desk, Time now);
   bool MayRetry(const RequestRecord& record,
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -162,6 +162,7 @@
   if (running) {
     desk.endpoints.OnAttemptEnd(record.endpoint,
                                 forwarding::AttemptEnd::kCancelled, {}, now);
+    NoteUse(record, now);
     actions_.cancels.push_back({event.ticket});
   }
   if (record.phase == RequestPhase::kWaiting)
--- a/source/core/forwarding/slice_map.cc
+++ b/source/core/forwarding/slice_map.cc
@@ -12,6 +12,8 @@
 constexpr unsigned kTermShift = 32;
 /// Claims sent with one heartbeat.
 constexpr std::size_t kMaxClaims = 256;
+/// Slices whose use is gathered for one report.
+constexpr std::size_t kMaxUses = 1'024;
 
 }  // namespace
 
@@ -61,6 +63,14 @@
     SetOwner(row, endpoint);
 }
 
+void SliceMap::OnUse(const std::string& service,
+                     std::uint32_t slice,
+                     const std::string& endpoint,
+                     Duration busy) {
+  if (OwnerOf(service, slice) == endpoint && uses_.size() < kMaxUses)
+    uses_[{service, slice}] += busy;
+}
+
 int SliceMap::OwnedBy(const std::string& endpoint) const {
   const auto found = owned_.find(endpoint);
   return found == owned_.end() ? 0 : found->second;
@@ -75,6 +85,13 @@
   return claims;
 }
 
+std::vector<protocol::SliceUse> SliceMap::TakeUses() {
+  std::vector<protocol::SliceUse> uses;
+  for (const auto& [key, busy] : std::exchange(uses_, {}))
+    uses.push_back({key.first, key.second, ToMillis(busy)});
+  return uses;
+}
+
 void SliceMap::SetOwner(Row& row, const std::string& endpoint) {
   if (!row.endpoint.empty())
     --owned_[row.endpoint];
--- a/source/core/forwarding/slice_map.h
+++ b/source/core/forwarding/slice_map.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/common/time.h"
 #include "core/protocol/slice_list.h"
 
 namespace jacinth::forwarding {
@@ -36,6 +37,13 @@
               const std::string& endpoint,
               bool owner_usable);
 
+  /// A request of the slice was at `endpoint` for `busy`; counted if that is
+  /// the owner.
+  void OnUse(const std::string& service,
+             std::uint32_t slice,
+             const std::string& endpoint,
+             Duration busy);
+
   /// Slices that an endpoint owns.
   int OwnedBy(const std::string& endpoint) const;
 
@@ -43,6 +51,9 @@
   std::vector<protocol::SliceClaim> TakeClaims();
   bool has_claims() const { return !claims_.empty(); }
 
+  /// Uses to be told to the leader.
+  std::vector<protocol::SliceUse> TakeUses();
+
   std::uint64_t version() const { return version_; }
 
  private:
@@ -60,6 +71,7 @@
   std::map<Key, Row> rows_;
   std::map<std::string, int> owned_;
   std::map<Key, protocol::SliceClaim> claims_;
+  std::map<Key, Duration> uses_;
 };
 
 }  // namespace jacinth::forwarding
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -23,6 +23,7 @@
   /// Version of the slices' owners that the entry holds.
   std::uint64_t slices_version = 0;
   std::vector<SliceClaim> claims;
+  std::vector<SliceUse> uses;
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/source/core/protocol/slice_list.h
+++ b/source/core/protocol/slice_list.h
@@ -35,6 +35,16 @@
   bool operator==(const SliceClaim&) const = default;
 };
 
+/// Entry to control: how long requests of a slice were at its owner since the
+/// last report, all together.
+struct SliceUse {
+  std::string service;
+  std::uint32_t slice = 0;
+  std::int64_t busy_ms = 0;
+
+  bool operator==(const SliceUse&) const = default;
+};
+
 /// Owners that changed after the version that an entry holds.
 struct SliceUpdate {
   /// Term of the leader, in the upper 32 bits, and a count; 0 if there is no
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -58,6 +58,9 @@
 generated::SliceClaim ToWire(const protocol::SliceClaim& claim);
 Result<protocol::SliceClaim> FromWire(const generated::SliceClaim& claim);
 
+generated::SliceUse ToWire(const protocol::SliceUse& use);
+protocol::SliceUse FromWire(const generated::SliceUse& use);
+
 generated::SliceUpdate ToWire(const protocol::SliceUpdate& update);
 protocol::SliceUpdate FromWire(const generated::SliceUpdate& update);
 
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -54,6 +54,8 @@
   out.slices_version = static_cast<std::int64_t>(heartbeat.slices_version);
   for (const protocol::SliceClaim& claim : heartbeat.claims)
     out.claims.push_back(ToWire(claim));
+  for (const protocol::SliceUse& use : heartbeat.uses)
+    out.uses.push_back(ToWire(use));
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -71,6 +73,8 @@
       return tl::unexpected(converted.error());
     out.claims.push_back(*converted);
   }
+  for (const generated::SliceUse& use : heartbeat.uses)
+    out.uses.push_back(FromWire(use));
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
--- a/source/core/wire/convert_slices.cc
+++ b/source/core/wire/convert_slices.cc
@@ -31,6 +31,18 @@
   return protocol::SliceClaim{FromWire(claim.owner), *reason};
 }
 
+generated::SliceUse ToWire(const protocol::SliceUse& use) {
+  generated::SliceUse out;
+  out.service_name = use.service;
+  out.slice = static_cast<std::int32_t>(use.slice);
+  out.busy_ms = use.busy_ms;
+  return out;
+}
+
+protocol::SliceUse FromWire(const generated::SliceUse& use) {
+  return {use.service_name, static_cast<std::uint32_t>(use.slice), use.busy_ms};
+}
+
 generated::SliceUpdate ToWire(const protocol::SliceUpdate& update) {
   generated::SliceUpdate out;
   out.version = static_cast<std::int64_t>(update.version);
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -20,9 +20,11 @@
 struct SliceOwner { 1: string service_name, 2: i32 slice, 3: string endpoint }
 struct SliceClaim { 1: SliceOwner owner, 2: i32 reason }
 struct SliceUpdate { 1: i64 version, 2: list<SliceOwner> changed }
+struct SliceUse { 1: string service_name, 2: i32 slice, 3: i64 busy_ms }
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
-  4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims
+  4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims,
+  7: list<SliceUse> uses
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
--- a/source/unit_tests/control/slice_assignment_test.cc
+++ b/source/unit_tests/control/slice_assignment_test.cc
@@ -74,6 +74,38 @@
   CHECK(owner_after("c", kNow + 20s) == "c");
 }
 
+TEST_CASE("Slices leave an owner whose requests wait, by the use told") {
+  SliceAssignment leader;
+  leader.Reset(1, {{"s", 7, "a"}, {"s", 8, "a"}});
+  const std::map<std::string, SliceHost> hosts = {{"a", {"s", "west", 2}},
+                                                  {"b", {"s", "west", 2}}};
+  const auto second = [&](std::int64_t busy_ms, Time now) {
+    leader.NoteUse({"s", 7, busy_ms});
+    leader.NoteUse({"s", 8, 2 * busy_ms});
+    return leader.Rebalance(hosts, 1s, now);
+  };
+  // One request of the slices is there at a time, on average.
+  CHECK(second(300, kNow) == 0);
+  CHECK(second(300, kNow + 1s) == 0);
+  CHECK(second(1'200, kNow + 2s) + second(1'200, kNow + 3s) == 1);
+  SliceMap map;
+  map.Take(leader.UpdateFor(0));
+  CHECK(map.OwnerOf("s", 7) == "b");
+  CHECK(map.OwnerOf("s", 8) == "a");
+}
+
+TEST_CASE("An entry tells the use of slices at their owner once") {
+  SliceMap map;
+  SliceAssignment leader;
+  leader.Reset(1, {{"s", 7, "a"}});
+  map.Take(leader.UpdateFor(0));
+  map.OnUse("s", 7, "a", 300ms);
+  map.OnUse("s", 7, "a", 200ms);
+  map.OnUse("s", 7, "b", 900ms);
+  CHECK(map.TakeUses() == std::vector<protocol::SliceUse>{{"s", 7, 500}});
+  CHECK(map.TakeUses().empty());
+}
+
 TEST_CASE("Slices of an endpoint that is gone are free again") {
   SliceAssignment leader;
   leader.Reset(1, {{"s", 7, "a"}});
--- /dev/null
+++ b/source/unit_tests/control/slice_balancer_test.cc
@@ -0,0 +1,100 @@
+#include "core/control/slice_balancer.h"
+
+#include <map>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::control {
+namespace {
+
+using Hosts = std::map<std::string, SliceHost>;
+
+std::map<std::string, double> LoadsAfter(std::vector<SliceLoad> slices,
+                                         const std::vector<SliceMove>& moves) {
+  for (const SliceMove& move : moves)
+    slices.at(move.slice).owner = move.to;
+  std::map<std::string, double> loads;
+  for (const SliceLoad& slice : slices)
+    loads[slice.owner] += slice.requests;
+  return loads;
+}
+
+}  // namespace
+
+TEST_CASE("The largest slice that fits moves from a hot owner to an idle one") {
+  const Hosts hosts = {{"a", {"s", "west", 4}},
+                       {"b", {"s", "west", 4}},
+                       {"c", {"s", "west", 4}}};
+  const std::vector<SliceLoad> slices = {
+      {"a", 3.5}, {"a", 1}, {"a", 2}, {"b", 2}};
+  CHECK(BalanceSlices(hosts, slices) ==
+        std::vector<SliceMove>{SliceMove{2, "c"}});
+}
+
+TEST_CASE("Owners without waiting requests keep their slices") {
+  const Hosts hosts = {{"a", {"s", "west", 4}}, {"b", {"s", "west", 4}}};
+  CHECK(BalanceSlices(hosts, {{"a", 2}, {"a", 2}}).empty());
+}
+
+TEST_CASE("A slice moves only where it may") {
+  Hosts hosts = {{"a", {"s", "west", 4}}, {"b", {"s", "west", 4}}};
+  std::vector<SliceLoad> slices = {{"a", 3}, {"a", 2}};
+  REQUIRE(BalanceSlices(hosts, slices).size() == 1);
+  SECTION("not to another region") {
+    hosts["b"].region = "east";
+  }
+  SECTION("not to another service") {
+    hosts["b"].service = "t";
+  }
+  SECTION("not to a cold endpoint") {
+    hosts["b"].may_gain = false;
+  }
+  SECTION("not shortly after it moved") {
+    slices[0].may_move = slices[1].may_move = false;
+  }
+  SECTION("not if it is all that the owner has") {
+    slices = {{"a", 5}};
+  }
+  SECTION("not to an endpoint that it would fill") {
+    slices.push_back({"b", 2});
+  }
+  CHECK(BalanceSlices(hosts, slices).empty());
+}
+
+TEST_CASE("Moves never overload the endpoint that gains, nor leave a region") {
+  const bool holds = rc::check([] {
+    Hosts hosts;
+    const int count = *rc::gen::inRange(1, 9);
+    for (int i = 0; i < count; ++i) {
+      hosts["p" + std::to_string(i)] = {
+          "s" + std::to_string(*rc::gen::inRange(0, 2)),
+          *rc::gen::element<std::string>("west", "east"),
+          *rc::gen::inRange(1, 10), *rc::gen::arbitrary<bool>()};
+    }
+    std::vector<SliceLoad> slices;
+    const int slice_count = *rc::gen::inRange(0, 40);
+    for (int i = 0; i < slice_count; ++i) {
+      slices.push_back({"p" + std::to_string(*rc::gen::inRange(0, count + 1)),
+                        *rc::gen::inRange(0, 60) / 10.0,
+                        *rc::gen::arbitrary<bool>()});
+    }
+    const auto moves = BalanceSlices(hosts, slices);
+    const auto after = LoadsAfter(slices, moves);
+    for (const SliceMove& move : moves) {
+      const SliceLoad& slice = slices.at(move.slice);
+      const SliceHost& from = hosts.at(slice.owner);
+      const SliceHost& to = hosts.at(move.to);
+      RC_ASSERT(slice.may_move);
+      RC_ASSERT(to.may_gain);
+      RC_ASSERT(from.service == to.service);
+      RC_ASSERT(from.region == to.region);
+      RC_ASSERT(after.at(move.to) <= to.slots);
+    }
+  });
+  CHECK(holds);
+}
+
+}  // namespace jacinth::control
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -52,7 +52,14 @@
   CheckRoundTrip(protocol::Hello{"e1", "mac"});
   CheckRoundTrip(protocol::Ping{true});
   CheckRoundTrip(FullPeerMessage());
-  CheckRoundTrip(protocol::Heartbeat{FullStatus(), 3, 4, 5});
+  CheckRoundTrip(protocol::Heartbeat{
+      FullStatus(),
+      3,
+      4,
+      5,
+      6,
+      {{{"s", 7, "a"}, protocol::SliceClaimReason::kOwnerCrowded}},
+      {{"s", 7, 1'500}}});
   CheckRoundTrip(protocol::HeartbeatReply{
       1,
       true,
