Entry: Don't chill endpoints anew with each change of settings

An entry kept the remaining cold time as it was when the list came and counted it from each later change of settings, so that a storm of changes held endpoints at the warm-up rate. Ruled out: crowded owners (the attempt lines now tell the owner's load, whether it is cold, and how busy the service is). Change: the session keeps when each endpoint will be warm. The new test fails on the code before.

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -77,7 +77,7 @@
     changed = true;
   }
   slices_.Take(reply.slices);
-  if (TakeEndpoints(reply.endpoints)) {
+  if (TakeEndpoints(reply.endpoints, now)) {
     endpoints_at_ = now;
     changed = true;
   }
@@ -114,29 +114,47 @@
   std::set<std::string> listed;
   for (const protocol::ListedEndpoint& endpoint : list) {
     listed.insert(endpoint.id);
-    if (SetEndpoint(endpoint))
+    if (SetEndpoint(endpoint, now))
       ++endpoint_changes_;
   }
-  const auto removed = std::erase_if(endpoints_, [&](const auto& item) {
-    return listed.count(item.first) == 0;
-  });
-  if (removed != 0)
+  const std::size_t before = endpoints_.size();
+  ForgetUnlisted(listed);
+  if (endpoints_.size() != before)
     ++endpoint_changes_;
 }
 
+void ControlSession::ForgetUnlisted(const std::set<std::string>& listed) {
+  const auto unlisted = [&](const auto& item) {
+    return listed.count(item.first) == 0;
+  };
+  std::erase_if(endpoints_, unlisted);
+  std::erase_if(cold_until_, unlisted);
+}
+
+Duration ControlSession::ColdFor(const std::string& id, Time now) const {
+  const auto found = cold_until_.find(id);
+  return found == cold_until_.end()
+             ? Duration{0}
+             : std::max(Duration{0}, found->second - now);
+}
+
 // An endpoint that drains doesn't come back under the same start.
-bool ControlSession::SetEndpoint(const protocol::ListedEndpoint& endpoint) {
+bool ControlSession::SetEndpoint(const protocol::ListedEndpoint& endpoint,
+                                 Time now) {
   protocol::ListedEndpoint& kept = endpoints_[endpoint.id];
   protocol::ListedEndpoint next = endpoint;
   if (kept.started_ms == next.started_ms && kept.address == next.address)
     next.draining |= kept.draining;
   if (kept == next)
     return false;
+  cold_until_[endpoint.id] =
+      now + std::chrono::milliseconds(endpoint.cold_for_ms);
   kept = std::move(next);
   return true;
 }
 
-bool ControlSession::TakeEndpoints(const protocol::EndpointUpdate& update) {
+bool ControlSession::TakeEndpoints(const protocol::EndpointUpdate& update,
+                                   Time now) {
   if (update.version == 0 || update.version <= endpoints_version_)
     return false;
   if (update.base != 0 && update.base != endpoints_version_)
@@ -146,14 +164,14 @@
     std::set<std::string> listed;
     for (const protocol::ListedEndpoint& endpoint : update.changed)
       listed.insert(endpoint.id);
-    std::erase_if(endpoints_, [&](const auto& item) {
-      return listed.count(item.first) == 0;
-    });
+    ForgetUnlisted(listed);
   }
   for (const protocol::ListedEndpoint& endpoint : update.changed)
-    SetEndpoint(endpoint);
-  for (const std::string& id : update.removed)
+    SetEndpoint(endpoint, now);
+  for (const std::string& id : update.removed) {
     endpoints_.erase(id);
+    cold_until_.erase(id);
+  }
   ++endpoint_changes_;
   return true;
 }
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
   const std::map<std::string, protocol::ListedEndpoint>& endpoints() const {
     return endpoints_;
   }
+  /// How much longer an endpoint is cold.
+  Duration ColdFor(const std::string& id, Time now) const;
   /// Takes over a list that this instance has read itself.
   void TakeListed(const std::vector<protocol::ListedEndpoint>& list, Time now);
   /// When the endpoints were last known to be up to date.
@@ -87,9 +90,10 @@
 
   std::optional<Time> SentTime(std::uint64_t sequence) const;
   bool TakeSettings(const protocol::SettingsUpdate& update);
-  bool TakeEndpoints(const protocol::EndpointUpdate& update);
+  bool TakeEndpoints(const protocol::EndpointUpdate& update, Time now);
   void AddContact(const std::string& instance);
-  bool SetEndpoint(const protocol::ListedEndpoint& endpoint);
+  bool SetEndpoint(const protocol::ListedEndpoint& endpoint, Time now);
+  void ForgetUnlisted(const std::set<std::string>& listed);
 
   protocol::EntryStatus self_;
   Duration heartbeat_;
@@ -105,6 +109,8 @@
   protocol::MemberList members_;
   std::vector<std::string> contacts_;
   std::map<std::string, protocol::ListedEndpoint> endpoints_;
+  /// When each endpoint that was listed as cold is warm.
+  std::map<std::string, Time> cold_until_;
   forwarding::SliceMap slices_;
   std::uint64_t endpoints_version_ = 0;
   std::uint64_t endpoint_changes_ = 0;
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -171,9 +171,9 @@
 void EntryNode::NoteUse(const RequestRecord& record, Time now) {
   if (!record.kind.affinity || record.arrival.object.empty())
     return;
-  session_.slices().OnUse(
-      record.service, forwarding::SliceMap::SliceOf(record.arrival.object),
-      record.endpoint, now - record.attempt_started);
+  session_.slices().OnUse(record.service,
+                          forwarding::SliceMap::SliceOf(record.arrival.object),
+                          record.endpoint, now - record.attempt_started);
 }
 
 // A refusal costs nothing but time: the request waits for a slot that is really
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -145,7 +145,7 @@
   members_used_ = session_.members_version();
   for (const auto& [name, service] : fleet->services) {
     ServiceDesk& desk = desks_[name];
-    desk.Update(Complete(service), now);
+    desk.Update(Complete(service, now), now);
     ShareLimits(desk);
     Pump(desk, now);
   }
@@ -158,7 +158,8 @@
 // The service with the kinds of the routes that lead to it and the endpoints
 // that the platform lists.
 settings::ServiceSettings EntryNode::Complete(
-    const settings::ServiceSettings& service) {
+    const settings::ServiceSettings& service,
+    Time now) {
   settings::ServiceSettings complete = service;
   for (const auto& [host, routes] : session_.fleet()->routes) {
     for (const settings::RouteSettings& route : routes) {
@@ -173,13 +174,13 @@
   }
   for (const auto& [id, row] : session_.endpoints()) {
     if (row.service == service.name)
-      complete.endpoints.push_back(Place(row));
+      complete.endpoints.push_back(Place(row, now));
   }
   return complete;
 }
 
-settings::EndpointSettings EntryNode::Place(
-    const protocol::ListedEndpoint& row) const {
+settings::EndpointSettings EntryNode::Place(const protocol::ListedEndpoint& row,
+                                            Time now) const {
   settings::EndpointSettings endpoint;
   endpoint.name = row.id;
   endpoint.incarnation = row.id;
@@ -190,7 +191,7 @@
   if (region != options_.domain_regions.end())
     endpoint.region = region->second;
   endpoint.slots = row.slots;
-  endpoint.cold_for = std::chrono::milliseconds(row.cold_for_ms);
+  endpoint.cold_for = session_.ColdFor(row.id, now);
   const bool domain_drained =
       session_.fleet()->drained_domains.count(row.failure_domain) != 0;
   endpoint.drained = row.draining || domain_drained;
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -73,8 +73,10 @@
   void SendHeartbeat(const protocol::Heartbeat& heartbeat, Time now);
   void TickListing(Time now);
   void TakeFleet(Time now);
-  settings::ServiceSettings Complete(const settings::ServiceSettings& service);
-  settings::EndpointSettings Place(const protocol::ListedEndpoint& row) const;
+  settings::ServiceSettings Complete(const settings::ServiceSettings& service,
+                                     Time now);
+  settings::EndpointSettings Place(const protocol::ListedEndpoint& row,
+                                   Time now) const;
   void ShareLimits(ServiceDesk& desk) const;
   void PublishSnapshot();
   void TickStop(Time now);
--- a/source/core/entry/entry_notes.cc
+++ b/source/core/entry/entry_notes.cc
@@ -38,6 +38,13 @@
     note.With("object", record.arrival.object);
     note.With("owner", placement.owner)
         .With("preferred", placement.owner == record.endpoint);
+    if (placement.owner != record.endpoint && !placement.owner.empty()) {
+      const forwarding::EndpointView owner =
+          desk.endpoints.Describe(placement.owner, now);
+      note.With("owner_load", owner.load)
+          .With("owner_cold", owner.cold)
+          .With("service_busy", owner.service_busy);
+    }
   }
 }
 
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -249,6 +249,7 @@
 
 EndpointView EndpointTable::Describe(const std::string& name, Time now) const {
   EndpointView view;
+  view.service_busy = busy_share_;
   const auto found = rows_.find(name);
   if (found == rows_.end())
     return view;
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -37,6 +37,8 @@
   std::optional<Duration> load_age;
   int slots = 0;
   bool cold = false;
+  /// Part of the service's slots in use.
+  double service_busy = 0;
 };
 
 /// The endpoints of one service as one entry instance sees them.
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -134,9 +134,8 @@
     forwarding::LoadReport load;
     bool same;
   };
-  const Case row =
-      GENERATE(Case{{0, 0, 2}, true}, Case{{1, 0, 2}, true},
-               Case{{2, 0, 2}, false}, Case{{2, 6, 2}, false});
+  const Case row = GENERATE(Case{{0, 0, 2}, true}, Case{{1, 0, 2}, true},
+                            Case{{2, 0, 2}, false}, Case{{2, 6, 2}, false});
   EntryDriver driver = Ready();
   Arrive(driver, "/safe/x", "17");
   const std::string owner = driver.attempts.at(0).endpoint;
@@ -149,6 +148,20 @@
   CHECK((driver.attempts[1].endpoint == owner) == row.same);
 }
 
+TEST_CASE("New settings don't make an endpoint cold again") {
+  EntryDriver driver = Ready("warmup_ms = 3000\nwarmup_per_1000_s = 1000\n");
+  std::vector<protocol::ListedEndpoint> endpoints = {Listed("a"), Listed("b"),
+                                                     Listed("c")};
+  for (protocol::ListedEndpoint& endpoint : endpoints)
+    endpoint.cold_for_ms = 3'000;
+  List(driver, 2, endpoints);
+  driver.Wait(4s);
+  driver.Apply(RouteTree("warmup_ms = 3000\nwarmup_per_1000_s = 2000\n"));
+  for (int i = 0; i < 4; ++i)
+    Arrive(driver, "/safe/x", "17");
+  CHECK(driver.attempts.size() == 4);
+}
+
 TEST_CASE("After a doubtful attempt nothing is called not run any more") {
   EntryDriver driver = Ready();
   const RequestTicket ticket = Arrive(driver, "/safe/x");
