Control: Choose slices' owners by one list of endpoints

Cause: which endpoints may own slices was decided twice, for the list that came and for the balancer.

--- a/source/core/control/control_lists.cc
+++ b/source/core/control/control_lists.cc
@@ -1,4 +1,4 @@
-#include <set>
+#include <algorithm>
 #include <utility>
 
 #include "core/control/control_node.h"
@@ -19,7 +19,7 @@
     return;
   BeginSlices();
   catalog_.Take(event.endpoints, clock.now);
-  slices_.KeepOnly(UsableIds(event.endpoints));
+  slices_.KeepOnly(SliceHosts(clock.now));
   PushLists(clock.now);
 }
 
@@ -32,22 +32,6 @@
   slices_.Reset(slices_term_, state_.SliceOwners());
 }
 
-// Endpoints that may own slices.
-std::set<std::string> ControlNode::UsableIds(
-    const std::vector<protocol::ListedEndpoint>& endpoints) const {
-  std::set<std::string> ids;
-  for (const protocol::ListedEndpoint& endpoint : endpoints) {
-    const auto region = options_.domain_regions.find(endpoint.failure_domain);
-    const bool drained =
-        endpoint.draining ||
-        (region != options_.domain_regions.end() &&
-         IsDomainDrained(region->second, endpoint.failure_domain));
-    if (!drained)
-      ids.insert(endpoint.id);
-  }
-  return ids;
-}
-
 bool ControlNode::IsDomainDrained(const std::string& region,
                                   const std::string& domain) const {
   const auto drain = state_.tree().Effective(
@@ -55,19 +39,16 @@
   return drain && drain->value == "true";
 }
 
-// Endpoints that may own slices, with what the balancer goes by.
+// Endpoints that may own slices.
 std::map<std::string, SliceHost> ControlNode::SliceHosts(Time now) const {
   std::map<std::string, SliceHost> hosts;
   for (const protocol::ListedEndpoint& endpoint : catalog_.All(now)) {
-    const auto region = options_.domain_regions.find(endpoint.failure_domain);
-    if (region == options_.domain_regions.end() || endpoint.slots <= 0)
-      continue;
-    const bool drained =
-        endpoint.draining ||
-        IsDomainDrained(region->second, endpoint.failure_domain);
-    if (drained)
+    const auto found = options_.domain_regions.find(endpoint.failure_domain);
+    const std::string region =
+        found == options_.domain_regions.end() ? "" : found->second;
+    if (endpoint.draining || IsDomainDrained(region, endpoint.failure_domain))
       continue;
-    hosts[endpoint.id] = {endpoint.service, region->second, endpoint.slots,
+    hosts[endpoint.id] = {endpoint.service, region, std::max(1, endpoint.slots),
                           endpoint.cold_for_ms == 0};
   }
   return hosts;
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -4,7 +4,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -139,8 +138,6 @@
   void RebalanceSlices(Time now);
   std::map<std::string, SliceHost> SliceHosts(Time now) const;
   void RecordSlices(ClockReading clock);
-  std::set<std::string> UsableIds(
-      const std::vector<protocol::ListedEndpoint>& endpoints) const;
   bool IsDomainDrained(const std::string& region,
                        const std::string& domain) const;
 
--- a/source/core/control/slice_assignment.cc
+++ b/source/core/control/slice_assignment.cc
@@ -62,7 +62,7 @@
     row.crowded_move = now;
 }
 
-void SliceAssignment::KeepOnly(const std::set<std::string>& usable) {
+void SliceAssignment::KeepOnly(const std::map<std::string, SliceHost>& usable) {
   for (auto& [key, row] : rows_) {
     if (!row.endpoint.empty() && usable.count(row.endpoint) == 0)
       SetOwner(key, row, "");
--- a/source/core/control/slice_assignment.h
+++ b/source/core/control/slice_assignment.h
@@ -34,7 +34,7 @@
              Time now);
 
   /// Frees the slices of endpoints that are not among `usable`.
-  void KeepOnly(const std::set<std::string>& usable);
+  void KeepOnly(const std::map<std::string, SliceHost>& usable);
 
   /// An entry tells how long requests of a slice were at its owner.
   void NoteUse(const protocol::SliceUse& use);
--- a/source/unit_tests/control/slice_assignment_test.cc
+++ b/source/unit_tests/control/slice_assignment_test.cc
@@ -111,7 +111,7 @@
   leader.Reset(1, {{"s", 7, "a"}});
   SliceMap map;
   map.Take(leader.UpdateFor(0));
-  leader.KeepOnly({"b"});
+  leader.KeepOnly({{"b", {}}});
   map.Take(leader.UpdateFor(map.version()));
   CHECK(map.OwnerOf("s", 7).empty());
   leader.Claim("e1", Claim("b"), kNow);
--- a/source/unit_tests/control/slice_balancer_test.cc
+++ b/source/unit_tests/control/slice_balancer_test.cc
@@ -76,6 +76,7 @@
     }
     std::vector<SliceLoad> slices;
     const int slice_count = *rc::gen::inRange(0, 40);
+    slices.reserve(static_cast<std::size_t>(slice_count));
     for (int i = 0; i < slice_count; ++i) {
       slices.push_back({"p" + std::to_string(*rc::gen::inRange(0, count + 1)),
                         *rc::gen::inRange(0, 60) / 10.0,
