Http, Entry: One list of status codes; a file for how requests end

Change: core/http/status.h; entry_ends.cc; the header names the file of each method. No change of behaviour.

--- a/source/core/admin/admin_api.cc
+++ b/source/core/admin/admin_api.cc
@@ -10,6 +10,7 @@
 #include "core/common/sha256.h"
 #include "core/common/split.h"
 #include "core/http/problem.h"
+#include "core/http/status.h"
 
 namespace jacinth::admin {
 namespace {
@@ -24,7 +25,6 @@
 using protocol::ChangeSettings;
 using settings::OperatorSettings;
 
-constexpr int kTemporaryRedirect = 307;
 constexpr std::string_view kSettingsPath = "/v1/settings";
 constexpr std::string_view kDrainsPath = "/v1/drains/";
 constexpr int kDrainTries = 5;
@@ -225,7 +225,7 @@
     response.headers.emplace_back("Retry-After", "1");
     return response;
   }
-  response.status = kTemporaryRedirect;
+  response.status = http::kStatusTemporaryRedirect;
   response.headers.emplace_back("Location",
                                 "http://" + leader->second + request.target);
   return response;
--- /dev/null
+++ b/source/core/entry/entry_ends.cc
@@ -0,0 +1,115 @@
+#include <utility>
+#include <vector>
+
+#include "core/entry/entry_node.h"
+
+namespace jacinth::entry {
+
+using protocol::FinishRequest;
+using protocol::RecordedAnswer;
+
+void EntryNode::On(const RequestAbandoned& event, Time now) {
+  const auto found = requests_.find(event.ticket);
+  if (found == requests_.end())
+    return;
+  RequestRecord& record = found->second;
+  ServiceDesk& desk = desks_.at(record.service);
+  const bool running = !record.endpoint.empty();
+  if (running) {
+    desk.endpoints.OnAttemptEnd(record.endpoint,
+                                forwarding::AttemptEnd::kCancelled, {}, now);
+    NoteUse(record, now);
+    actions_.cancels.push_back({event.ticket});
+  }
+  if (record.phase == RequestPhase::kWaiting)
+    desk.queue.Remove(event.ticket);
+  const bool may_have_run = running || record.may_have_run;
+  FinishClaim(record, may_have_run ? Outcome::kUnknown : Outcome::kNotRun, {},
+              now);
+  RefuseRequest gone{{ErrorKind::kDeadlineExceeded, "the caller has gone"},
+                     may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+                     {}};
+  End(event.ticket, std::move(gone), now);
+  Pump(desk, now);
+}
+
+void EntryNode::RefuseExpired(Time now) {
+  std::vector<RequestTicket> expired;
+  for (auto& [name, desk] : desks_) {
+    for (const RequestTicket ticket : desk.queue.TakeExpired(now))
+      expired.push_back(ticket);
+  }
+  for (const auto& [ticket, record] : requests_) {
+    if (record.phase == RequestPhase::kClaiming && now >= record.deadline)
+      expired.push_back(ticket);
+  }
+  for (const RequestTicket ticket : expired) {
+    Refuse(ticket, {ErrorKind::kDeadlineExceeded, "waited too long"}, now);
+  }
+}
+
+void EntryNode::RefuseUnservable(ServiceDesk& desk, Time now) {
+  if (desk.queue.waiting() == 0 || desk.endpoints.UsableSlots() != 0)
+    return;
+  std::vector<RequestTicket> stranded;
+  for (const auto& [ticket, record] : requests_) {
+    if (record.phase == RequestPhase::kWaiting &&
+        record.service == desk.settings.name)
+      stranded.push_back(ticket);
+  }
+  for (const RequestTicket ticket : stranded) {
+    desk.queue.Remove(ticket);
+    Refuse(ticket, {ErrorKind::kNoEndpoint, "no endpoint is usable"}, now);
+  }
+}
+
+void EntryNode::Refuse(RequestTicket ticket, Error error, Time now) {
+  const RequestRecord& record = requests_.at(ticket);
+  const Outcome outcome =
+      record.may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  FinishClaim(record, outcome, {}, now);
+  RefuseRequest refusal{std::move(error), outcome, {}};
+  if (outcome == Outcome::kNotRun)
+    refusal.retry_after = RetryHint(record);
+  End(ticket, std::move(refusal), now);
+}
+
+void EntryNode::FinishClaim(const RequestRecord& record,
+                            Outcome outcome,
+                            const RecordedAnswer& answer,
+                            Time now) {
+  if (record.claim.empty())
+    return;
+  FinishRequest finish;
+  finish.attempt = record.claim;
+  finish.key.caller = record.service + "/" + record.arrival.caller;
+  finish.key.key = record.arrival.idempotency_key;
+  finish.outcome = outcome;
+  if (outcome == Outcome::kRan)
+    finish.answer = answer;
+  claims_.Finish(std::move(finish), now);
+}
+
+void EntryNode::End(RequestTicket ticket,
+                    decltype(RequestAnswer::body) body,
+                    Time now) {
+  const auto found = requests_.find(ticket);
+  const RequestRecord& record = found->second;
+  const bool running = record.phase == RequestPhase::kRunning;
+  desks_.at(record.service).queue.Leave(record.kind.name, running);
+  ceilings_.Leave(record.kind.rank);
+  tickets_by_claim_.erase(record.claim);
+  NoteEnd(record, body, now);
+  actions_.answers.push_back({ticket, std::move(body), record.kind.rank});
+  requests_.erase(found);
+}
+
+RequestRecord* EntryNode::FindByClaim(const std::string& claim) {
+  const auto ticket = tickets_by_claim_.find(claim);
+  if (ticket == tickets_by_claim_.end())
+    return nullptr;
+  const auto record = requests_.find(ticket->second);
+  return record == requests_.end() ? nullptr : &record->second;
+}
+
+}  // namespace jacinth::entry
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -84,8 +84,6 @@
 
   // entry_requests.cc
   void On(const RequestArrived& event, Time now);
-  void On(const AttemptEnded& event, Time now);
-  void On(const RequestAbandoned& event, Time now);
   Result<RequestRecord> Resolve(const RequestArrived& event);
   std::optional<Error> CheckArrival(const RequestArrived& event) const;
   std::optional<Error> CheckService(const RequestRecord& record,
@@ -95,6 +93,9 @@
   void StartClaim(RequestRecord& record, Time now);
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
   void Pump(ServiceDesk& desk, Time now);
+
+  // entry_attempts.cc
+  void On(const AttemptEnded& event, Time now);
   void PlaceObject(const RequestRecord& record,
                    const ServiceDesk& desk,
                    forwarding::Placement& placement,
@@ -111,6 +112,9 @@
                 ServiceDesk& desk,
                 forwarding::AttemptEnd end,
                 Time now) const;
+
+  // entry_ends.cc
+  void On(const RequestAbandoned& event, Time now);
   void RefuseExpired(Time now);
   void RefuseUnservable(ServiceDesk& desk, Time now);
   void Refuse(RequestTicket ticket, Error error, Time now);
@@ -119,6 +123,9 @@
                    const protocol::RecordedAnswer& answer,
                    Time now);
   void End(RequestTicket ticket, decltype(RequestAnswer::body) body, Time now);
+  RequestRecord* FindByClaim(const std::string& claim);
+
+  // entry_notes.cc
   log::Record& Note(std::string_view event);
   void NoteAttempt(const RequestRecord& record,
                    const ServiceDesk& desk,
@@ -134,7 +141,6 @@
   void NoteRefusal(const RequestArrived& arrival, const RefuseRequest& refusal);
   void NoteBeliefs(Time now);
   void NoteFleet(Time now);
-  RequestRecord* FindByClaim(const std::string& claim);
 
   EntryOptions options_;
   ControlSession session_;
--- a/source/core/http/connection.cc
+++ b/source/core/http/connection.cc
@@ -7,17 +7,16 @@
 #include <utility>
 
 #include "core/http/address.h"
+#include "core/http/status.h"
 
 namespace jacinth::http {
 namespace {
 
 using Clock = std::chrono::steady_clock;
 
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-
 bool HasBody(const std::string& method, int status) {
-  return method != "HEAD" && status != kNoContent && status != kNotModified;
+  return method != "HEAD" && status != kStatusNoContent &&
+         status != kStatusNotModified;
 }
 
 // Without a length or chunks, a cut answer looks like a whole one.
--- a/source/core/http/event_session.cc
+++ b/source/core/http/event_session.cc
@@ -6,15 +6,11 @@
 #include <asio/write.hpp>
 
 #include "core/http/message_writer.h"
+#include "core/http/status.h"
 
 namespace jacinth::http {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kContentTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
-constexpr int kUnavailable = 503;
 /// Time for the caller to read the last answer before the connection is reset.
 constexpr Duration kLingerTime = 1s;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -145,7 +141,7 @@
       return;
     case ParseState::kBody:
       if (server_.held_bytes_ > server_.limits_.max_held_bytes) {
-        Refuse(kUnavailable, "too many request bytes are held");
+        Refuse(kStatusUnavailable, "too many request bytes are held");
         return;
       }
       if (parser_->expects_continue() && !continue_sent_) {
@@ -160,13 +156,13 @@
       Dispatch();
       return;
     case ParseState::kMalformed:
-      Refuse(kBadRequest, "malformed HTTP request");
+      Refuse(kStatusBadRequest, "malformed HTTP request");
       return;
     case ParseState::kHeadTooLarge:
-      Refuse(kHeadTooLarge, "the request head is too large");
+      Refuse(kStatusHeadersTooLarge, "the request head is too large");
       return;
     case ParseState::kBodyTooLarge:
-      Refuse(kContentTooLarge, "the request body is too large");
+      Refuse(kStatusContentTooLarge, "the request body is too large");
       return;
   }
 }
@@ -189,7 +185,7 @@
   Request request = parser_->TakeRequest();
   is_head_ = request.method == "HEAD";
   if (!SplitTarget(request)) {
-    Refuse(kBadRequest, "malformed request target");
+    Refuse(kStatusBadRequest, "malformed request target");
     return;
   }
   ++number_;
@@ -261,7 +257,7 @@
 void EventSession::OnTimer() {
   const bool slow_request = phase_ == Phase::kReading && parser_->started();
   if (slow_request) {
-    Refuse(kRequestTimeout, "the request did not arrive in time");
+    Refuse(kStatusRequestTimeout, "the request did not arrive in time");
     return;
   }
   if (phase_ != Phase::kHandling)
--- a/source/core/http/message_writer.cc
+++ b/source/core/http/message_writer.cc
@@ -3,12 +3,11 @@
 #include <http_parser.h>
 #include <string_view>
 
+#include "core/http/status.h"
+
 namespace jacinth::http {
 namespace {
 
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-
 void AddField(std::string& out, std::string_view name, std::string_view value) {
   out += name;
   out += ": ";
@@ -45,8 +44,8 @@
     AddField(out, "Content-Type", response.content_type);
   for (const auto& [name, value] : response.headers)
     AddField(out, name, value);
-  const bool has_body =
-      response.status != kNoContent && response.status != kNotModified;
+  const bool has_body = response.status != kStatusNoContent &&
+                        response.status != kStatusNotModified;
   if (has_body)
     AddField(out, "Content-Length", std::to_string(response.body.size()));
   if (close)
--- a/source/core/http/server.cc
+++ b/source/core/http/server.cc
@@ -15,6 +15,7 @@
 #include "core/http/connection_parker.h"
 #include "core/http/problem.h"
 #include "core/http/server_connection.h"
+#include "core/http/status.h"
 
 namespace jacinth::http {
 namespace {
@@ -22,7 +23,6 @@
 constexpr std::size_t kMaxKeptRequests = 1'000'000;
 constexpr std::size_t kMaxHeaders = 100;
 constexpr int kBacklog = 1'024;
-constexpr int kPayloadTooLarge = 413;
 constexpr const char* kAnyPath = R"([\s\S]*)";
 
 // Hands the library's connections to a bounded pool.
@@ -70,7 +70,7 @@
   switch (status) {
     case 404:
       return {ErrorKind::kUnknownPath, "no such path or method"};
-    case kPayloadTooLarge:
+    case kStatusContentTooLarge:
       return {ErrorKind::kBodyTooLarge, "the body exceeds the limit"};
     case 414:
       return {ErrorKind::kBadRequest, "the target is too long"};
@@ -185,8 +185,8 @@
         return fits;
       });
       // The library sets the status when the length alone says too much.
-      if (!fits || response.status == kPayloadTooLarge) {
-        Fill(response, ProblemResponse(ErrorOfStatus(kPayloadTooLarge)));
+      if (!fits || response.status == kStatusContentTooLarge) {
+        Fill(response, ProblemResponse(ErrorOfStatus(kStatusContentTooLarge)));
         return;
       }
       if (!read) {
--- /dev/null
+++ b/source/core/http/status.h
@@ -0,0 +1,24 @@
+#pragma once
+
+namespace jacinth::http {
+
+/// Status codes of HTTP (RFC 9110) that the code sends or tells apart.
+inline constexpr int kStatusOk = 200;
+inline constexpr int kStatusNoContent = 204;
+inline constexpr int kStatusFirstRedirect = 300;
+inline constexpr int kStatusNotModified = 304;
+inline constexpr int kStatusTemporaryRedirect = 307;
+inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusNotFound = 404;
+inline constexpr int kStatusRequestTimeout = 408;
+inline constexpr int kStatusPreconditionFailed = 412;
+inline constexpr int kStatusContentTooLarge = 413;
+inline constexpr int kStatusMisdirectedRequest = 421;
+inline constexpr int kStatusTooManyRequests = 429;
+inline constexpr int kStatusHeadersTooLarge = 431;
+inline constexpr int kStatusFirstServerError = 500;
+inline constexpr int kStatusBadGateway = 502;
+inline constexpr int kStatusUnavailable = 503;
+inline constexpr int kStatusGatewayTimeout = 504;
+
+}  // namespace jacinth::http
--- a/source/jacinthroute/endpoint_lister.cc
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/http/status.h"
 #include "core/log/log.h"
 
 namespace jacinth {
@@ -9,7 +10,6 @@
 
 constexpr http::ExchangeLimits kLimits{500ms, 1500ms, 8UL << 20U};
 constexpr Duration kMaxIdle = 5s;
-constexpr int kStatusOk = 200;
 /// Guards against a list whose pages never end.
 constexpr int kMaxPages = 1'000;
 
@@ -50,7 +50,7 @@
     Fail("no answer");
     return;
   }
-  if (result.response.status != kStatusOk) {
+  if (result.response.status != http::kStatusOk) {
     Fail("status " + std::to_string(result.response.status));
     return;
   }
--- a/source/jacinthroute/native_dialect.cc
+++ b/source/jacinthroute/native_dialect.cc
@@ -8,6 +8,7 @@
 
 #include "core/common/hash.h"
 #include "core/http/problem.h"
+#include "core/http/status.h"
 #include "core/steering/lookup.h"
 #include "jacinthroute/attempt_end.h"
 
@@ -25,9 +26,6 @@
 constexpr std::int64_t kMaxBudgetMs = 3'600'000;
 constexpr std::size_t kMaxKeyLength = 200;
 constexpr std::size_t kMaxCallerLength = 100;
-constexpr int kStatusOk = 200;
-constexpr int kContentTooLarge = 413;
-constexpr int kUnavailable = 503;
 
 bool IsPrintable(std::string_view text) {
   for (const char c : text) {
@@ -129,7 +127,7 @@
       view.snapshot != nullptr && view.snapshot->fleet != nullptr &&
       view.now < view.snapshot->contact_until && !view.snapshot->self.draining;
   Response response = Text(ready ? "ready\n" : "not ready\n");
-  response.status = ready ? kStatusOk : kUnavailable;
+  response.status = ready ? http::kStatusOk : http::kStatusUnavailable;
   return response;
 }
 
@@ -266,9 +264,9 @@
 
 Response NativeDialect::Unreadable(int status, const std::string& why) const {
   ErrorKind kind = ErrorKind::kBadRequest;
-  if (status == kContentTooLarge)
+  if (status == http::kStatusContentTooLarge)
     kind = ErrorKind::kBodyTooLarge;
-  if (status == kUnavailable)
+  if (status == http::kStatusUnavailable)
     kind = ErrorKind::kOverloaded;
   Response response = ProblemResponse({kind, why}, Outcome::kNotRun);
   response.status = status;
@@ -290,8 +288,8 @@
       HeaderValue(result.response.headers, "Endpoint-State") == "draining";
   if (draining)
     return ProbeEnd::kDraining;
-  return result.response.status == kStatusOk ? ProbeEnd::kHealthy
-                                             : ProbeEnd::kFailed;
+  return result.response.status == http::kStatusOk ? ProbeEnd::kHealthy
+                                                   : ProbeEnd::kFailed;
 }
 
 Request NativeDialect::ForListing(const std::string& /*page*/) const {
