--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -53,7 +53,7 @@
     return false;
   const settings::EndpointSettings& row = *desk.endpoints.Find(*endpoint);
   if (placement.object)
-    NoteOwner(record, desk, placement, *endpoint, now);
+    NoteOwner(record, desk, *endpoint, now);
   record.endpoint = *endpoint;
   record.attempt_started = now;
   record.tried.insert(*endpoint);
@@ -153,7 +153,6 @@
 // Claims the slice for the endpoint if nobody else that can be used owns it.
 void EntryNode::NoteOwner(const RequestRecord& record,
                           const ServiceDesk& desk,
-                          const forwarding::Placement& placement,
                           const std::string& endpoint,
                           Time now) {
   forwarding::SliceMap& slices = session_.slices();
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -102,7 +102,6 @@
                    Time now) const;
   void NoteOwner(const RequestRecord& record,
                  const ServiceDesk& desk,
-                 const forwarding::Placement& placement,
                  const std::string& endpoint,
                  Time now);
   void NoteUse(const RequestRecord& record, Time now);
