--- a/source/unit_tests/control/slice_assignment_test.cc
+++ b/source/unit_tests/control/slice_assignment_test.cc
@@ -94,6 +94,40 @@
   CHECK(map.OwnerOf("s", 8) == "a");
 }
 
+TEST_CASE("A slice that was moved for its owner's load stays for a while") {
+  SliceAssignment leader;
+  leader.Reset(1, {{"s", 7, "a"}, {"s", 8, "a"}});
+  std::map<std::string, SliceHost> hosts = {{"a", {"s", "west", 2}},
+                                            {"b", {"s", "west", 2}},
+                                            {"c", {"s", "west", 2}}};
+  const auto moves_in = [&](Time from, int seconds) {
+    std::size_t moves = 0;
+    for (int i = 0; i < seconds; ++i) {
+      leader.NoteUse({"s", 7, 1'300});
+      leader.NoteUse({"s", 8, 1'300});
+      leader.NoteUse({"s", 9, 1'300});
+      moves += leader.Rebalance(hosts, 1s, from + i * 1s);
+    }
+    return moves;
+  };
+  // "b" is the only one that may gain, and gets one of the two.
+  hosts.at("c").may_gain = false;
+  REQUIRE(moves_in(kNow, 5) == 1);
+  // The slice that came makes "b" busy with another one there.
+  leader.Claim("e1", {{"s", 9, "b"}, SliceClaimReason::kNoOwner}, kNow + 5s);
+  hosts.at("a").may_gain = false;
+  hosts.at("c").may_gain = true;
+  const auto owners = [&] {
+    SliceMap map;
+    map.Take(leader.UpdateFor(0));
+    return std::pair(map.OwnerOf("s", 7), map.OwnerOf("s", 8));
+  };
+  const auto before = owners();
+  // The other slice may leave "b"; the one that moved may not.
+  CHECK(moves_in(kNow + 5s, 4) == 1);
+  CHECK(owners() == before);
+}
+
 TEST_CASE("An entry tells the use of slices at their owner once") {
   SliceMap map;
   SliceAssignment leader;
