--- a/source/core/control/control_lists.cc
+++ b/source/core/control/control_lists.cc
@@ -60,10 +60,9 @@
     return;
   last_rebalance_ = now;
   const std::size_t moved = slices_.Rebalance(SliceHosts(now), elapsed, now);
-  if (moved != 0)
-    Note("slices_rebalanced")
-        .With("moved", moved)
-        .With("slices", slices_.size());
+  if (moved == 0)
+    return;
+  Note("slices_rebalanced").With("moved", moved).With("slices", slices_.size());
 }
 
 // So that a new leader, or all of them after a loss of power, begin with the
--- a/source/core/control/slice_assignment.cc
+++ b/source/core/control/slice_assignment.cc
@@ -13,7 +13,7 @@
 constexpr Duration kObjectionLife = 3s;
 /// Shortest time between two moves of a slice for a lack of room: a moved
 /// object is cold once, which is what an overloaded service has no time for.
-constexpr Duration kCrowdedMoveInterval = 10s;
+constexpr Duration kLoadMoveInterval = 10s;
 /// Share of the newest interval in the moving average of a slice's use.
 constexpr double kNewUseShare = 0.5;
 /// Bounds the table; slices beyond it are placed by hash alone.
@@ -49,7 +49,7 @@
   const bool displaces = claim.reason != SliceClaimReason::kNoOwner &&
                          row.endpoint != claim.owner.endpoint;
   const bool crowded = claim.reason == SliceClaimReason::kOwnerCrowded;
-  if (!displaces || (crowded && now < row.crowded_move + kCrowdedMoveInterval))
+  if (!displaces || (crowded && now < row.load_moved_at + kLoadMoveInterval))
     return;
   row.objections[entry] = now;
   std::erase_if(row.objections, [&](const auto& objection) {
@@ -59,7 +59,7 @@
     return;
   SetOwner(key, row, claim.owner.endpoint);
   if (crowded)
-    row.crowded_move = now;
+    row.load_moved_at = now;
 }
 
 void SliceAssignment::KeepOnly(const std::map<std::string, SliceHost>& usable) {
@@ -90,14 +90,14 @@
       continue;
     keys.push_back(&key);
     loads.push_back({row.endpoint, row.requests,
-                     now >= row.crowded_move + kCrowdedMoveInterval});
+                     now >= row.load_moved_at + kLoadMoveInterval});
   }
   const std::vector<SliceMove> moves = BalanceSlices(hosts, loads);
   for (const SliceMove& move : moves) {
     const Key& key = *keys[move.slice];
     Row& row = rows_.at(key);
     SetOwner(key, row, move.to);
-    row.crowded_move = now;
+    row.load_moved_at = now;
   }
   return moves.size();
 }
--- a/source/core/control/slice_assignment.h
+++ b/source/core/control/slice_assignment.h
@@ -65,8 +65,8 @@
     Duration busy{0};
     /// Requests at the owner at a time, a moving average.
     double requests = 0;
-    /// When the owner was last displaced for a lack of room.
-    Time crowded_move{};
+    /// When the slice last moved because of its owner's load.
+    Time load_moved_at{};
     /// Entries that lately could not use the owner.
     std::map<std::string, Time> objections;
   };
--- a/source/core/control/slice_balancer.cc
+++ b/source/core/control/slice_balancer.cc
@@ -15,8 +15,8 @@
 
 using Hosts = std::map<std::string, SliceHost>;
 
-/// An endpoint while the moves are chosen.
-struct Balance {
+/// An endpoint and its load, kept up to date while the moves are chosen.
+struct HostLoad {
   const std::string* id = nullptr;
   const SliceHost* host = nullptr;
   double load = 0;
@@ -27,7 +27,7 @@
 };
 
 /// Endpoints that may take slices over from each other.
-using Group = std::vector<Balance>;
+using Group = std::vector<HostLoad>;
 
 std::vector<Group> MakeGroups(const Hosts& hosts,
                               const std::vector<SliceLoad>& slices) {
@@ -36,12 +36,12 @@
   for (std::size_t i = 0; i < slices.size(); ++i)
     owned[slices[i].owner].push_back(i);
   for (const auto& [id, host] : hosts) {
-    Balance balance{&id, &host, 0, {}};
+    HostLoad host_load{&id, &host, 0, {}};
     if (const auto found = owned.find(id); found != owned.end())
-      balance.slices = std::move(found->second);
-    for (const std::size_t slice : balance.slices)
-      balance.load += slices[slice].requests;
-    groups[{host.service, host.region}].push_back(std::move(balance));
+      host_load.slices = std::move(found->second);
+    for (const std::size_t slice : host_load.slices)
+      host_load.load += slices[slice].requests;
+    groups[{host.service, host.region}].push_back(std::move(host_load));
   }
   std::vector<Group> all;
   all.reserve(groups.size());
@@ -52,7 +52,7 @@
 
 // The largest slice of `owner` that may move and fits into `room`; nothing if
 // the owner has no other one.
-std::optional<std::size_t> LargestOf(const Balance& owner,
+std::optional<std::size_t> LargestOf(const HostLoad& owner,
                                      const std::vector<SliceLoad>& slices,
                                      double room) {
   std::optional<std::size_t> largest;
@@ -71,13 +71,13 @@
 }
 
 // The least loaded endpoint that may take slices over; nullptr if none may.
-Balance* ColdestOf(Group& group) {
-  Balance* coldest = nullptr;
-  for (Balance& balance : group) {
-    if (!balance.host->may_gain)
+HostLoad* ColdestOf(Group& group) {
+  HostLoad* coldest = nullptr;
+  for (HostLoad& candidate : group) {
+    if (!candidate.host->may_gain)
       continue;
-    if (coldest == nullptr || balance.PerSlot() < coldest->PerSlot())
-      coldest = &balance;
+    if (coldest == nullptr || candidate.PerSlot() < coldest->PerSlot())
+      coldest = &candidate;
   }
   return coldest;
 }
@@ -85,17 +85,17 @@
 void BalanceGroup(Group& group,
                   const std::vector<SliceLoad>& slices,
                   std::vector<SliceMove>& moves) {
-  std::vector<Balance*> hot;
-  for (Balance& balance : group) {
-    if (balance.PerSlot() > kHotLoad)
-      hot.push_back(&balance);
+  std::vector<HostLoad*> hot;
+  for (HostLoad& candidate : group) {
+    if (candidate.PerSlot() > kHotLoad)
+      hot.push_back(&candidate);
   }
   std::sort(hot.begin(), hot.end(),
-            [](const Balance* left, const Balance* right) {
+            [](const HostLoad* left, const HostLoad* right) {
               return left->PerSlot() > right->PerSlot();
             });
-  for (Balance* owner : hot) {
-    Balance* target = ColdestOf(group);
+  for (HostLoad* owner : hot) {
+    HostLoad* target = ColdestOf(group);
     if (target == nullptr || target == owner)
       return;
     const double room = target->host->slots * kFillLoad - target->load;
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -19,7 +19,7 @@
 /// load.
 constexpr Duration kBusyAnswerAge = 1s;
 /// Share of a new answer in averages over a service's answers.
-constexpr double kAverageWeight = 1.0 / 16;
+constexpr double kNewAnswerShare = 1.0 / 16;
 /// Share of a service's attempts that end in failures of the softer kinds above
 /// which these are put down to the service and not to the endpoint.
 constexpr double kMaxOutlierShare = 0.2;
@@ -99,7 +99,7 @@
   const std::string_view soft_failure = SoftFailure(row, end, load, now);
   soft_failure_share_ +=
       ((soft_failure.empty() ? 0.0 : 1.0) - soft_failure_share_) *
-      kAverageWeight;
+      kNewAnswerShare;
   if (end != AttemptEnd::kTimedOut && !IsEndpointFailure(end))
     row.last_answer = now;
   if (end == AttemptEnd::kRefused && soft_failure.empty())
@@ -212,7 +212,7 @@
     return;
   const double busy =
       std::min(1.0, static_cast<double>(load.running) / load.slots);
-  busy_share_ += (busy - busy_share_) * kAverageWeight;
+  busy_share_ += (busy - busy_share_) * kNewAnswerShare;
 }
 
 void EndpointTable::OnRefusal(Row& row, Time now) const {
