Forwarding: Read and log the rate limit that an endpoint names

Cause: no part of the program read the header. Change: the adapters read it from every answer to the attempt, whatever its status, and the entry logs endpoint_limit_named and endpoint_limit_ended. No decision depends on it yet.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -100,6 +100,10 @@
   ServiceState& service_state = services_.at(record.service);
   service_state.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load,
                                        now);
+  if (event.rate_limit) {
+    service_state.endpoints.OnRateLimitNotice(record.endpoint,
+                                              *event.rate_limit, now);
+  }
   RecordSliceUse(record, now);
   const bool refused = event.end == AttemptEnd::kRefused;
   // The endpoint refused despite an idle slot. It may be chosen for the next
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -11,6 +11,7 @@
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/endpoint_table.h"
 #include "core/forwarding/load_report.h"
+#include "core/forwarding/rate_limit_notice.h"
 #include "core/protocol/claim.h"
 #include "core/protocol/endpoint_list.h"
 #include "core/protocol/envelope.h"
@@ -61,6 +62,9 @@
   protocol::RecordedAnswer answer;
   /// Load reported by the endpoint with its answer.
   std::optional<forwarding::LoadReport> load;
+  /// Empty if the attempt ended without an answer of this endpoint to this
+  /// request, or if the limit in it is malformed.
+  std::optional<forwarding::RateLimitNotice> rate_limit;
 };
 
 /// The caller closed its connection before it received an answer.
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -123,6 +123,24 @@
     OnAnswer(state);
 }
 
+void EndpointTable::OnRateLimitNotice(const std::string& name,
+                                      const RateLimitNotice& notice,
+                                      Time /*now*/) {
+  const auto found = endpoints_.find(name);
+  if (found == endpoints_.end())
+    return;
+  EndpointState& state = found->second;
+  if (state.named_limit == notice.per_second)
+    return;
+  state.named_limit = notice.per_second;
+  if (notice.per_second) {
+    AddLogRecord("endpoint_limit_named", state)
+        .With("per_second", *notice.per_second);
+  } else {
+    AddLogRecord("endpoint_limit_ended", state);
+  }
+}
+
 // Returns the reason if the attempt ended in a soft failure, which may be due
 // to the endpoint or to the load of the whole service; otherwise an empty
 // string.
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -14,6 +14,7 @@
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/endpoint_criteria.h"
 #include "core/forwarding/endpoint_load.h"
+#include "core/forwarding/rate_limit_notice.h"
 #include "core/forwarding/region_selector.h"
 #include "core/forwarding/warmup_gate.h"
 #include "core/log/record.h"
@@ -84,6 +85,11 @@
                     const std::optional<LoadReport>& load,
                     Time now);
 
+  /// Applies what an answer of the endpoint says about its rate limit.
+  void OnRateLimitNotice(const std::string& name,
+                         const RateLimitNotice& notice,
+                         Time now);
+
   /// Returns the names of the endpoints whose probe is due, and marks them as
   /// being probed.
   std::vector<std::string> DueProbes(Time now);
@@ -130,6 +136,8 @@
     Time cold_until{};
     Time last_cold_request{};
     Time last_answer{};
+    /// Rate limit that the endpoint named in its last answer to this entry.
+    std::optional<double> named_limit;
   };
 
   bool IsUsable(const EndpointState& state) const;
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -231,6 +231,7 @@
   ended.ticket = attempt.ticket;
   ended.end = attempt_result.end;
   ended.load = attempt_result.load;
+  ended.rate_limit = attempt_result.rate_limit;
   ended.answer.status = result.response.status;
   ended.answer.content_type = result.response.content_type;
   ended.answer.body_dropped =
--- a/source/jacinthroute/interface_adapter.h
+++ b/source/jacinthroute/interface_adapter.h
@@ -12,6 +12,7 @@
 #include "core/entry/entry_event.h"
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/load_report.h"
+#include "core/forwarding/rate_limit_notice.h"
 #include "core/http/connection.h"
 #include "core/http/message.h"
 #include "core/metrics/registry.h"
@@ -46,6 +47,9 @@
 struct AttemptResult {
   forwarding::AttemptEnd end = forwarding::AttemptEnd::kConnectionLost;
   std::optional<forwarding::LoadReport> load;
+  /// Empty if no answer to this attempt was received, or if the limit in it is
+  /// malformed.
+  std::optional<forwarding::RateLimitNotice> rate_limit;
 };
 
 /// One page of the platform's endpoint list.
--- a/source/jacinthroute/native_adapter.cc
+++ b/source/jacinthroute/native_adapter.cc
@@ -221,11 +221,13 @@
     const entry::StartAttempt& /*attempt*/,
     const http::ExchangeResult& result) const {
   if (result.end != http::ExchangeEnd::kAnswered)
-    return {ToAttemptEnd(result.end), std::nullopt};
+    return {ToAttemptEnd(result.end), std::nullopt, std::nullopt};
   const bool refused =
       HeaderValue(result.response.headers, "Jacinth-Outcome") ==
       OutcomeName(Outcome::kNotRun);
-  return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered, std::nullopt};
+  return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered, std::nullopt,
+          forwarding::ParseRateLimitNotice(
+              HeaderValue(result.response.headers, "Jacinth-Rate-Limit"))};
 }
 
 Response NativeAdapter::MakeForwardedResponse(
