Forwarding, Control: Keep the rate limits that endpoints name

Callers saw nothing; endpoints in need did. Cause: no part of the program took a rate for an endpoint. Slots, load reports and warm-up limit concurrency, and each entry knows only what it was told. Change: an entry keeps a limit from the first answer that names it, on its own part at once. It reports what it was told and its demand with its heartbeats; the leader divides each limit by demand, among few enough entries that their single requests ahead of the rate don't add up, and moves no slices to the endpoint. The newest answer to an entry that knows of the limit decides; an endpoint that tells some entries only stays limited for all. Entries keep their shares while there is no leader, and tell a new one what the last one knew. A request that no endpoint can take in time is refused at once as not run; the callers refused return in order, at the rate that is served. An endpoint's refusals under a limit no longer count as its failures. Why it works: all requests, first or repeated, pass ReserveSlot(), which holds the shares, and the shares of an endpoint add up to its limit.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -133,10 +133,11 @@
   registry_.Expire(clock.now);
   if (!HasLeaderLease(clock.now))
     return;
-  ResetSlicesForTerm();
+  ResetListsForTerm();
   if (clock.now >= next_push_) {
     next_push_ = clock.now + kPushInterval;
     RebalanceSlices(clock.now);
+    AllocateRateShares(clock.now);
     PushLists(clock.now);
     RecordSliceOwners(clock);
   }
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -17,6 +17,7 @@
 #include "core/control/control_state.h"
 #include "core/control/endpoint_catalog.h"
 #include "core/control/entry_registry.h"
+#include "core/control/rate_share_allocator.h"
 #include "core/control/slice_assignment.h"
 
 namespace jacinth::control {
@@ -93,6 +94,7 @@
   struct ListVersions {
     std::uint64_t endpoints = 0;
     std::uint64_t slices = 0;
+    std::uint64_t rate_shares = 0;
   };
 
   /// A message that must not be sent before the write `after` is synced.
@@ -143,10 +145,15 @@
   void CreateGroup(ClockReading clock);
   std::vector<std::string> ReplicaInstances() const;
 
-  // Endpoint list and slice owners.
+  // Endpoint list, slice owners and rate limits.
   void On(const EndpointsListed& event, ClockReading clock);
   void PushLists(Time now);
-  void ResetSlicesForTerm();
+  void ResetListsForTerm();
+  void RetainListedLimits(Time now);
+  void AllocateRateShares(Time now);
+  protocol::RateShareUpdate RateSharesFor(const std::string& entry,
+                                          std::uint64_t held_version,
+                                          Time now) const;
   void RebalanceSlices(Time now);
   std::map<std::string, SliceEndpoint> SliceEndpoints(Time now) const;
   void RecordSliceOwners(ClockReading clock);
@@ -178,6 +185,7 @@
   EntryRegistry registry_;
   EndpointCatalog catalog_;
   SliceAssignment slices_;
+  RateShareAllocator rate_shares_;
   /// By entry instance. If a message is lost, the versions in the entry's next
   /// heartbeat replace these.
   std::map<std::string, ListVersions> sent_versions_;
@@ -196,8 +204,8 @@
   Time next_push_{};
   Time next_owner_record_{};
   Time last_rebalance_{};
-  /// Term for which `slices_` was reset.
-  std::uint64_t slices_term_ = 0;
+  /// Term for which `slices_` and `rate_shares_` were reset.
+  std::uint64_t lists_term_ = 0;
   // State at the time of the last log record about it.
   std::string logged_leader_;
   bool logged_lease_ = false;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -20,7 +20,7 @@
     SendToEntry(from, reply);
     return;
   }
-  ResetSlicesForTerm();
+  ResetListsForTerm();
   registry_.OnHeartbeat(heartbeat.status, clock.now);
   reply.leader = true;
   reply.revision = state_.revision();
@@ -36,7 +36,13 @@
   for (const protocol::SliceUse& use : heartbeat.uses)
     slices_.AddUse(use);
   reply.slices = slices_.UpdateFor(heartbeat.slices_version);
-  sent_versions_[from] = {catalog_.version(), slices_.version()};
+  for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
+    rate_shares_.OnReport(from, report, clock.now);
+  AllocateRateShares(clock.now);
+  reply.rate_shares =
+      RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
+  sent_versions_[from] = {catalog_.version(), slices_.version(),
+                          reply.rate_shares.version};
   SendToEntry(from, std::move(reply));
 }
 
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/control/control_node.h"
@@ -17,19 +18,59 @@
 void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
   if (!HasLeaderLease(clock.now) || registry_term_ != replica_->term())
     return;
-  ResetSlicesForTerm();
+  ResetListsForTerm();
   catalog_.ApplyListing(event.endpoints, clock.now);
   slices_.RetainOwners(SliceEndpoints(clock.now));
+  RetainListedLimits(clock.now);
   PushLists(clock.now);
 }
 
 // Requires the leader lease, which guarantees that all owners recorded by
 // earlier leaders have been applied.
-void ControlNode::ResetSlicesForTerm() {
-  if (slices_term_ == registry_term_)
+void ControlNode::ResetListsForTerm() {
+  if (lists_term_ == registry_term_)
     return;
-  slices_term_ = registry_term_;
-  slices_.Reset(slices_term_, state_.SliceOwners());
+  lists_term_ = registry_term_;
+  slices_.Reset(lists_term_, state_.SliceOwners());
+  rate_shares_.Reset(lists_term_);
+}
+
+// Forgets the limits of endpoints that have gone or restarted, and the demand
+// of entries that are gone.
+void ControlNode::RetainListedLimits(Time now) {
+  std::map<protocol::EndpointKey, std::int64_t> started_ms;
+  for (const protocol::ListedEndpoint& endpoint : catalog_.Endpoints(now))
+    started_ms[{endpoint.service, endpoint.id}] = endpoint.started_ms;
+  rate_shares_.RetainEndpoints(started_ms);
+  std::set<std::string> entries;
+  for (const protocol::EntryStatus& entry : registry_.Statuses())
+    entries.insert(entry.id);
+  rate_shares_.RetainEntries(entries);
+}
+
+void ControlNode::AllocateRateShares(Time now) {
+  if (registry_.Version(now) == 0)
+    return;
+  rate_shares_.Allocate(now);
+  for (const RateLimitChange& change : rate_shares_.TakeChanges()) {
+    log::Record& log_record = LogEvent("rate_limit_changed");
+    log_record.With("service", change.key.service)
+        .With("endpoint", change.key.endpoint);
+    if (change.limit_per_s) {
+      log_record.With("per_second", *change.limit_per_s)
+          .With("sharers", change.sharers);
+    }
+  }
+}
+
+// Returns no shares until every live entry has had time to report what it knows
+// to the leader of this term.
+protocol::RateShareUpdate ControlNode::RateSharesFor(const std::string& entry,
+                                                     std::uint64_t held_version,
+                                                     Time now) const {
+  if (registry_.Version(now) == 0)
+    return {};
+  return rate_shares_.UpdateFor(entry, held_version);
 }
 
 bool ControlNode::IsFailureDomainDrained(const std::string& region,
@@ -51,9 +92,10 @@
     if (endpoint.draining ||
         IsFailureDomainDrained(region, endpoint.failure_domain))
       continue;
-    slice_endpoints[endpoint.id] = {endpoint.service, region,
-                                    std::max(1, endpoint.slots),
-                                    endpoint.cold_for_ms == 0};
+    slice_endpoints[endpoint.id] = {
+        endpoint.service, region, std::max(1, endpoint.slots),
+        endpoint.cold_for_ms == 0 &&
+            !rate_shares_.IsLimited({endpoint.service, endpoint.id})};
   }
   return slice_endpoints;
 }
@@ -89,13 +131,17 @@
     protocol::HeartbeatReply reply;
     reply.endpoints = catalog_.UpdateFor(sent.endpoints, now);
     reply.slices = slices_.UpdateFor(sent.slices);
-    if (reply.endpoints.version == 0 && reply.slices.version == 0)
+    reply.rate_shares = RateSharesFor(entry.id, sent.rate_shares, now);
+    const bool has_rate_shares =
+        reply.rate_shares.version != 0 && !reply.rate_shares.unchanged;
+    if (reply.endpoints.version == 0 && reply.slices.version == 0 &&
+        !has_rate_shares)
       continue;
     reply.leader = true;
     reply.leader_hint = LeaderInstance();
     // If this message is lost, the versions in the entry's next heartbeat
     // replace these.
-    sent = {catalog_.version(), slices_.version()};
+    sent = {catalog_.version(), slices_.version(), reply.rate_shares.version};
     SendToEntry(entry.id, std::move(reply));
   }
 }
--- /dev/null
+++ b/source/core/control/rate_share_allocator.cc
@@ -0,0 +1,228 @@
+#include "core/control/rate_share_allocator.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace jacinth::control {
+namespace {
+
+using protocol::EndpointKey;
+using protocol::RateLimitReport;
+using protocol::RateShareUpdate;
+
+/// Versions hold the leader's term in the upper 32 bits and a count below.
+constexpr unsigned kTermShift = 32;
+/// Interval between divisions: reports of demand arrive once per second, and
+/// each division has to reach all entries.
+constexpr Duration kAllocationInterval = 500ms;
+/// Age of the last answer that named a limit after which answers without it,
+/// to entries that were never told, end the limit.
+constexpr Duration kLimitMemory = 10s;
+/// Entries beyond one per request and second that share a limit. Each may send
+/// one request ahead of its share, so their number bounds the excess.
+constexpr std::size_t kExtraSharers = 2;
+/// Part of a limit that its sharers get in equal parts, for demand that has
+/// grown since the last report.
+constexpr double kEqualPart = 0.2;
+/// Part of a limit that goes to the entry that was told of it last, whatever
+/// its demand: if the endpoint tells few entries, only these learn of a change.
+constexpr double kToldPart = 0.1;
+/// Rate at which one entry goes on asking an endpoint whose limit is near 0, as
+/// only an answer can end the limit.
+constexpr double kMinShare = 0.1;
+/// Change of a share, relative to the limit, below which it isn't sent.
+constexpr double kMinShareChange = 0.1;
+
+bool DiffersMuch(const std::map<std::string, double>& before,
+                 const std::map<std::string, double>& after,
+                 double limit) {
+  if (before.size() != after.size())
+    return true;
+  return std::any_of(after.begin(), after.end(), [&](const auto& share) {
+    const auto old = before.find(share.first);
+    return old == before.end() ||
+           std::abs(old->second - share.second) > limit * kMinShareChange;
+  });
+}
+
+}  // namespace
+
+void RateShareAllocator::Reset(std::uint64_t term) {
+  records_.clear();
+  changed_.clear();
+  version_ = (term << kTermShift) + 1;
+}
+
+void RateShareAllocator::OnReport(const std::string& entry,
+                                  const RateLimitReport& report,
+                                  Time now) {
+  auto found = records_.find(report.key);
+  if (found == records_.end()) {
+    if (!report.limit_per_s && !report.shared_limit_per_s)
+      return;
+    found = records_.try_emplace(report.key).first;
+    found->second.started_ms = report.started_ms;
+    // The entries that were told may be gone, so a new leader relies on what
+    // its predecessor knew until it hears otherwise.
+    if (report.shared_limit_per_s) {
+      found->second.told_limit_per_s = report.shared_limit_per_s;
+      found->second.told_at = now - kLimitMemory / 2;
+      UpdateLimit(report.key, found->second);
+    }
+  }
+  LimitRecord& record = found->second;
+  if (report.started_ms < record.started_ms)
+    return;
+  if (report.started_ms > record.started_ms) {
+    record = LimitRecord{};
+    record.started_ms = report.started_ms;
+  }
+  record.demand_by_entry[entry] = report.demand_per_s;
+  if (report.answer_age_ms < 0)
+    return;
+  const Time heard_at = now - std::chrono::milliseconds(report.answer_age_ms);
+  if (!report.limit_per_s && !report.was_told) {
+    record.untold_at = std::max(record.untold_at, heard_at);
+  } else if (heard_at > record.told_at) {
+    record.told_at = heard_at;
+    record.told_limit_per_s = report.limit_per_s;
+    record.told_entry = entry;
+  }
+  UpdateLimit(report.key, record);
+}
+
+void RateShareAllocator::UpdateLimit(const EndpointKey& key,
+                                     LimitRecord& record) {
+  const bool outlived = record.untold_at > record.told_at + kLimitMemory;
+  const auto limit = outlived ? std::nullopt : record.told_limit_per_s;
+  if (record.limit_per_s == limit)
+    return;
+  record.limit_per_s = limit;
+  changed_.insert(key);
+  has_changes_ = true;
+}
+
+void RateShareAllocator::RetainEndpoints(
+    const std::map<EndpointKey, std::int64_t>& started_ms) {
+  for (auto& [key, record] : records_)
+    record.is_listed |= started_ms.count(key) != 0;
+  const auto removed = std::erase_if(records_, [&](const auto& item) {
+    const auto listed = started_ms.find(item.first);
+    if (listed == started_ms.end())
+      return item.second.is_listed;
+    return listed->second > item.second.started_ms;
+  });
+  has_changes_ |= removed != 0;
+}
+
+void RateShareAllocator::RetainEntries(const std::set<std::string>& entries) {
+  for (auto& [key, record] : records_) {
+    std::erase_if(record.demand_by_entry, [&](const auto& item) {
+      return entries.count(item.first) == 0;
+    });
+  }
+}
+
+void RateShareAllocator::Allocate(Time now) {
+  if (!has_changes_ && now < next_allocation_)
+    return;
+  next_allocation_ = now + kAllocationInterval;
+  std::erase_if(records_, [&](const auto& item) {
+    return !item.second.limit_per_s &&
+           now > std::max(item.second.told_at, item.second.untold_at) +
+                     kLimitMemory;
+  });
+  bool must_send = std::exchange(has_changes_, false);
+  for (auto& [key, record] : records_) {
+    auto shares = Divide(record);
+    if (!DiffersMuch(record.share_by_entry, shares,
+                     record.limit_per_s.value_or(0)))
+      continue;
+    record.share_by_entry = std::move(shares);
+    must_send = true;
+  }
+  if (must_send)
+    ++version_;
+}
+
+// Returns the shares of the entries with the most demand.
+std::map<std::string, double> RateShareAllocator::Divide(
+    const LimitRecord& record) {
+  std::map<std::string, double> shares;
+  if (!record.limit_per_s || record.demand_by_entry.empty())
+    return shares;
+  const double limit = *record.limit_per_s;
+  // Entries that already have a share keep it if their demand is similar to
+  // that of another entry.
+  constexpr double kIncumbentBonus = 1.25;
+  std::vector<std::pair<double, std::string_view>> order;
+  for (const auto& [entry, demand] : record.demand_by_entry) {
+    const bool incumbent = record.share_by_entry.count(entry) != 0;
+    order.emplace_back(demand * (incumbent ? kIncumbentBonus : 1), entry);
+  }
+  std::sort(order.begin(), order.end(),
+            [&](const auto& left, const auto& right) {
+              return std::tuple(left.second == record.told_entry, left) >
+                     std::tuple(right.second == record.told_entry, right);
+            });
+  const std::size_t max_sharers =
+      static_cast<std::size_t>(std::min(limit, 1e6)) + kExtraSharers;
+  order.resize(std::min(order.size(), max_sharers));
+  while (order.size() > 1 && order.back().first <= 0)
+    order.pop_back();
+  double total = 0;
+  for (const auto& [demand, entry] : order)
+    total += demand;
+  const auto count = static_cast<double>(order.size());
+  for (const auto& [demand, entry] : order) {
+    const double by_demand = total > 0 ? demand / total : 1 / count;
+    shares[std::string(entry)] =
+        limit * (kEqualPart / count + (1 - kEqualPart - kToldPart) * by_demand);
+  }
+  double& first = shares[std::string(order.front().second)];
+  first = std::max(first + limit * kToldPart, kMinShare);
+  return shares;
+}
+
+RateShareUpdate RateShareAllocator::UpdateFor(
+    const std::string& entry,
+    std::uint64_t held_version) const {
+  RateShareUpdate update;
+  update.version = version_;
+  update.unchanged = held_version == version_;
+  if (update.unchanged)
+    return update;
+  for (const auto& [key, record] : records_) {
+    if (!record.limit_per_s)
+      continue;
+    const auto share = record.share_by_entry.find(entry);
+    update.shares.push_back(
+        {key, record.started_ms, *record.limit_per_s,
+         share == record.share_by_entry.end() ? 0 : share->second});
+  }
+  return update;
+}
+
+bool RateShareAllocator::IsLimited(const protocol::EndpointKey& key) const {
+  const auto found = records_.find(key);
+  return found != records_.end() && found->second.limit_per_s.has_value();
+}
+
+std::vector<RateLimitChange> RateShareAllocator::TakeChanges() {
+  std::vector<RateLimitChange> changes;
+  for (const EndpointKey& key : std::exchange(changed_, {})) {
+    RateLimitChange change{key, std::nullopt, 0};
+    const auto found = records_.find(key);
+    if (found != records_.end()) {
+      change.limit_per_s = found->second.limit_per_s;
+      change.sharers = found->second.share_by_entry.size();
+    }
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+}  // namespace jacinth::control
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -54,6 +54,7 @@
   heartbeat.slices_version = slices_.version();
   heartbeat.claims = slices_.TakeClaims();
   heartbeat.uses = slices_.TakeUses();
+  heartbeat.rate_shares_version = rate_shares_.version;
   return heartbeat;
 }
 
@@ -84,6 +85,8 @@
     changed = true;
   }
   slices_.ApplyUpdate(reply.slices);
+  if (reply.rate_shares.version > rate_shares_.version)
+    rate_shares_ = reply.rate_shares;
   if (ApplyEndpointUpdate(reply.endpoints, now)) {
     endpoints_confirmed_at_ = now;
     changed = true;
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -61,7 +61,11 @@
   /// Owners of slices, and the slice claims to send with the next heartbeat.
   forwarding::SliceMap& slices() { return slices_; }
   const forwarding::SliceMap& slices() const { return slices_; }
-  /// Brings the next heartbeat forward, as slice claims are waiting to be sent.
+  /// Shares of the rate limits of endpoints.
+  const protocol::RateShareUpdate& rate_shares() const { return rate_shares_; }
+
+  /// Brings the next heartbeat forward, as slice claims or a changed rate limit
+  /// are waiting to be sent.
   void ExpediteHeartbeat(Time now);
 
   /// Number of changes to endpoints() so far.
@@ -119,6 +123,7 @@
   /// End of the warm-up of each endpoint that was listed as cold.
   std::map<std::string, Time> cold_until_;
   forwarding::SliceMap slices_;
+  protocol::RateShareUpdate rate_shares_;
   std::uint64_t endpoints_version_ = 0;
   std::uint64_t endpoint_changes_ = 0;
   Time endpoints_confirmed_at_{};
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -60,8 +60,11 @@
     endpoint_criteria.excluded_endpoints.clear();
     endpoint = service_state.endpoints.ReserveSlot(endpoint_criteria, now);
   }
-  if (!endpoint)
+  if (!endpoint) {
+    if (service_state.endpoints.IsRateLimited())
+      service_state.endpoints.CountRefusedDemand(endpoint_criteria.owner);
     return false;
+  }
   const settings::EndpointSettings& endpoint_settings =
       *service_state.endpoints.Find(*endpoint);
   if (endpoint_criteria.slice_hash)
@@ -88,6 +91,7 @@
     attempt.timeout = std::min(attempt.timeout, record.kind.attempt_timeout);
   attempt.connect_timeout =
       std::min(service_state.settings.connect_timeout, attempt.timeout);
+  service_state.sent.Count(1);
   actions_.attempts.push_back(std::move(attempt));
   return true;
 }
@@ -100,10 +104,8 @@
   ServiceState& service_state = services_.at(record.service);
   service_state.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load,
                                        now);
-  if (event.rate_limit) {
-    service_state.endpoints.OnRateLimitNotice(record.endpoint,
-                                              *event.rate_limit, now);
-  }
+  if (event.rate_limit)
+    OnRateLimitNotice(record, service_state, *event.rate_limit, now);
   RecordSliceUse(record, now);
   const bool refused = event.end == AttemptEnd::kRefused;
   // The endpoint refused despite an idle slot. It may be chosen for the next
@@ -147,7 +149,7 @@
   FinishClaim(record, overall_outcome, recorded_answer, now);
   RefuseRequest refusal{ErrorForAttemptEnd(event.end), overall_outcome, {}};
   if (overall_outcome == Outcome::kNotRun)
-    refusal.retry_after = RetryAfter(record);
+    refusal.retry_after = ScheduleReturn(record, now);
   EndRequest(event.ticket, std::move(refusal), now);
   DispatchRequests(service_state, now);
 }
--- a/source/core/entry/entry_completion.cc
+++ b/source/core/entry/entry_completion.cc
@@ -81,7 +81,7 @@
   FinishClaim(record, outcome, {}, now);
   RefuseRequest refusal{std::move(error), outcome, {}};
   if (outcome == Outcome::kNotRun)
-    refusal.retry_after = RetryAfter(record);
+    refusal.retry_after = ScheduleReturn(record, now);
   EndRequest(ticket, std::move(refusal), now);
 }
 
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -47,7 +47,9 @@
 void EntryNode::On(const MessageReceived& event, Time now) {
   if (const auto* reply =
           std::get_if<protocol::HeartbeatReply>(&event.envelope)) {
-    if (!session_.OnReply(*reply, now))
+    const bool changed = session_.OnReply(*reply, now);
+    ApplyRateShares(*reply, now);
+    if (!changed)
       return;
     ApplyFleetSettings(now);
     PublishSnapshot();
@@ -62,8 +64,10 @@
 }
 
 void EntryNode::On(const Tick& /*event*/, Time now) {
-  if (const auto heartbeat = session_.OnTick(now))
+  if (auto heartbeat = session_.OnTick(now)) {
+    heartbeat->rate_limits = TakeRateLimitReports(heartbeat->sequence, now);
     SendHeartbeat(*heartbeat, now);
+  }
   MaybeListEndpoints(now);
   RefuseExpired(now);
   for (auto& [name, service_state] : services_) {
@@ -75,6 +79,7 @@
                                  descriptor->incarnation});
     }
     RefuseUnservable(service_state, now);
+    service_state.UpdateSentRate(now);
     DispatchRequests(service_state, now);
   }
   AdvanceStop(now);
@@ -157,6 +162,7 @@
     ServiceState& service_state = services_[name];
     service_state.Update(BuildServiceSettings(service, now), now);
     ApplyFleetLimits(service_state);
+    service_state.endpoints.SetRateShares(RateSharesOf(name), now);
     DispatchRequests(service_state, now);
   }
   for (auto& [name, service_state] : services_) {
@@ -227,13 +233,16 @@
         service_state.settings.retry_budget_percent / kPercent,
         kDefaultRetryReserve, limits.retry_window);
   }
+  const forwarding::SenderSelection senders(options_.self.id,
+                                            std::move(entries));
+  service_state.endpoints.SetSenders(senders);
   if (service_state.settings.warmup_per_s <= 0)
     return;
   const double max_rate =
       service_state.settings.warmup_per_s * limits.warmup_factor +
       limits.warmup_slack;
   service_state.endpoints.SetWarmupGate(
-      forwarding::WarmupGate(options_.self.id, std::move(entries), max_rate));
+      forwarding::WarmupGate(senders, max_rate));
 }
 
 void EntryNode::PublishSnapshot() {
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -87,6 +87,22 @@
   void AdvanceStop(Time now);
   Duration LongestTtl() const;
 
+  // Rate limits of endpoints.
+  void OnRateLimitNotice(const RequestRecord& record,
+                         ServiceState& service_state,
+                         const forwarding::RateLimitNotice& notice,
+                         Time now);
+  void ApplyRateShares(const protocol::HeartbeatReply& reply, Time now);
+  std::map<std::string, protocol::RateShare> RateSharesOf(
+      const std::string& service) const;
+  std::vector<protocol::RateLimitReport> TakeRateLimitReports(
+      std::uint64_t sequence,
+      Time now);
+  bool RefuseBeyondRate(const RequestRecord& record,
+                        ServiceState& service_state,
+                        Time now);
+  std::string OwnerFor(const RequestRecord& record) const;
+
   // Arrival and admission of requests.
   void On(const RequestArrived& event, Time now);
   Result<RequestRecord> Resolve(const RequestArrived& event);
@@ -94,6 +110,7 @@
   std::optional<Error> CheckService(const RequestRecord& record,
                                     Time now) const;
   Duration RetryAfter(const RequestRecord& record) const;
+  Duration ScheduleReturn(const RequestRecord& record, Time now);
   void Admit(RequestRecord record, ServiceState& service_state, Time now);
   void StartClaim(RequestRecord& record, Time now);
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
@@ -158,6 +175,7 @@
   std::uint64_t fleet_revision_ = 0;
   std::uint64_t endpoint_changes_ = 0;
   std::uint64_t members_version_ = 0;
+  std::uint64_t rate_shares_version_ = 0;
   Time next_endpoint_list_{};
   std::map<std::string, WeightedRoundRobin> round_robin_by_route_;
   std::shared_ptr<const steering::ClientMap> client_map_;
--- /dev/null
+++ b/source/core/entry/entry_rates.cc
@@ -0,0 +1,119 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/entry/entry_node.h"
+
+namespace jacinth::entry {
+namespace {
+
+/// Versions of lists from the leader hold its term in the upper 32 bits.
+constexpr unsigned kTermShift = 32;
+/// Divisor of the remaining time that gives the longest wait asked of a refused
+/// caller, which leaves it time for the request and one more attempt.
+constexpr int kLongestReturnDivisor = 3;
+
+}  // namespace
+
+void EntryNode::OnRateLimitNotice(const RequestRecord& record,
+                                  ServiceState& service_state,
+                                  const forwarding::RateLimitNotice& notice,
+                                  Time now) {
+  const bool changed =
+      service_state.endpoints.OnRateLimitNotice(record.endpoint, notice, now);
+  if (changed)
+    session_.ExpediteHeartbeat(now);
+}
+
+// Applies the leader's shares of rate limits.
+void EntryNode::ApplyRateShares(const protocol::HeartbeatReply& reply,
+                                Time now) {
+  const std::uint64_t version = session_.rate_shares().version;
+  if (version == 0 || reply.rate_shares.version != version)
+    return;
+  const bool new_leader =
+      version >> kTermShift != rate_shares_version_ >> kTermShift;
+  const bool new_shares = version != rate_shares_version_;
+  rate_shares_version_ = version;
+  for (auto& [name, service_state] : services_) {
+    if (new_shares)
+      service_state.endpoints.SetRateShares(RateSharesOf(name), now);
+    if (new_leader)
+      service_state.endpoints.RepeatRateLimitReports();
+    service_state.endpoints.OnRateLimitReportsReceived(reply.sequence, now);
+    DispatchRequests(service_state, now);
+  }
+}
+
+std::map<std::string, protocol::RateShare> EntryNode::RateSharesOf(
+    const std::string& service) const {
+  std::map<std::string, protocol::RateShare> shares;
+  for (const protocol::RateShare& share : session_.rate_shares().shares) {
+    if (share.key.service == service)
+      shares[share.key.endpoint] = share;
+  }
+  return shares;
+}
+
+std::vector<protocol::RateLimitReport> EntryNode::TakeRateLimitReports(
+    std::uint64_t sequence,
+    Time now) {
+  std::vector<protocol::RateLimitReport> reports;
+  for (auto& [name, service_state] : services_) {
+    for (protocol::RateLimitReport& report :
+         service_state.endpoints.TakeRateLimitReports(sequence, now)) {
+      report.key.service = name;
+      reports.push_back(std::move(report));
+    }
+  }
+  return reports;
+}
+
+// Refuses a request that the rate limits of all endpoints keep out for longer
+// than it may wait. Returns false if it may be served.
+bool EntryNode::RefuseBeyondRate(const RequestRecord& record,
+                                 ServiceState& service_state,
+                                 Time now) {
+  const auto block = service_state.endpoints.FindRateBlock(now);
+  if (!block)
+    return false;
+  const auto waiting = static_cast<double>(service_state.queue.waiting());
+  const double longest_wait =
+      std::chrono::duration<double>(record.wait_until - now).count();
+  const bool served_in_time = block->until <= record.wait_until &&
+                              waiting < block->per_second * longest_wait;
+  if (served_in_time || (waiting == 0 && block->until <= record.wait_until))
+    return false;
+  service_state.endpoints.CountRefusedDemand(OwnerFor(record));
+  RefuseRequest refusal{
+      {ErrorKind::kOverloaded, "the rate limits of the endpoints of " +
+                                   record.service + " are used up"},
+      Outcome::kNotRun,
+      ScheduleReturn(record, now)};
+  LogRefusal(record.arrival, refusal);
+  actions_.answers.push_back(
+      {record.arrival.ticket, std::move(refusal), record.kind.rank});
+  return true;
+}
+
+// Returns the owner of the slice of the request's object; empty if there is
+// none.
+std::string EntryNode::OwnerFor(const RequestRecord& record) const {
+  if (!record.kind.affinity || record.arrival.object.empty())
+    return "";
+  return session_.slices().OwnerOf(
+      record.service, forwarding::SliceMap::SliceOf(record.arrival.object));
+}
+
+// Returns the time after which a refused caller may retry. The callers of a
+// service with rate limits return one after the other.
+Duration EntryNode::ScheduleReturn(const RequestRecord& record, Time now) {
+  const Duration shortest = RetryAfter(record);
+  ServiceState& service_state = services_.at(record.service);
+  if (!service_state.endpoints.IsRateLimited())
+    return shortest;
+  const Duration longest = (record.deadline - now) / kLongestReturnDivisor;
+  return service_state.returns.Next(now, service_state.sent_per_second,
+                                    shortest, longest);
+}
+
+}  // namespace jacinth::entry
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -82,6 +82,8 @@
         std::min(record.deadline, now + objective / kMaxWaitDivisor);
   }
   ServiceState& service_state = services_.at(record.service);
+  if (RefuseBeyondRate(record, service_state, now))
+    return;
   Admit(std::move(record), service_state, now);
 }
 
@@ -174,7 +176,7 @@
     Error error{ErrorKind::kOverloaded,
                 "too many requests of kind " + record.kind.name};
     RefuseRequest refusal{std::move(error), Outcome::kNotRun,
-                          RetryAfter(record)};
+                          ScheduleReturn(record, now)};
     LogRefusal(record.arrival, refusal);
     actions_.answers.push_back({ticket, std::move(refusal), record.kind.rank});
     return;
--- a/source/core/entry/service_state.h
+++ b/source/core/entry/service_state.h
@@ -4,7 +4,9 @@
 #include <string>
 
 #include "core/admission/admission_queue.h"
+#include "core/admission/return_schedule.h"
 #include "core/common/time.h"
+#include "core/forwarding/demand_meter.h"
 #include "core/forwarding/endpoint_table.h"
 #include "core/forwarding/retry_budget.h"
 #include "core/settings/service_settings.h"
@@ -17,6 +19,11 @@
   admission::AdmissionQueue queue;
   forwarding::EndpointTable endpoints;
   forwarding::RetryBudget retries;
+  admission::ReturnSchedule returns;
+  /// Requests that were sent to endpoints.
+  forwarding::DemandMeter sent;
+  double sent_per_second = 0;
+  Time next_sent_rate{};
   /// Moving average of the time to a complete answer, by request kind.
   std::map<std::string, Duration> average_answer_times;
   /// True if the service was removed from the settings. Its state is kept for
@@ -26,6 +33,9 @@
   /// Applies new settings.
   void Update(const settings::ServiceSettings& service, Time now);
 
+  /// Updates `sent_per_second` once per second.
+  void UpdateSentRate(Time now);
+
   /// Adds the time to a complete answer to the average of its kind.
   void RecordAnswerTime(const std::string& kind, Duration time);
 
--- a/source/core/forwarding/endpoint_choice.cc
+++ b/source/core/forwarding/endpoint_choice.cc
@@ -25,7 +25,8 @@
 /// Sort key of an endpoint in an object's order; the greatest comes first.
 struct Preference {
   /// True for endpoints in the region that the object is placed in; when an
-  /// owner is proposed, only for those that are also warm. They come first.
+  /// owner is proposed, only for those that are also warm and have no rate
+  /// limit. They come first.
   bool in_first_tier = false;
   std::uint64_t weight = 0;
 
@@ -48,8 +49,16 @@
   EndpointState& state = endpoints_.at(*chosen);
   state.load.OnRequestSent();
   ++inflight_;
+  state.rate_limit.OnSent(now);
   if (now < state.cold_until)
     state.last_cold_request = now;
+  // A request that its owner's rate limit keeps out is demand for the owner.
+  if (IsRateBlocked(endpoint_criteria.owner, now) &&
+      *chosen != endpoint_criteria.owner) {
+    CountRefusedDemand(endpoint_criteria.owner);
+  } else {
+    state.rate_limit.CountDemand(1);
+  }
   return *chosen;
 }
 
@@ -106,11 +115,13 @@
                           endpoint_criteria.excluded_endpoints.count(name) == 0;
     if (!eligible)
       continue;
-    // Cold endpoints are proposed only if there is no warm one in the region.
-    const bool warm_in_region =
-        state.settings.region == region && now >= state.cold_until;
+    // Endpoints that are cold or have a rate limit are proposed only if there
+    // is no other one in the region.
+    const bool preferred = state.settings.region == region &&
+                           now >= state.cold_until &&
+                           !state.rate_limit.gate().is_limited();
     order.emplace_back(
-        Preference{warm_in_region, Hash64(name, *endpoint_criteria.slice_hash)},
+        Preference{preferred, Hash64(name, *endpoint_criteria.slice_hash)},
         &name);
   }
   if (order.empty())
@@ -175,7 +186,8 @@
 }
 
 bool EndpointTable::HasCapacity(const EndpointState& state, Time now) const {
-  if (!IsUsable(state) || now < state.refused_until)
+  if (!IsUsable(state) || now < state.refused_until ||
+      !state.rate_limit.gate().Allows(now))
     return false;
   return state.load.has_report()
              ? state.load.TotalRequests(now) < CapacityOf(state)
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -123,24 +123,6 @@
     OnAnswer(state);
 }
 
-void EndpointTable::OnRateLimitNotice(const std::string& name,
-                                      const RateLimitNotice& notice,
-                                      Time /*now*/) {
-  const auto found = endpoints_.find(name);
-  if (found == endpoints_.end())
-    return;
-  EndpointState& state = found->second;
-  if (state.named_limit == notice.per_second)
-    return;
-  state.named_limit = notice.per_second;
-  if (notice.per_second) {
-    AddLogRecord("endpoint_limit_named", state)
-        .With("per_second", *notice.per_second);
-  } else {
-    AddLogRecord("endpoint_limit_ended", state);
-  }
-}
-
 // Returns the reason if the attempt ended in a soft failure, which may be due
 // to the endpoint or to the load of the whole service; otherwise an empty
 // string.
@@ -151,7 +133,9 @@
     Time now) {
   if (end == AttemptEnd::kAnsweredFailure)
     return AttemptEndName(end);
-  if (end == AttemptEnd::kRefused && load && load->HasIdleSlot())
+  // An endpoint with a rate limit refuses despite idle slots.
+  if (end == AttemptEnd::kRefused && load && load->HasIdleSlot() &&
+      !state.rate_limit.gate().is_limited())
     return "refused_while_idle";
   if (end != AttemptEnd::kTimedOut)
     return {};
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -14,8 +14,11 @@
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/endpoint_criteria.h"
 #include "core/forwarding/endpoint_load.h"
+#include "core/forwarding/endpoint_rate_limit.h"
+#include "core/forwarding/rate_block.h"
 #include "core/forwarding/rate_limit_notice.h"
 #include "core/forwarding/region_selector.h"
+#include "core/forwarding/sender_selection.h"
 #include "core/forwarding/warmup_gate.h"
 #include "core/log/record.h"
 #include "core/settings/service_settings.h"
@@ -85,11 +88,42 @@
                     const std::optional<LoadReport>& load,
                     Time now);
 
-  /// Applies what an answer of the endpoint says about its rate limit.
-  void OnRateLimitNotice(const std::string& name,
+  /// Sets the entries that share the endpoints' rate limits.
+  void SetSenders(SenderSelection senders) { senders_ = std::move(senders); }
+
+  /// Applies what an answer of the endpoint says about its rate limit. Returns
+  /// true if the limit has changed.
+  bool OnRateLimitNotice(const std::string& name,
                          const RateLimitNotice& notice,
                          Time now);
 
+  /// Applies this entry's shares of rate limits, by endpoint. Endpoints without
+  /// a share have no limit as far as the leader knows.
+  void SetRateShares(const std::map<std::string, protocol::RateShare>& shares,
+                     Time now);
+
+  /// Returns the rate limits to report with the heartbeat `sequence`.
+  std::vector<protocol::RateLimitReport> TakeRateLimitReports(
+      std::uint64_t sequence,
+      Time now);
+  /// Reports all rate limits anew, to a new leader.
+  void RepeatRateLimitReports();
+  /// Called when a leader has received the reports up to the heartbeat
+  /// `sequence` and SetRateShares() has applied the result.
+  void OnRateLimitReportsReceived(std::uint64_t sequence, Time now);
+
+  /// Counts a request that was not sent to the owner of its slice, or to any
+  /// endpoint if `owner` is empty, because of rate limits.
+  void CountRefusedDemand(const std::string& owner);
+
+  /// Returns true if any endpoint that can receive new requests has a limit.
+  bool IsRateLimited() const;
+  /// Returns true if the endpoint's rate limit allows no request now.
+  bool IsRateBlocked(const std::string& name, Time now) const;
+  /// Returns a value if the rate limit of every endpoint that can receive new
+  /// requests allows none now.
+  std::optional<RateBlock> FindRateBlock(Time now) const;
+
   /// Returns the names of the endpoints whose probe is due, and marks them as
   /// being probed.
   std::vector<std::string> DueProbes(Time now);
@@ -136,8 +170,7 @@
     Time cold_until{};
     Time last_cold_request{};
     Time last_answer{};
-    /// Rate limit that the endpoint named in its last answer to this entry.
-    std::optional<double> named_limit;
+    EndpointRateLimit rate_limit;
   };
 
   bool IsUsable(const EndpointState& state) const;
@@ -173,6 +206,7 @@
 
   std::map<std::string, EndpointState> endpoints_;
   WarmupGate warmup_gate_;
+  SenderSelection senders_;
   int probe_failures_ = 1;
   /// Zero if only ejected endpoints are probed.
   Duration probe_interval_{0};
--- /dev/null
+++ b/source/core/forwarding/sender_selection.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace jacinth::forwarding {
+
+/// Selects some of the entries to send requests to an endpoint, by a hash of
+/// their names, so that all entries agree without coordination.
+class SenderSelection {
+ public:
+  /// `entries` are the live entry instances, including `self`.
+  SenderSelection(std::string self, std::vector<std::string> entries);
+  SenderSelection() = default;
+
+  /// Returns true if this entry is one of at most `max_senders` that may send
+  /// to the endpoint.
+  bool IsSelected(const std::string& endpoint, std::size_t max_senders) const;
+
+  std::size_t entry_count() const { return entries_.size(); }
+
+ private:
+  std::string self_;
+  std::vector<std::string> entries_;
+};
+
+}  // namespace jacinth::forwarding
--- a/source/core/forwarding/warmup_gate.h
+++ b/source/core/forwarding/warmup_gate.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
-#include <vector>
 
 #include "core/common/time.h"
+#include "core/forwarding/sender_selection.h"
 
 namespace jacinth::forwarding {
 
@@ -17,11 +18,9 @@
 /// however the entries' intervals are aligned.
 class WarmupGate {
  public:
-  /// `entries` are the live entry instances, including `self`. `per_second` is
-  /// the limit for one cold endpoint and all entries together, at least 1.
-  WarmupGate(std::string self,
-             std::vector<std::string> entries,
-             double per_second);
+  /// `per_second` is the limit for one cold endpoint and all entries together,
+  /// at least 1.
+  WarmupGate(SenderSelection senders, double per_second);
   WarmupGate() = default;
 
   /// Returns true if this entry is one of those that may send requests to the
@@ -34,8 +33,7 @@
   static Duration interval();
 
  private:
-  std::string self_;
-  std::vector<std::string> entries_;
+  SenderSelection senders_;
   std::size_t max_senders_ = 0;
 };
 
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -7,6 +7,7 @@
 #include "core/protocol/command.h"
 #include "core/protocol/endpoint_list.h"
 #include "core/protocol/entry_status.h"
+#include "core/protocol/rate_limit.h"
 #include "core/protocol/slice.h"
 
 namespace jacinth::protocol {
@@ -24,6 +25,10 @@
   std::uint64_t slices_version = 0;
   std::vector<SliceClaim> claims;
   std::vector<SliceUse> uses;
+  /// Version of the rate shares that the entry holds.
+  std::uint64_t rate_shares_version = 0;
+  /// Rate limits that have changed or were not reported for a while.
+  std::vector<RateLimitReport> rate_limits;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -74,6 +79,9 @@
   std::vector<std::string> replicas;
   /// Set if slice owners have changed; otherwise its version is 0.
   SliceUpdate slices;
+  /// The entry's shares of rate limits; its version is 0 if the sender doesn't
+  /// know the limits.
+  RateShareUpdate rate_shares;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -65,6 +65,12 @@
 generated::SliceUpdate ToWire(const protocol::SliceUpdate& update);
 protocol::SliceUpdate FromWire(const generated::SliceUpdate& update);
 
+generated::RateLimitReport ToWire(const protocol::RateLimitReport& report);
+protocol::RateLimitReport FromWire(const generated::RateLimitReport& report);
+
+generated::RateShareUpdate ToWire(const protocol::RateShareUpdate& update);
+protocol::RateShareUpdate FromWire(const generated::RateShareUpdate& update);
+
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change);
 protocol::ChangeSettings FromWire(const generated::ChangeSettings& change);
 
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -56,6 +56,10 @@
     out.claims.push_back(ToWire(claim));
   for (const protocol::SliceUse& use : heartbeat.uses)
     out.uses.push_back(ToWire(use));
+  out.rate_shares_version =
+      static_cast<std::int64_t>(heartbeat.rate_shares_version);
+  for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
+    out.rate_limits.push_back(ToWire(report));
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -75,6 +79,10 @@
   }
   for (const generated::SliceUse& use : heartbeat.uses)
     out.uses.push_back(FromWire(use));
+  out.rate_shares_version =
+      static_cast<std::uint64_t>(heartbeat.rate_shares_version);
+  for (const generated::RateLimitReport& report : heartbeat.rate_limits)
+    out.rate_limits.push_back(FromWire(report));
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -103,6 +111,8 @@
   out.replicas = reply.replicas;
   if (reply.slices.version != 0)
     out.__set_slices(ToWire(reply.slices));
+  if (reply.rate_shares.version != 0)
+    out.__set_rate_shares(ToWire(reply.rate_shares));
   return out;
 }
 
@@ -128,6 +138,8 @@
   out.replicas = reply.replicas;
   if (reply.__isset.slices)
     out.slices = FromWire(reply.slices);
+  if (reply.__isset.rate_shares)
+    out.rate_shares = FromWire(reply.rate_shares);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -21,10 +21,23 @@
 struct SliceClaim { 1: SliceOwner owner, 2: i32 reason }
 struct SliceUpdate { 1: i64 version, 2: list<SliceOwner> changed }
 struct SliceUse { 1: string service_name, 2: i32 slice, 3: i64 busy_ms }
+struct RateLimitReport {
+  1: string service_name, 2: string endpoint, 3: i64 started_ms,
+  4: optional double limit_per_s, 5: bool was_told, 6: i64 answer_age_ms,
+  7: double demand_per_s, 8: optional double shared_limit_per_s
+}
+struct RateShare {
+  1: string service_name, 2: string endpoint, 3: i64 started_ms,
+  4: double limit_per_s, 5: double share_per_s
+}
+struct RateShareUpdate {
+  1: i64 version, 2: bool unchanged, 3: list<RateShare> shares
+}
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
   4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims,
-  7: list<SliceUse> uses
+  7: list<SliceUse> uses, 8: i64 rate_shares_version,
+  9: list<RateLimitReport> rate_limits
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -45,7 +58,7 @@
   1: i64 sequence, 2: bool leader, 3: string leader_hint, 4: i64 revision,
   5: optional SettingsUpdate update, 6: optional MemberList members,
   7: optional EndpointUpdate endpoints, 8: list<string> replicas,
-  9: optional SliceUpdate slices
+  9: optional SliceUpdate slices, 10: optional RateShareUpdate rate_shares
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
--- a/source/unit_tests/forwarding/warmup_gate_test.cc
+++ b/source/unit_tests/forwarding/warmup_gate_test.cc
@@ -20,7 +20,8 @@
     const auto endpoint = "p" + std::to_string(*rc::gen::inRange(0, 1'000));
     int senders = 0;
     for (const std::string& entry : entries) {
-      if (WarmupGate(entry, entries, max_rate).CanSendTo(endpoint))
+      if (WarmupGate(SenderSelection(entry, entries), max_rate)
+              .CanSendTo(endpoint))
         ++senders;
     }
     // Each sender sends one request per interval, which is longer than a
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -60,7 +60,10 @@
       5,
       6,
       {{{"s", 7, "a"}, protocol::SliceClaimReason::kOwnerOverloaded}},
-      {{"s", 7, 1'500}}});
+      {{"s", 7, 1'500}},
+      8,
+      {{{"s", "i-1"}, 9, 2.5, true, 10, 1.25, 3.5},
+       {{"s", "i-2"}, 9, std::nullopt, false, -1, 0, std::nullopt}}});
   CheckRoundTrip(protocol::HeartbeatReply{
       1,
       true,
@@ -69,7 +72,9 @@
       {3, "text", 4, 2, {{"service/a", {{"ttl_ms", "5"}}}}},
       {5, {MakeFullEntryStatus()}},
       {6, 5, {MakeFullListedEndpoint()}, {"gone"}},
-      {"c1", "c2"}});
+      {"c1", "c2"},
+      {},
+      {7, true, {{{"s", "i-1"}, 9, 2.5, 1.5}}}});
   CheckRoundTrip(protocol::ClaimRequest{"a", {"c", "k"}, 1, 2, "tp"});
   CheckRoundTrip(protocol::ClaimReply{
       "a", true, protocol::ClaimVerdict::kRan, {200, "t", "b", true}});
