Forwarding: Tell lost links of an entry from failed endpoints

Cause: each endpoint was judged by itself. Change: a monitor suspects the links when three endpoints fail without an exchange on a new connection in between, probes endpoints of other failure domains, and takes the links for lost if none accepts a connection. Evidence: link_monitor_test.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -82,6 +82,9 @@
   std::string address;
   std::string path;
   std::string incarnation;
+  /// True if the probe tells whether this entry's links work, and says nothing
+  /// about the endpoint.
+  bool tests_links = false;
 };
 
 /// Actions to be carried out by the host of an entry node after an event.
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -104,6 +104,7 @@
   ServiceState& service_state = services_.at(record.service);
   service_state.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load,
                                        now);
+  TrackLinks(record, event, now);
   if (event.rate_limit)
     OnRateLimitNotice(record, service_state, *event.rate_limit, now);
   RecordSliceUse(record, now);
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -62,6 +62,8 @@
   protocol::RecordedAnswer answer;
   /// Load reported by the endpoint with its answer.
   std::optional<forwarding::LoadReport> load;
+  /// True if the attempt was the first exchange on its connection.
+  bool opened_connection = false;
   /// Empty if the attempt ended without an answer of this endpoint to this
   /// request, or if the limit in it is malformed.
   std::optional<forwarding::RateLimitNotice> rate_limit;
@@ -87,6 +89,10 @@
   std::string service;
   std::string endpoint;
   forwarding::ProbeEnd end = forwarding::ProbeEnd::kFailed;
+  /// True if the endpoint accepted the connection of the probe.
+  bool connected = false;
+  /// True for a probe of this entry's links; see StartProbe.
+  bool tests_links = false;
 };
 
 /// A planned stop was requested, in which requests in flight are completed.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -82,10 +82,16 @@
     service_state.UpdateSentRate(now);
     DispatchRequests(service_state, now);
   }
+  ProbeLinks(now);
   AdvanceStop(now);
 }
 
 void EntryNode::On(const ProbeEnded& event, Time now) {
+  if (event.tests_links) {
+    links_.OnProbeEnd(event.connected);
+    OnLinkStateChange(now);
+    return;
+  }
   const auto service_state = services_.find(event.service);
   if (service_state == services_.end())
     return;
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -16,6 +16,7 @@
 #include "core/entry/request_record.h"
 #include "core/entry/service_state.h"
 #include "core/entry/weighted_round_robin.h"
+#include "core/forwarding/link_monitor.h"
 #include "core/settings/fleet_limits.h"
 
 namespace jacinth::entry {
@@ -103,6 +104,13 @@
                         Time now);
   std::string OwnerFor(const RequestRecord& record) const;
 
+  // Links to endpoints.
+  void TrackLinks(const RequestRecord& record,
+                  const AttemptEnded& event,
+                  Time now);
+  void ProbeLinks(Time now);
+  void OnLinkStateChange(Time now);
+
   // Arrival and admission of requests.
   void On(const RequestArrived& event, Time now);
   Result<RequestRecord> Resolve(const RequestArrived& event);
@@ -171,6 +179,8 @@
   ControlSession session_;
   ClaimClient claim_client_;
   admission::RankCeilings ceilings_;
+  forwarding::LinkMonitor links_;
+  forwarding::LinkState logged_links_ = forwarding::LinkState::kConnected;
   /// Versions of the session's state that are applied to `services_`.
   std::uint64_t fleet_revision_ = 0;
   std::uint64_t endpoint_changes_ = 0;
--- /dev/null
+++ b/source/core/forwarding/link_monitor.cc
@@ -0,0 +1,92 @@
+#include "core/forwarding/link_monitor.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+#include "core/common/hash.h"
+#include "core/common/name_table.h"
+
+namespace jacinth::forwarding {
+namespace {
+
+constexpr std::array kNames = {
+    NamedValue<LinkState>{LinkState::kConnected, "connected"},
+    NamedValue<LinkState>{LinkState::kSuspected, "suspected"},
+    NamedValue<LinkState>{LinkState::kLost, "lost"},
+};
+
+/// Number of endpoints that must have failed to suspect the links.
+constexpr std::size_t kMinFailedEndpoints = 3;
+/// Time for which a failure counts: longer than a connect timeout and a few
+/// times the interval between the requests of a quiet entry.
+constexpr Duration kFailureLifetime = 2s;
+/// Number of endpoints probed at a time.
+constexpr std::size_t kProbeCount = 4;
+/// Interval between probes while the links are suspected or lost.
+constexpr Duration kProbeInterval = 500ms;
+
+}  // namespace
+
+std::string_view LinkStateName(LinkState state) {
+  return EnumName(kNames, state);
+}
+
+void LinkMonitor::OnFailure(const std::string& endpoint, Time now) {
+  failed_[endpoint] = now;
+  if (state_ != LinkState::kConnected)
+    return;
+  std::erase_if(failed_, [&](const auto& item) {
+    return item.second + kFailureLifetime < now;
+  });
+  if (failed_.size() >= kMinFailedEndpoints)
+    state_ = LinkState::kSuspected;
+}
+
+void LinkMonitor::OnConnected() {
+  failed_.clear();
+  state_ = LinkState::kConnected;
+}
+
+bool LinkMonitor::WantsProbes(Time now) const {
+  return state_ != LinkState::kConnected && pending_probes_ == 0 &&
+         now >= next_probes_;
+}
+
+std::vector<LinkCandidate> LinkMonitor::SelectProbes(
+    std::vector<LinkCandidate> candidates,
+    std::uint64_t random_value,
+    Time now) {
+  // Endpoints that have not failed come first, then the order is random.
+  const auto order = [&](const LinkCandidate& candidate) {
+    return std::pair(failed_.count(candidate.endpoint) != 0,
+                     Hash64(candidate.endpoint, random_value));
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&](const LinkCandidate& left, const LinkCandidate& right) {
+              return order(left) < order(right);
+            });
+  std::set<std::string> domains;
+  std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [&](const LinkCandidate& candidate) {
+        return domains.insert(candidate.failure_domain).second;
+      });
+  candidates.resize(std::min(candidates.size(), kProbeCount));
+  pending_probes_ = static_cast<int>(candidates.size());
+  next_probes_ = now + kProbeInterval;
+  return candidates;
+}
+
+void LinkMonitor::OnProbeEnd(bool connected) {
+  pending_probes_ = std::max(0, pending_probes_ - 1);
+  if (connected) {
+    OnConnected();
+    return;
+  }
+  if (state_ == LinkState::kSuspected && pending_probes_ == 0)
+    state_ = LinkState::kLost;
+}
+
+}  // namespace jacinth::forwarding
--- /dev/null
+++ b/source/core/forwarding/link_monitor.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/common/time.h"
+
+namespace jacinth::forwarding {
+
+/// Whether this entry can open connections to endpoints.
+enum class LinkState {
+  kConnected,
+  /// Several endpoints have failed in a row; probes of others are under way.
+  kSuspected,
+  /// No endpoint can be reached, so the cause lies with this entry's links.
+  kLost,
+};
+
+/// Returns the name of a state in logs.
+std::string_view LinkStateName(LinkState state);
+
+/// An endpoint that may be probed.
+struct LinkCandidate {
+  std::string service;
+  std::string endpoint;
+  std::string failure_domain;
+};
+
+/// Tells the loss of this entry's links to all endpoints from the failure of
+/// some endpoints.
+///
+/// Only an exchange on a new connection shows that the links work: connections
+/// that were open before may live on while new ones are refused. When several
+/// endpoints have failed without one, others are probed; if none of these
+/// answers either, the links are lost. Probes go on until one succeeds.
+class LinkMonitor {
+ public:
+  LinkState state() const { return state_; }
+
+  /// An attempt at the endpoint ended without an answer.
+  void OnFailure(const std::string& endpoint, Time now);
+  /// An endpoint answered on a new connection.
+  void OnConnected();
+
+  /// Returns true if probes must be sent now; SelectProbes() then selects the
+  /// endpoints.
+  bool WantsProbes(Time now) const;
+  /// Selects the endpoints to probe, in different failure domains as far as
+  /// possible. `random_value` is a pseudorandom number.
+  std::vector<LinkCandidate> SelectProbes(std::vector<LinkCandidate> candidates,
+                                          std::uint64_t random_value,
+                                          Time now);
+  void OnProbeEnd(bool connected);
+
+ private:
+  LinkState state_ = LinkState::kConnected;
+  /// Time of the last failure of each endpoint since the last connection.
+  std::map<std::string, Time> failed_;
+  int pending_probes_ = 0;
+  Time next_probes_{};
+};
+
+}  // namespace jacinth::forwarding
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -62,7 +62,8 @@
   has_excess_input_ = false;
   output_ = WriteRequest(call.request, address_);
   ResetParser();
-  if (phase_ == Phase::kNew) {
+  opened_connection_ = phase_ == Phase::kNew;
+  if (opened_connection_) {
     Connect();
     return;
   }
@@ -208,6 +209,7 @@
   timer_.cancel();
   ExchangeResult result;
   result.end = end;
+  result.opened_connection = opened_connection_;
   if (end == ExchangeEnd::kAnswered) {
     // Bytes after the response or a partly sent request would corrupt the next
     // exchange.
--- a/source/core/http/event_connection.h
+++ b/source/core/http/event_connection.h
@@ -63,6 +63,7 @@
   bool read_pending_ = false;
   bool request_sent_ = false;
   bool has_excess_input_ = false;
+  bool opened_connection_ = false;
   std::string output_;
   std::optional<MessageParser> parser_;
   std::array<char, kReadBytes> read_buffer_{};
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -230,6 +230,7 @@
   entry::AttemptEnded ended;
   ended.ticket = attempt.ticket;
   ended.end = attempt_result.end;
+  ended.opened_connection = result.opened_connection;
   ended.load = attempt_result.load;
   ended.rate_limit = attempt_result.rate_limit;
   ended.answer.status = result.response.status;
@@ -309,8 +310,11 @@
   client_call.limits = {kProbeConnectTimeout, kProbeTimeout,
                         kMaxProbeBodyBytes};
   client_.Start(client_call, [this, probe](const http::ExchangeResult& end) {
+    const bool connected = end.end != http::ExchangeEnd::kNotConnected &&
+                           end.end != http::ExchangeEnd::kLost;
     Step(entry::ProbeEnded{probe.service, probe.endpoint,
-                           adapter_.ClassifyProbe(probe, end)});
+                           adapter_.ClassifyProbe(probe, end), connected,
+                           probe.tests_links});
   });
 }
 
--- /dev/null
+++ b/source/unit_tests/forwarding/link_monitor_test.cc
@@ -0,0 +1,77 @@
+#include "core/forwarding/link_monitor.h"
+
+#include <set>
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::forwarding {
+namespace {
+
+constexpr Time kNow{100s};
+
+std::vector<LinkCandidate> MakeCandidates() {
+  std::vector<LinkCandidate> candidates;
+  for (int i = 0; i < 12; ++i) {
+    candidates.push_back(
+        {"s", "p" + std::to_string(i), "domain-" + std::to_string(i % 3)});
+  }
+  return candidates;
+}
+
+void FailEndpoints(LinkMonitor& links, int count) {
+  for (int i = 0; i < count; ++i)
+    links.OnFailure("p" + std::to_string(i), kNow);
+}
+
+}  // namespace
+
+TEST_CASE(
+    "The links are lost once several endpoints failed and no probe of "
+    "others connects") {
+  LinkMonitor links;
+  FailEndpoints(links, 2);
+  CHECK(links.state() == LinkState::kConnected);
+  CHECK_FALSE(links.WantsProbes(kNow));
+  FailEndpoints(links, 3);
+  CHECK(links.state() == LinkState::kSuspected);
+  REQUIRE(links.WantsProbes(kNow));
+  const auto probed = links.SelectProbes(MakeCandidates(), 1, kNow);
+  REQUIRE(probed.size() >= 3);
+  std::set<std::string> domains;
+  for (const LinkCandidate& candidate : probed)
+    domains.insert(candidate.failure_domain);
+  CHECK(domains.size() == 3);
+  SECTION("all probes fail") {
+    for (std::size_t i = 0; i < probed.size(); ++i) {
+      CHECK(links.state() == LinkState::kSuspected);
+      links.OnProbeEnd(false);
+    }
+    CHECK(links.state() == LinkState::kLost);
+    CHECK_FALSE(links.WantsProbes(kNow + 100ms));
+    REQUIRE(links.WantsProbes(kNow + 500ms));
+    links.SelectProbes(MakeCandidates(), 2, kNow + 500ms);
+    links.OnProbeEnd(true);
+    CHECK(links.state() == LinkState::kConnected);
+  }
+  // Guards against handing over all requests because some endpoints crashed.
+  SECTION("one probe connects") {
+    links.OnProbeEnd(false);
+    links.OnProbeEnd(true);
+    links.OnProbeEnd(false);
+    links.OnProbeEnd(false);
+    CHECK(links.state() == LinkState::kConnected);
+  }
+}
+
+TEST_CASE(
+    "Failures long apart, or of one endpoint, don't cast doubt on the "
+    "links") {
+  LinkMonitor links;
+  for (int i = 0; i < 20; ++i)
+    links.OnFailure("p0", kNow);
+  links.OnFailure("p1", kNow);
+  links.OnFailure("p2", kNow + 5s);
+  CHECK(links.state() == LinkState::kConnected);
+}
+
+}  // namespace jacinth::forwarding
