HTTP: Let connections to endpoints come from a chosen address

An instance with several addresses could not choose the one that endpoints see, and a test on one machine could not cut a single entry from the endpoints, since all connections came from the same address.

--- a/source/core/http/event_client.cc
+++ b/source/core/http/event_client.cc
@@ -11,8 +11,11 @@
 namespace jacinth::http {
 
 EventClient::EventClient(asio::io_context& context,
-                         std::size_t max_idle_per_address)
-    : context_(context), max_idle_per_address_(max_idle_per_address) {}
+                         std::size_t max_idle_per_address,
+                         std::string source_address)
+    : context_(context),
+      max_idle_per_address_(max_idle_per_address),
+      source_address_(std::move(source_address)) {}
 
 EventClient::~EventClient() {
   Stop();
--- a/source/core/http/event_client.h
+++ b/source/core/http/event_client.h
@@ -40,7 +40,11 @@
   using EndHandler = std::function<void(ExchangeResult)>;
 
   /// Keeps at most `max_idle_per_address` idle connections per address.
-  EventClient(asio::io_context& context, std::size_t max_idle_per_address);
+  /// Connections come from the local IP address `source_address` unless it is
+  /// empty.
+  EventClient(asio::io_context& context,
+              std::size_t max_idle_per_address,
+              std::string source_address = "");
   ~EventClient();
   EventClient(const EventClient&) = delete;
   EventClient& operator=(const EventClient&) = delete;
@@ -58,6 +62,7 @@
   /// Cancels all calls and closes all connections.
   void Stop();
 
+  const std::string& source_address() const { return source_address_; }
   std::uint64_t connections_opened() const { return connections_opened_; }
 
  private:
@@ -73,6 +78,7 @@
 
   asio::io_context& context_;
   std::size_t max_idle_per_address_;
+  std::string source_address_;
   CallId last_call_id_ = 0;
   std::uint64_t connections_opened_ = 0;
   std::map<CallId, std::pair<ConnectionPtr, EndHandler>> calls_;
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -11,6 +11,7 @@
 #include "core/common/process_clock.h"
 #include "core/http/address.h"
 #include "core/http/message_writer.h"
+#include "core/log/log.h"
 
 namespace jacinth::http {
 namespace {
@@ -95,7 +96,7 @@
   asio::error_code error;
   const auto ip =
       asio::ip::make_address(parsed ? parsed->host : std::string(), error);
-  if (!parsed || error) {
+  if (!parsed || error || !BindSource()) {
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
       self->Finish(ExchangeEnd::kNotConnected);
     });
@@ -120,6 +121,24 @@
       });
 }
 
+// Binds the socket to the client's source address, if it has one.
+bool EventConnection::BindSource() {
+  if (client_.source_address().empty())
+    return true;
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(client_.source_address(), error);
+  if (!error)
+    socket_.open(ip.is_v6() ? tcp::v6() : tcp::v4(), error);
+  if (!error)
+    socket_.bind(tcp::endpoint(ip, 0), error);
+  if (!error)
+    return true;
+  log::Warning(log::Category::kHttp, "Connections can't come from " +
+                                         client_.source_address() + ": " +
+                                         error.message() + ".");
+  return false;
+}
+
 void EventConnection::Send() {
   asio::async_write(socket_, asio::buffer(output_),
                     [self = shared_from_this(), id = call_id_](
--- a/source/core/http/event_connection.h
+++ b/source/core/http/event_connection.h
@@ -38,6 +38,7 @@
   enum class Phase { kNew, kConnecting, kRunning, kIdle, kClosed };
 
   void Connect();
+  bool BindSource();
   void Send();
   void Read();
   void OnRead(asio::error_code error, std::size_t size);
--- a/source/core/settings/instance_setting_table.cc
+++ b/source/core/settings/instance_setting_table.cc
@@ -96,6 +96,13 @@
                         {},
                         "",
                         "Additional address for readiness checks."},
+    InstanceSettingSpec{"entry",
+                        "source_address",
+                        SettingType::kText,
+                        {},
+                        "",
+                        "Local IP address of connections to endpoints and to "
+                        "other entries; if unset, the system chooses it."},
     InstanceSettingSpec{"entry",
                         "requests",
                         SettingType::kInteger,
--- a/source/core/settings/instance_settings.cc
+++ b/source/core/settings/instance_settings.cc
@@ -153,6 +153,7 @@
 
   void ReadEntrySection() {
     settings_.entry_address = GetText("entry", "address");
+    settings_.source_address = GetText("entry", "source_address");
     settings_.lookup_address = GetText("entry", "lookup_address");
     settings_.ready_address = GetText("entry", "ready_address");
     settings_.entry_requests = GetInt("entry", "requests");
--- a/source/core/settings/instance_settings.h
+++ b/source/core/settings/instance_settings.h
@@ -43,6 +43,9 @@
   std::string entry_address;
   /// Additional addresses for look-ups and readiness checks; empty for none.
   std::string lookup_address;
+  /// Local IP address of connections to endpoints and other entries; empty if
+  /// the system chooses it.
+  std::string source_address;
   std::string ready_address;
   /// Maximum number of requests held and of caller connections open at once.
   int entry_requests = 0;
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -27,7 +27,9 @@
       adapter_(settings),
       timer_(context, [this] { Step(entry::Tick{}); }),
       node_(MakeOptions(settings, adapter_)),
-      client_(context, kMaxIdleConnectionsPerEndpoint),
+      client_(context,
+              kMaxIdleConnectionsPerEndpoint,
+              settings.source_address),
       server_(context,
               [this](const TransactionPtr& transaction) {
                 OnTransaction(transaction);
