Entry: Serve callers through others when no endpoint can be reached

Cause: an entry put aside single endpoints, at most half of them, and tried the rest again and again; look-ups went on naming it, and callers hold a look-up for up to 6 s. Change: an entry whose links are lost hands each request to another one, in its region if possible, as one more hop with the time that is left; the other never hands it on. A request that the other has certainly not run goes to a third, all else is final. It says so with its heartbeats, and look-ups name it only if all entries are such. What no entry can serve is refused at once as not run. A request whose attempts could not connect is handed over before the loss is known, too. When a probe connects, the failures of that time are forgotten, so that endpoints are neither aside nor cold. Connections that were open before the failures say nothing about the links. Why it works: callers need not learn anything, so that it doesn't matter how long they hold a look-up; look-ups take the load off the extra hop within seconds.

--- a/source/core/control/entry_registry.cc
+++ b/source/core/control/entry_registry.cc
@@ -13,7 +13,8 @@
 bool SameMember(const EntryStatus& left, const EntryStatus& right) {
   return left.incarnation == right.incarnation && left.region == right.region &&
          left.failure_domain == right.failure_domain &&
-         left.address == right.address && left.draining == right.draining;
+         left.address == right.address && left.draining == right.draining &&
+         left.isolated == right.isolated;
 }
 
 }  // namespace
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -196,6 +196,11 @@
   next_heartbeat_ = Time{};
 }
 
+void ControlSession::SetIsolated(bool isolated) {
+  self_.isolated = isolated;
+  next_heartbeat_ = Time{};
+}
+
 std::optional<Time> ControlSession::FindSendTime(std::uint64_t sequence) const {
   for (const SentHeartbeat& heartbeat : sent_) {
     if (heartbeat.sequence == sequence)
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -74,6 +74,10 @@
   /// Marks the instance as draining and makes the next heartbeat due at once.
   void SetDraining();
 
+  /// Tells whether the instance reaches no endpoint, and makes the next
+  /// heartbeat due at once.
+  void SetIsolated(bool isolated);
+
   /// Returns true while a leader is known to consider this instance alive: the
   /// last heartbeat that a leader answered was sent less than the control
   /// timeout ago.
--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -43,6 +43,19 @@
   int number = 1;
 };
 
+/// Hands the request to another entry, which serves it for this one.
+struct StartRelay {
+  RequestTicket ticket = 0;
+  /// Id of the other entry instance.
+  std::string entry;
+  /// Address at which it serves callers.
+  std::string address;
+  Execution execution = Execution::kRepeatable;
+  Duration connect_timeout{0};
+  /// Time limit of the whole relay.
+  Duration timeout{0};
+};
+
 /// Forwards the complete answer of the last attempt to the caller.
 struct ForwardAnswer {};
 
@@ -51,6 +64,9 @@
   protocol::RecordedAnswer answer;
 };
 
+/// Forwards the answer of the entry that the request was handed to.
+struct RelayedAnswer {};
+
 /// Maximum delay after which a refused caller is asked to retry.
 inline constexpr Duration kMaxRetryAfter = 1s;
 
@@ -62,7 +78,12 @@
   Duration retry_after{0};
 };
 
-/// Cancels the attempt in progress because the caller has disconnected.
+/// Returns true if another entry may be able to serve a request that this one
+/// refuses with an error of `kind`.
+bool IsEntryUnavailable(ErrorKind kind);
+
+/// Cancels the attempt or relay in progress because the caller has
+/// disconnected.
 struct CancelAttempt {
   RequestTicket ticket = 0;
 };
@@ -70,7 +91,7 @@
 /// The final answer to a request.
 struct RequestAnswer {
   RequestTicket ticket = 0;
-  std::variant<ForwardAnswer, ReplayAnswer, RefuseRequest> body;
+  std::variant<ForwardAnswer, ReplayAnswer, RelayedAnswer, RefuseRequest> body;
   /// Rank of the request; empty if it was refused before admission control.
   std::optional<Rank> rank;
 };
@@ -91,6 +112,7 @@
 struct EntryActions {
   std::vector<OutgoingMessage> messages;
   std::vector<StartAttempt> attempts;
+  std::vector<StartRelay> relays;
   std::vector<RequestAnswer> answers;
   std::vector<CancelAttempt> cancellations;
   std::vector<StartProbe> probes;
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -44,6 +44,8 @@
 bool EntryNode::TryAttempt(RequestRecord& record,
                            ServiceState& service_state,
                            Time now) {
+  if (ShouldRelay(record, now))
+    return StartRelay(record, now);
   forwarding::EndpointCriteria endpoint_criteria;
   endpoint_criteria.home_region = options_.self.region;
   endpoint_criteria.excluded_endpoints = record.excluded_endpoints;
@@ -141,6 +143,11 @@
     DispatchRequests(service_state, now);
     return;
   }
+  // Other entries may reach an endpoint although this one doesn't, before its
+  // links are known to be lost.
+  if (event.end == AttemptEnd::kNotConnected && !record.may_have_run &&
+      CanRelay(record, now) && StartRelay(record, now))
+    return;
   const Outcome overall_outcome =
       record.may_have_run
           ? (outcome == Outcome::kRan ? Outcome::kRan : Outcome::kUnknown)
--- a/source/core/entry/entry_completion.cc
+++ b/source/core/entry/entry_completion.cc
@@ -23,7 +23,10 @@
   }
   if (record.phase == RequestPhase::kWaiting)
     service_state.queue.Remove(event.ticket);
-  const bool may_have_run = running || record.may_have_run;
+  const bool relayed = !record.relay_entry.empty();
+  if (relayed)
+    actions_.cancellations.push_back({event.ticket});
+  const bool may_have_run = running || relayed || record.may_have_run;
   FinishClaim(record, may_have_run ? Outcome::kUnknown : Outcome::kNotRun, {},
               now);
   RefuseRequest cancellation{
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -52,6 +52,9 @@
   Duration budget{0};
   /// W3C trace context; empty if the request isn't traced.
   std::string traceparent;
+  /// True if another entry has handed the request to this one, which must not
+  /// hand it to a third.
+  bool relayed = false;
 };
 
 /// An attempt ended.
@@ -69,6 +72,14 @@
   std::optional<forwarding::RateLimitNotice> rate_limit;
 };
 
+/// A relay to another entry ended.
+struct RelayEnded {
+  RequestTicket ticket = 0;
+  /// kAnswered for a final answer of any kind; kRefused if the other entry
+  /// can't serve the request either and has not run it.
+  forwarding::AttemptEnd end = forwarding::AttemptEnd::kConnectionLost;
+};
+
 /// The caller closed its connection before it received an answer.
 struct RequestAbandoned {
   RequestTicket ticket = 0;
@@ -103,6 +114,7 @@
                                 Tick,
                                 RequestArrived,
                                 AttemptEnded,
+                                RelayEnded,
                                 RequestAbandoned,
                                 EndpointsListed,
                                 ContactsChanged,
--- a/source/core/entry/entry_links.cc
+++ b/source/core/entry/entry_links.cc
@@ -25,7 +25,7 @@
   if (IsLinkFailure(event.end)) {
     links_.OnFailure(record.endpoint, now);
   } else if (event.opened_connection && event.end != AttemptEnd::kCancelled) {
-    links_.OnConnected();
+    links_.OnConnected(record.attempt_started, now);
   }
   OnLinkStateChange(now);
 }
@@ -57,14 +57,25 @@
   }
 }
 
-void EntryNode::OnLinkStateChange(Time /*now*/) {
+// Announces that the links are lost or restored, and hands over what waits.
+void EntryNode::OnLinkStateChange(Time now) {
   const LinkState state = links_.state();
-  const LinkState before = std::exchange(logged_links_, state);
+  const LinkState before = std::exchange(applied_links_, state);
   if (state == before)
     return;
   AddLogRecord("links_changed")
       .With("state", forwarding::LinkStateName(state))
       .With("before", forwarding::LinkStateName(before));
+  const bool lost = state == LinkState::kLost;
+  if (!lost && before != LinkState::kLost)
+    return;
+  // The failures were those of the links.
+  for (auto& [name, service_state] : services_)
+    service_state.endpoints.ForgiveFailures();
+  session_.SetIsolated(lost);
+  PublishSnapshot();
+  if (lost)
+    RelayWaitingRequests(now);
 }
 
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -88,7 +88,7 @@
 
 void EntryNode::On(const ProbeEnded& event, Time now) {
   if (event.tests_links) {
-    links_.OnProbeEnd(event.connected);
+    links_.OnProbeEnd(event.connected, now);
     OnLinkStateChange(now);
     return;
   }
@@ -164,13 +164,16 @@
   fleet_revision_ = fleet->revision;
   endpoint_changes_ = session_.endpoint_changes();
   members_version_ = session_.members_version();
+  std::size_t endpoint_count = 0;
   for (const auto& [name, service] : fleet->services) {
     ServiceState& service_state = services_[name];
     service_state.Update(BuildServiceSettings(service, now), now);
+    endpoint_count += service_state.settings.endpoints.size();
     ApplyFleetLimits(service_state);
     service_state.endpoints.SetRateShares(RateSharesOf(name), now);
     DispatchRequests(service_state, now);
   }
+  links_.SetEndpointCount(endpoint_count);
   for (auto& [name, service_state] : services_) {
     if (fleet->services.count(name) == 0)
       service_state.MarkRemoved(now);
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -111,6 +111,15 @@
   void ProbeLinks(Time now);
   void OnLinkStateChange(Time now);
 
+  // Relays to other entries.
+  bool ShouldRelay(const RequestRecord& record, Time now) const;
+  bool CanRelay(const RequestRecord& record, Time now) const;
+  const protocol::EntryStatus* SelectRelayEntry(const RequestRecord& record,
+                                                Time now) const;
+  bool StartRelay(RequestRecord& record, Time now);
+  void On(const RelayEnded& event, Time now);
+  void RelayWaitingRequests(Time now);
+
   // Arrival and admission of requests.
   void On(const RequestArrived& event, Time now);
   Result<RequestRecord> Resolve(const RequestArrived& event);
@@ -180,7 +189,8 @@
   ClaimClient claim_client_;
   admission::RankCeilings ceilings_;
   forwarding::LinkMonitor links_;
-  forwarding::LinkState logged_links_ = forwarding::LinkState::kConnected;
+  /// State that OnLinkStateChange() has acted on.
+  forwarding::LinkState applied_links_ = forwarding::LinkState::kConnected;
   /// Versions of the session's state that are applied to `services_`.
   std::uint64_t fleet_revision_ = 0;
   std::uint64_t endpoint_changes_ = 0;
@@ -192,6 +202,8 @@
   std::map<std::string, ServiceState> services_;
   std::map<RequestTicket, RequestRecord> requests_;
   std::map<std::string, RequestTicket> tickets_by_claim_id_;
+  /// Entries that no request is handed to, until the given time.
+  std::map<std::string, Time> avoided_entries_;
   bool was_in_contact_ = false;
   std::string logged_leader_;
   Phase phase_ = Phase::kServing;
--- /dev/null
+++ b/source/core/entry/entry_relays.cc
@@ -0,0 +1,150 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/common/hash.h"
+#include "core/entry/entry_node.h"
+
+namespace jacinth::entry {
+namespace {
+
+using forwarding::AttemptEnd;
+using forwarding::LinkState;
+using protocol::EntryStatus;
+
+/// Number of entries that one request is handed to at most.
+constexpr std::size_t kMaxRelays = 3;
+/// Time for which no request is handed to an entry that could not be reached or
+/// reached no endpoint: a few heartbeats, after which the member list tells.
+constexpr Duration kAvoidEntryTime = 2s;
+
+Error ErrorForRelayEnd(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kNotConnected:
+    case AttemptEnd::kRefused:
+      return {ErrorKind::kNoEndpoint,
+              "neither this instance nor other entries reach an endpoint"};
+    case AttemptEnd::kTimedOut:
+      return {ErrorKind::kTimeout,
+              "the entry that the request was handed to did not answer in "
+              "time"};
+    default:
+      return {ErrorKind::kEndpointFailed,
+              "the connection to the entry that the request was handed to was "
+              "lost"};
+  }
+}
+
+}  // namespace
+
+bool IsEntryUnavailable(ErrorKind kind) {
+  return kind == ErrorKind::kNoEndpoint || kind == ErrorKind::kNotReady ||
+         kind == ErrorKind::kDraining || kind == ErrorKind::kControlUnreachable;
+}
+
+// Returns true if this instance can't serve the request but another entry may.
+bool EntryNode::ShouldRelay(const RequestRecord& record, Time now) const {
+  return links_.state() == LinkState::kLost && CanRelay(record, now);
+}
+
+// A request is handed over once only, and not under a claim of this instance,
+// as the other entry would need the same claim.
+bool EntryNode::CanRelay(const RequestRecord& record, Time now) const {
+  return !record.arrival.relayed && record.claim_id.empty() &&
+         now < record.deadline && record.tried_entries.size() < kMaxRelays &&
+         SelectRelayEntry(record, now) != nullptr;
+}
+
+// Selects another entry at random, in this region if any there can be used.
+const EntryStatus* EntryNode::SelectRelayEntry(const RequestRecord& record,
+                                               Time now) const {
+  std::vector<const EntryStatus*> local;
+  std::vector<const EntryStatus*> remote;
+  for (const EntryStatus& entry : session_.members()) {
+    const auto avoided = avoided_entries_.find(entry.id);
+    const bool usable =
+        entry.id != options_.self.id && !entry.isolated && !entry.draining &&
+        record.tried_entries.count(entry.id) == 0 &&
+        (avoided == avoided_entries_.end() || now >= avoided->second);
+    if (!usable)
+      continue;
+    (entry.region == options_.self.region ? local : remote).push_back(&entry);
+  }
+  const auto& candidates = local.empty() ? remote : local;
+  if (candidates.empty())
+    return nullptr;
+  return candidates[Hash64(options_.self.id, record.arrival.ticket) %
+                    candidates.size()];
+}
+
+// Hands the request to another entry. Returns false if there is none.
+bool EntryNode::StartRelay(RequestRecord& record, Time now) {
+  const EntryStatus* entry = SelectRelayEntry(record, now);
+  if (entry == nullptr)
+    return false;
+  record.relay_entry = entry->id;
+  record.tried_entries.insert(entry->id);
+  record.attempt_started = now;
+  ++record.attempts;
+  entry::StartRelay relay;
+  relay.ticket = record.arrival.ticket;
+  relay.entry = entry->id;
+  relay.address = entry->address;
+  relay.execution = record.kind.execution;
+  relay.timeout = record.deadline - now;
+  relay.connect_timeout = std::min(
+      services_.at(record.service).settings.connect_timeout, relay.timeout);
+  AddLogRecord("request_relayed")
+      .With("request", record.arrival.request_id)
+      .With("ticket", record.arrival.ticket)
+      .With("entry", relay.entry)
+      .With("number", record.attempts)
+      .With("links", forwarding::LinkStateName(links_.state()))
+      .With("left_ms", ToMillis(relay.timeout));
+  actions_.relays.push_back(std::move(relay));
+  return true;
+}
+
+void EntryNode::On(const RelayEnded& event, Time now) {
+  const auto found = requests_.find(event.ticket);
+  if (found == requests_.end())
+    return;
+  RequestRecord& record = found->second;
+  const std::string entry = std::exchange(record.relay_entry, {});
+  if (event.end == AttemptEnd::kAnswered) {
+    EndRequest(event.ticket, RelayedAnswer{}, now);
+    return;
+  }
+  const bool unavailable = event.end == AttemptEnd::kRefused ||
+                           event.end == AttemptEnd::kNotConnected;
+  if (unavailable)
+    avoided_entries_[entry] = now + kAvoidEntryTime;
+  const Outcome outcome = forwarding::OutcomeOf(event.end);
+  record.may_have_run |= outcome != Outcome::kNotRun;
+  ServiceState& service_state = services_.at(record.service);
+  const bool may_repeat =
+      unavailable || TryAcquireRetry(record, service_state, event.end, now);
+  LogAttemptEnd(record, event.end, may_repeat, now);
+  if (may_repeat && CanRelay(record, now) && StartRelay(record, now))
+    return;
+  Refuse(event.ticket, ErrorForRelayEnd(event.end), now);
+}
+
+// Hands the queued requests to other entries, or refuses them.
+void EntryNode::RelayWaitingRequests(Time now) {
+  std::vector<RequestTicket> waiting;
+  for (const auto& [ticket, record] : requests_) {
+    if (record.phase == RequestPhase::kWaiting)
+      waiting.push_back(ticket);
+  }
+  for (const RequestTicket ticket : waiting) {
+    RequestRecord& record = requests_.at(ticket);
+    services_.at(record.service).queue.Remove(ticket);
+    record.phase = RequestPhase::kRelaying;
+    if (CanRelay(record, now) && StartRelay(record, now))
+      continue;
+    Refuse(ticket, ErrorForRelayEnd(AttemptEnd::kNotConnected), now);
+  }
+}
+
+}  // namespace jacinth::entry
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -82,7 +82,13 @@
         std::min(record.deadline, now + objective / kMaxWaitDivisor);
   }
   ServiceState& service_state = services_.at(record.service);
-  if (RefuseBeyondRate(record, service_state, now))
+  const bool links_lost = links_.state() == forwarding::LinkState::kLost;
+  if (links_lost && !CanRelay(record, now)) {
+    refuse({ErrorKind::kNoEndpoint, "this instance reaches no endpoint"},
+           RetryAfter(record));
+    return;
+  }
+  if (!links_lost && RefuseBeyondRate(record, service_state, now))
     return;
   Admit(std::move(record), service_state, now);
 }
@@ -184,6 +190,11 @@
   service_state.retries.OnFirstAttempt(now);
   const bool needs_claim = record.kind.execution == Execution::kAtMostOnce;
   RequestRecord& stored = requests_[ticket] = std::move(record);
+  if (ShouldRelay(stored, now)) {
+    stored.phase = RequestPhase::kRelaying;
+    StartRelay(stored, now);
+    return;
+  }
   if (needs_claim) {
     StartClaim(stored, now);
     return;
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -17,6 +17,8 @@
   kWaiting,
   /// An attempt is in progress.
   kRunning,
+  /// Handed to another entry before it got a slot here.
+  kRelaying,
 };
 
 /// State of one admitted request.
@@ -36,6 +38,10 @@
   /// Endpoint of the attempt in progress; empty if there is none.
   std::string endpoint;
   Time attempt_started{};
+  /// Entry that the request is handed to; empty if there is none.
+  std::string relay_entry;
+  /// Entries that the request was handed to.
+  std::set<std::string> tried_entries;
   /// Endpoints that the next attempt must not use.
   std::set<std::string> excluded_endpoints;
   /// An earlier attempt ran the request or ended with an unknown outcome.
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -188,6 +188,15 @@
     state.failures = 0;
 }
 
+void EndpointTable::ForgiveFailures() {
+  for (auto& [name, state] : endpoints_) {
+    state.failures = 0;
+    state.ejections = 0;
+    if (std::exchange(state.ejected_until, std::nullopt))
+      AddLogRecord("endpoint_back", state);
+  }
+}
+
 const settings::EndpointSettings* EndpointTable::Find(
     const std::string& name) const {
   const auto found = endpoints_.find(name);
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -129,6 +129,10 @@
   std::vector<std::string> DueProbes(Time now);
   void OnProbeEnd(const std::string& name, ProbeEnd end, Time now);
 
+  /// Forgets the failures of all endpoints, which turned out to have another
+  /// cause.
+  void ForgiveFailures();
+
   EndpointView Describe(const std::string& name, Time now) const;
 
   /// Removes and returns the log records of state changes since the last call.
--- a/source/core/forwarding/link_monitor.cc
+++ b/source/core/forwarding/link_monitor.cc
@@ -26,6 +26,9 @@
 constexpr std::size_t kProbeCount = 4;
 /// Interval between probes while the links are suspected or lost.
 constexpr Duration kProbeInterval = 500ms;
+/// Time between the end of a suspicion and the next one, as probes cost the
+/// endpoints slots.
+constexpr Duration kTrustTime = 1s;
 
 }  // namespace
 
@@ -40,13 +43,29 @@
   std::erase_if(failed_, [&](const auto& item) {
     return item.second + kFailureLifetime < now;
   });
-  if (failed_.size() >= kMinFailedEndpoints)
+  if (IsSuspicious() && now >= trusted_until_)
     state_ = LinkState::kSuspected;
 }
 
-void LinkMonitor::OnConnected() {
+void LinkMonitor::OnConnected(Time opened, Time now) {
+  if (state_ == LinkState::kLost)
+    return;
+  std::erase_if(failed_,
+                [&](const auto& item) { return item.second <= opened; });
+  if (state_ == LinkState::kSuspected && !IsSuspicious())
+    SetConnected(now);
+}
+
+bool LinkMonitor::IsSuspicious() const {
+  const std::size_t enough =
+      std::clamp<std::size_t>(endpoint_count_, 1, kMinFailedEndpoints);
+  return failed_.size() >= enough;
+}
+
+void LinkMonitor::SetConnected(Time now) {
   failed_.clear();
   state_ = LinkState::kConnected;
+  trusted_until_ = now + kTrustTime;
 }
 
 bool LinkMonitor::WantsProbes(Time now) const {
@@ -79,10 +98,11 @@
   return candidates;
 }
 
-void LinkMonitor::OnProbeEnd(bool connected) {
+void LinkMonitor::OnProbeEnd(bool connected, Time now) {
   pending_probes_ = std::max(0, pending_probes_ - 1);
   if (connected) {
-    OnConnected();
+    if (state_ != LinkState::kConnected)
+      SetConnected(now);
     return;
   }
   if (state_ == LinkState::kSuspected && pending_probes_ == 0)
--- a/source/core/forwarding/link_monitor.h
+++ b/source/core/forwarding/link_monitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -40,10 +41,16 @@
  public:
   LinkState state() const { return state_; }
 
+  /// Sets the number of endpoints of all services. If there are few, the
+  /// failure of all of them is enough for a suspicion.
+  void SetEndpointCount(std::size_t count) { endpoint_count_ = count; }
+
   /// An attempt at the endpoint ended without an answer.
   void OnFailure(const std::string& endpoint, Time now);
-  /// An endpoint answered on a new connection.
-  void OnConnected();
+  /// An endpoint answered on a connection that was opened at `opened` or later.
+  /// Failures since then still count, and lost links are restored by probes
+  /// only.
+  void OnConnected(Time opened, Time now);
 
   /// Returns true if probes must be sent now; SelectProbes() then selects the
   /// endpoints.
@@ -53,14 +60,20 @@
   std::vector<LinkCandidate> SelectProbes(std::vector<LinkCandidate> candidates,
                                           std::uint64_t random_value,
                                           Time now);
-  void OnProbeEnd(bool connected);
+  void OnProbeEnd(bool connected, Time now);
 
  private:
+  bool IsSuspicious() const;
+  void SetConnected(Time now);
+
   LinkState state_ = LinkState::kConnected;
   /// Time of the last failure of each endpoint since the last connection.
   std::map<std::string, Time> failed_;
+  std::size_t endpoint_count_ = 0;
   int pending_probes_ = 0;
   Time next_probes_{};
+  /// Time until which the links aren't suspected again.
+  Time trusted_until_{};
 };
 
 }  // namespace jacinth::forwarding
--- a/source/core/protocol/entry_status.h
+++ b/source/core/protocol/entry_status.h
@@ -19,6 +19,9 @@
   std::uint64_t revision = 0;
   /// True if the instance is about to stop and must be left out of look-ups.
   bool draining = false;
+  /// True if the instance reaches no endpoint. It still serves callers through
+  /// other entries, but look-ups must name others if there are any.
+  bool isolated = false;
 
   bool operator==(const EntryStatus&) const = default;
 };
--- a/source/core/steering/lookup.cc
+++ b/source/core/steering/lookup.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/steering/isolated_entries.h"
+
 namespace jacinth::steering {
 namespace {
 
@@ -37,6 +39,7 @@
       continue;
     candidates.push_back(&member);
   }
+  DropIsolated(snapshot, candidates);
   const bool use_self =
       candidates.empty() && IsUsable(snapshot.self, *snapshot.fleet);
   if (use_self)
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/steering/isolated_entries.h"
+
 namespace jacinth::steering {
 namespace {
 
@@ -17,19 +19,26 @@
   return !entry.draining && !drained;
 }
 
+std::vector<const EntryStatus*> UsableEntries(
+    const SteeringSnapshot& snapshot) {
+  std::vector<const EntryStatus*> usable;
+  for (const EntryStatus& member : snapshot.members) {
+    if (IsUsable(snapshot, member))
+      usable.push_back(&member);
+  }
+  if (usable.empty() && IsUsable(snapshot, snapshot.self))
+    usable.push_back(&snapshot.self);
+  return usable;
+}
+
 }  // namespace
 
 std::vector<const EntryStatus*> NearestEntries(const SteeringSnapshot& snapshot,
                                                std::string_view region,
                                                std::string_view failure_domain,
                                                std::size_t limit) {
-  std::vector<const EntryStatus*> available;
-  for (const EntryStatus& member : snapshot.members) {
-    if (IsUsable(snapshot, member))
-      available.push_back(&member);
-  }
-  if (available.empty() && IsUsable(snapshot, snapshot.self))
-    available.push_back(&snapshot.self);
+  std::vector<const EntryStatus*> available = UsableEntries(snapshot);
+  DropIsolated(snapshot, available);
   std::vector<const EntryStatus*> in_region;
   for (const EntryStatus* entry : available) {
     if (entry->region == region)
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -12,6 +12,7 @@
   out.address = status.address;
   out.revision = static_cast<std::int64_t>(status.revision);
   out.draining = status.draining;
+  out.isolated = status.isolated;
   return out;
 }
 
@@ -24,6 +25,7 @@
   out.address = status.address;
   out.revision = static_cast<std::uint64_t>(status.revision);
   out.draining = status.draining;
+  out.isolated = status.isolated;
   return out;
 }
 
--- a/source/jacinthroute/entry_host_impl.h
+++ b/source/jacinthroute/entry_host_impl.h
@@ -18,6 +18,7 @@
 #include "core/metrics/registry.h"
 #include "core/net/link_hub.h"
 #include "core/trace/span_writer.h"
+#include "jacinthroute/attempt_end.h"
 #include "jacinthroute/endpoint_lister.h"
 #include "jacinthroute/entry_host.h"
 #include "jacinthroute/interface_adapter.h"
@@ -45,6 +46,13 @@
 /// Limit on request bodies until the first settings are received.
 inline constexpr std::size_t kInitialMaxBodyBytes = 64UL << 20U;
 
+/// Header of a request that another entry has handed to this one; names that
+/// entry.
+inline constexpr std::string_view kRelayedHeader = "Jacinth-Relayed";
+/// Header of a refusal of such a request that other entries may be able to
+/// serve; names the entry that refused.
+inline constexpr std::string_view kUnavailableHeader = "Jacinth-Unavailable";
+
 /// An EntryHost that uses the interface of `Adapter` with callers and
 /// endpoints.
 template <InterfaceAdapter Adapter>
@@ -86,6 +94,8 @@
                     ForwardedRequest&& forwarded);
   void BeginSpan(const http::Request& request, PendingRequest& pending);
   void StartAttempt(const entry::StartAttempt& attempt);
+  void StartRelay(const entry::StartRelay& relay);
+  void OnRelayEnd(entry::RequestTicket ticket, http::ExchangeResult result);
   void OnExchangeEnd(const entry::StartAttempt& attempt,
                      std::int64_t started_unix_ns,
                      http::ExchangeResult result);
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -27,9 +27,7 @@
       adapter_(settings),
       timer_(context, [this] { Step(entry::Tick{}); }),
       node_(MakeOptions(settings, adapter_)),
-      client_(context,
-              kMaxIdleConnectionsPerEndpoint,
-              settings.source_address),
+      client_(context, kMaxIdleConnectionsPerEndpoint, settings.source_address),
       server_(context,
               [this](const TransactionPtr& transaction) {
                 OnTransaction(transaction);
@@ -140,6 +138,12 @@
   pending.started = MonotonicNow();
   pending.forwarded = std::move(forwarded);
   pending.forwarded.arrival.ticket = ticket;
+  pending.forwarded.arrival.relayed =
+      !http::HeaderValue(transaction->request().headers, kRelayedHeader)
+           .empty();
+  std::erase_if(pending.forwarded.outgoing.headers, [](const auto& field) {
+    return http::EqualsIgnoringCase(field.first, kRelayedHeader);
+  });
   if (Adapter::kHasTraceContext)
     BeginSpan(transaction->request(), pending);
   const entry::RequestArrived arrival = pending.forwarded.arrival;
@@ -215,6 +219,51 @@
       });
 }
 
+template <InterfaceAdapter Adapter>
+void EntryHostImpl<Adapter>::StartRelay(const entry::StartRelay& relay) {
+  const auto found = pending_requests_.find(relay.ticket);
+  if (found == pending_requests_.end())
+    return;
+  PendingRequest& pending = found->second;
+  http::ClientCall client_call;
+  client_call.address = relay.address;
+  client_call.request = adapter_.MakeRelayRequest(pending.forwarded, relay);
+  client_call.request.headers.emplace_back(kRelayedHeader,
+                                           settings_.LinkName());
+  client_call.limits = {relay.connect_timeout, relay.timeout,
+                        server_.limits().max_body_bytes};
+  client_call.max_idle = relay.execution == Execution::kRepeatable
+                             ? kMaxIdleTimeRepeatable
+                             : kMaxIdleTimeAtMostOnce;
+  pending.exchange = client_.Start(
+      client_call, [this, ticket = relay.ticket](http::ExchangeResult result) {
+        OnRelayEnd(ticket, std::move(result));
+      });
+}
+
+template <InterfaceAdapter Adapter>
+void EntryHostImpl<Adapter>::OnRelayEnd(entry::RequestTicket ticket,
+                                        http::ExchangeResult result) {
+  const auto found = pending_requests_.find(ticket);
+  if (found == pending_requests_.end())
+    return;
+  PendingRequest& pending = found->second;
+  pending.exchange = 0;
+  entry::RelayEnded ended{ticket, ToAttemptEnd(result.end)};
+  if (result.end == http::ExchangeEnd::kAnswered) {
+    if (!adapter_.IsAnswerTo(pending.forwarded, result.response))
+      ended.end = forwarding::AttemptEnd::kAnswerIncomplete;
+    else if (!http::HeaderValue(result.response.headers, kUnavailableHeader)
+                  .empty())
+      ended.end = forwarding::AttemptEnd::kRefused;
+  }
+  metrics_.Count(metrics::FormatSeries(
+      "jacinth_relays_total", "end",
+      std::string(forwarding::AttemptEndName(ended.end))));
+  pending.last_response = std::move(result.response);
+  Step(ended);
+}
+
 template <InterfaceAdapter Adapter>
 void EntryHostImpl<Adapter>::OnExchangeEnd(const entry::StartAttempt& attempt,
                                            std::int64_t /*started_unix_ns*/,
@@ -271,11 +320,23 @@
                                           std::move(pending.last_response));
   if (const auto* replay = std::get_if<entry::ReplayAnswer>(&answer.body))
     return adapter_.MakeReplayedResponse(replay->answer);
+  if (std::holds_alternative<entry::RelayedAnswer>(answer.body)) {
+    std::erase_if(pending.last_response.headers, [](const auto& field) {
+      return http::IsHopByHop(field.first);
+    });
+    return std::move(pending.last_response);
+  }
   const auto& refusal = std::get<entry::RefuseRequest>(answer.body);
   metrics_.Count(
       metrics::FormatSeries("jacinth_errors_total", "kind",
                             GetErrorKindInfo(refusal.error.kind).name));
-  return adapter_.MakeRefusalResponse(pending.forwarded, refusal);
+  http::Response response =
+      adapter_.MakeRefusalResponse(pending.forwarded, refusal);
+  if (pending.forwarded.arrival.relayed &&
+      refusal.outcome == Outcome::kNotRun &&
+      entry::IsEntryUnavailable(refusal.error.kind))
+    response.headers.emplace_back(kUnavailableHeader, settings_.LinkName());
+  return response;
 }
 
 template <InterfaceAdapter Adapter>
@@ -340,6 +401,8 @@
   }
   for (const entry::StartAttempt& attempt : actions.attempts)
     StartAttempt(attempt);
+  for (const entry::StartRelay& relay : actions.relays)
+    StartRelay(relay);
   for (const entry::RequestAnswer& answer : actions.answers)
     SendAnswer(answer);
   for (const entry::StartProbe& probe : actions.probes)
--- a/source/jacinthroute/interface_adapter.h
+++ b/source/jacinthroute/interface_adapter.h
@@ -69,6 +69,7 @@
              const RequestContext& context,
              const ForwardedRequest& forwarded,
              const entry::StartAttempt& attempt,
+             const entry::StartRelay& relay,
              const entry::StartProbe& probe,
              const entry::RefuseRequest& refusal,
              const protocol::RecordedAnswer& recorded,
@@ -88,6 +89,12 @@
   {
     adapter.MakeAttemptRequest(forwarded, attempt)
     } -> std::same_as<http::Request>;
+  // Builds the request that hands the caller's request to another entry.
+  { adapter.MakeRelayRequest(forwarded, relay) } -> std::same_as<http::Request>;
+  // Returns true if the response of another entry answers this request.
+  {
+    adapter.IsAnswerTo(forwarded, result.response)
+    } -> std::convertible_to<bool>;
   // Determines how an attempt ended.
   {
     adapter.ClassifyAttempt(forwarded, attempt, result)
--- a/source/jacinthroute/native_adapter.cc
+++ b/source/jacinthroute/native_adapter.cc
@@ -216,6 +216,22 @@
   return out;
 }
 
+Request NativeAdapter::MakeRelayRequest(const ForwardedRequest& forwarded,
+                                        const entry::StartRelay& relay) const {
+  Request out = forwarded.outgoing;
+  out.target = std::string(kServicesPrefix) + forwarded.arrival.service +
+               forwarded.outgoing.target;
+  out.headers.emplace_back("Jacinth-Deadline-Ms",
+                           std::to_string(ToMillis(relay.timeout)));
+  return out;
+}
+
+// Each connection carries one exchange at a time, and answers have no id.
+bool NativeAdapter::IsAnswerTo(const ForwardedRequest& /*forwarded*/,
+                               const Response& /*response*/) const {
+  return true;
+}
+
 AttemptResult NativeAdapter::ClassifyAttempt(
     const ForwardedRequest& /*forwarded*/,
     const entry::StartAttempt& /*attempt*/,
--- a/source/jacinthroute/native_adapter.h
+++ b/source/jacinthroute/native_adapter.h
@@ -21,6 +21,10 @@
       const RequestContext& context) const;
   http::Request MakeAttemptRequest(const ForwardedRequest& forwarded,
                                    const entry::StartAttempt& attempt) const;
+  http::Request MakeRelayRequest(const ForwardedRequest& forwarded,
+                                 const entry::StartRelay& relay) const;
+  bool IsAnswerTo(const ForwardedRequest& forwarded,
+                  const http::Response& response) const;
   AttemptResult ClassifyAttempt(const ForwardedRequest& forwarded,
                                 const entry::StartAttempt& attempt,
                                 const http::ExchangeResult& result) const;
--- /dev/null
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -0,0 +1,213 @@
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "unit_tests/support/entry_driver.h"
+
+namespace jacinth::entry {
+namespace {
+
+using forwarding::AttemptEnd;
+using test::EntryDriver;
+
+std::string SettingsText() {
+  std::string text = test::ServiceSettingsText();
+  text +=
+      "[service/s/endpoint/c]\naddress = 127.0.0.1:13\nregion = west\n"
+      "failure_domain = west-a\n"
+      "[route/once]\nhost = h\npath_prefix = /\nservice = s\n"
+      "execution = single_attempt\nrequest_timeout_ms = 2000\n";
+  return text;
+}
+
+protocol::EntryStatus MakeMember(const std::string& id,
+                                 const std::string& region) {
+  protocol::EntryStatus member;
+  member.id = id;
+  member.region = region;
+  member.address = "10.0.0.1:" + id;
+  return member;
+}
+
+void SetMembers(EntryDriver& driver,
+                std::vector<protocol::EntryStatus> members) {
+  static std::uint64_t version = 1'000;
+  driver.AdvanceTime(120ms);
+  protocol::HeartbeatReply reply;
+  reply.sequence = driver.last_heartbeat.sequence;
+  reply.leader = true;
+  reply.leader_hint = "c1";
+  reply.members.version = ++version;
+  reply.members.entries = std::move(members);
+  driver.Step(MessageReceived{"c1", reply});
+}
+
+/// Sends a request that may run once only.
+RequestTicket SendOnce(EntryDriver& driver, bool relayed = false) {
+  RequestArrived arrival;
+  arrival.ticket = ++driver.last_ticket;
+  arrival.host = "h";
+  arrival.method = "GET";
+  arrival.path = "/x";
+  arrival.relayed = relayed;
+  driver.Step(arrival);
+  return arrival.ticket;
+}
+
+/// Fails attempts and probes until the links are known to be lost.
+void LoseLinks(EntryDriver& driver) {
+  std::size_t failed = 0;
+  for (int i = 0; i < 12; ++i) {
+    driver.SendRequest("GET", "/x");
+    for (; failed < driver.attempts.size(); ++failed)
+      driver.EndAttempt(driver.attempts[failed], AttemptEnd::kNotConnected);
+  }
+  driver.AdvanceTime(20ms);
+  const auto probes = driver.probes;
+  driver.probes.clear();
+  for (const StartProbe& probe : probes) {
+    if (!probe.tests_links)
+      continue;
+    driver.Step(ProbeEnded{probe.service, probe.endpoint,
+                           forwarding::ProbeEnd::kFailed, /*connected=*/false,
+                           /*tests_links=*/true});
+  }
+  REQUIRE(driver.snapshot->self.isolated);
+  const auto relays = driver.relays;
+  for (const StartRelay& relay : relays)
+    driver.Step(RelayEnded{relay.ticket, AttemptEnd::kAnswered});
+  REQUIRE(driver.node.active_requests() == 0);
+  driver.attempts.clear();
+  driver.relays.clear();
+  driver.cancellations.clear();
+}
+
+EntryDriver MakeIsolatedDriver() {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west"),
+                      MakeMember("e3", "east")});
+  LoseLinks(driver);
+  return driver;
+}
+
+void EndRelay(EntryDriver& driver, const StartRelay& relay, AttemptEnd end) {
+  driver.Step(RelayEnded{relay.ticket, end});
+}
+
+}  // namespace
+
+// Guards against failing callers while other entries could serve them
+// (docs/incidents/recover.md).
+TEST_CASE("An entry that reaches no endpoint hands its requests to others") {
+  EntryDriver driver = MakeIsolatedDriver();
+  const RequestTicket ticket = SendOnce(driver);
+  CHECK(driver.attempts.empty());
+  REQUIRE(driver.relays.size() == 1);
+  CHECK(driver.relays[0].ticket == ticket);
+  CHECK(driver.relays[0].entry == "e2");
+  CHECK(driver.relays[0].timeout <= 2s);
+  EndRelay(driver, driver.relays[0], AttemptEnd::kAnswered);
+  REQUIRE(driver.answers.count(ticket) == 1);
+  CHECK(std::holds_alternative<RelayedAnswer>(driver.answers[ticket].body));
+  SECTION("and says so with its heartbeats, until a probe connects") {
+    driver.AdvanceTime(120ms);
+    CHECK(driver.last_heartbeat.status.isolated);
+    REQUIRE(driver.snapshot);
+    CHECK(driver.snapshot->self.isolated);
+    driver.probes.clear();
+    driver.AdvanceTime(600ms);
+    REQUIRE_FALSE(driver.probes.empty());
+    driver.Step(ProbeEnded{"s", driver.probes[0].endpoint,
+                           forwarding::ProbeEnd::kHealthy, /*connected=*/true,
+                           /*tests_links=*/true});
+    driver.AdvanceTime(120ms);
+    CHECK_FALSE(driver.last_heartbeat.status.isolated);
+    // The endpoints are neither ejected nor cold.
+    for (int i = 0; i < 6; ++i)
+      SendOnce(driver);
+    CHECK(driver.attempts.size() == 6);
+  }
+}
+
+TEST_CASE(
+    "A request that another entry has certainly not run goes to the next "
+    "one") {
+  EntryDriver driver = MakeIsolatedDriver();
+  const auto end = GENERATE(AttemptEnd::kNotConnected, AttemptEnd::kRefused);
+  const RequestTicket ticket = SendOnce(driver);
+  EndRelay(driver, driver.relays.at(0), end);
+  REQUIRE(driver.relays.size() == 2);
+  CHECK(driver.relays[1].entry == "e3");
+  EndRelay(driver, driver.relays[1], end);
+  CHECK(driver.relays.size() == 2);
+  REQUIRE(driver.FindRefusal(ticket) != nullptr);
+  CHECK(driver.FindRefusal(ticket)->outcome == Outcome::kNotRun);
+  CHECK(driver.FindRefusal(ticket)->retry_after > Duration{0});
+  // Both entries are left alone for a moment, so that the next request is
+  // refused at once.
+  const RequestTicket next = SendOnce(driver);
+  CHECK(driver.relays.size() == 2);
+  REQUIRE(driver.FindRefusal(next) != nullptr);
+  CHECK(driver.FindRefusal(next)->error.kind == ErrorKind::kNoEndpoint);
+}
+
+// Guards against running a request twice.
+TEST_CASE("A request that another entry may have run is not handed on") {
+  EntryDriver driver = MakeIsolatedDriver();
+  const RequestTicket ticket = SendOnce(driver);
+  EndRelay(driver, driver.relays.at(0),
+           GENERATE(AttemptEnd::kConnectionLost, AttemptEnd::kTimedOut,
+                    AttemptEnd::kAnswerIncomplete));
+  CHECK(driver.relays.size() == 1);
+  REQUIRE(driver.FindRefusal(ticket) != nullptr);
+  CHECK(driver.FindRefusal(ticket)->outcome == Outcome::kUnknown);
+}
+
+// Guards against requests that go round between isolated entries.
+TEST_CASE("A request from another entry is not handed to a third") {
+  EntryDriver driver = MakeIsolatedDriver();
+  const RequestTicket ticket = SendOnce(driver, /*relayed=*/true);
+  CHECK(driver.relays.empty());
+  REQUIRE(driver.FindRefusal(ticket) != nullptr);
+  CHECK(driver.FindRefusal(ticket)->error.kind == ErrorKind::kNoEndpoint);
+  CHECK(driver.FindRefusal(ticket)->outcome == Outcome::kNotRun);
+  CHECK(IsEntryUnavailable(ErrorKind::kNoEndpoint));
+  CHECK_FALSE(IsEntryUnavailable(ErrorKind::kOverloaded));
+}
+
+TEST_CASE("Requests are not handed to entries that are isolated, too") {
+  EntryDriver driver = MakeIsolatedDriver();
+  protocol::EntryStatus near = MakeMember("e2", "west");
+  near.isolated = true;
+  SetMembers(driver,
+             {MakeMember("e1", "west"), near, MakeMember("e3", "east")});
+  SendOnce(driver);
+  REQUIRE(driver.relays.size() == 1);
+  CHECK(driver.relays[0].entry == "e3");
+}
+
+TEST_CASE("A relay ends when its caller leaves") {
+  EntryDriver driver = MakeIsolatedDriver();
+  const RequestTicket ticket = SendOnce(driver);
+  driver.Step(RequestAbandoned{ticket});
+  REQUIRE(driver.cancellations.size() == 1);
+  CHECK(driver.cancellations[0].ticket == ticket);
+  CHECK(driver.node.active_requests() == 0);
+}
+
+// Guards against refusing requests before the loss of the links is known.
+TEST_CASE(
+    "A request whose attempts could not connect is handed to another "
+    "entry") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west")});
+  SendOnce(driver);
+  for (std::size_t i = 0; i < driver.attempts.size(); ++i)
+    driver.EndAttempt(driver.attempts[i], AttemptEnd::kNotConnected);
+  REQUIRE(driver.relays.size() == 1);
+  CHECK(driver.relays[0].entry == "e2");
+}
+
+}  // namespace jacinth::entry
--- a/source/unit_tests/forwarding/link_monitor_test.cc
+++ b/source/unit_tests/forwarding/link_monitor_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<LinkCandidate> MakeCandidates() {
   std::vector<LinkCandidate> candidates;
+  candidates.reserve(12);
   for (int i = 0; i < 12; ++i) {
     candidates.push_back(
         {"s", "p" + std::to_string(i), "domain-" + std::to_string(i % 3)});
@@ -19,6 +20,7 @@
 }
 
 void FailEndpoints(LinkMonitor& links, int count) {
+  links.SetEndpointCount(MakeCandidates().size());
   for (int i = 0; i < count; ++i)
     links.OnFailure("p" + std::to_string(i), kNow);
 }
@@ -44,21 +46,21 @@
   SECTION("all probes fail") {
     for (std::size_t i = 0; i < probed.size(); ++i) {
       CHECK(links.state() == LinkState::kSuspected);
-      links.OnProbeEnd(false);
+      links.OnProbeEnd(false, kNow);
     }
     CHECK(links.state() == LinkState::kLost);
     CHECK_FALSE(links.WantsProbes(kNow + 100ms));
     REQUIRE(links.WantsProbes(kNow + 500ms));
     links.SelectProbes(MakeCandidates(), 2, kNow + 500ms);
-    links.OnProbeEnd(true);
+    links.OnProbeEnd(true, kNow);
     CHECK(links.state() == LinkState::kConnected);
   }
   // Guards against handing over all requests because some endpoints crashed.
   SECTION("one probe connects") {
-    links.OnProbeEnd(false);
-    links.OnProbeEnd(true);
-    links.OnProbeEnd(false);
-    links.OnProbeEnd(false);
+    links.OnProbeEnd(false, kNow);
+    links.OnProbeEnd(true, kNow);
+    links.OnProbeEnd(false, kNow);
+    links.OnProbeEnd(false, kNow);
     CHECK(links.state() == LinkState::kConnected);
   }
 }
@@ -67,6 +69,7 @@
     "Failures long apart, or of one endpoint, don't cast doubt on the "
     "links") {
   LinkMonitor links;
+  links.SetEndpointCount(12);
   for (int i = 0; i < 20; ++i)
     links.OnFailure("p0", kNow);
   links.OnFailure("p1", kNow);
--- a/source/unit_tests/steering/lookup_test.cc
+++ b/source/unit_tests/steering/lookup_test.cc
@@ -1,11 +1,13 @@
 #include "core/steering/lookup.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
 
 #include "core/settings/tree_validation.h"
+#include "core/steering/nearest_entries.h"
 
 namespace jacinth::steering {
 namespace {
@@ -110,4 +112,26 @@
     CHECK(count == 8);
 }
 
+// Guards against sending callers to entries that reach no endpoint.
+TEST_CASE("Isolated entries are named only if all entries are isolated") {
+  SteeringSnapshot snapshot = MakeSnapshot("[service/s]\nttl_ms = 500\n");
+  const auto addresses = [&] {
+    std::set<std::string> found;
+    const auto answer = AnswerLookup(snapshot, "s", "", 0, kNow);
+    REQUIRE(answer);
+    for (const LookupEntry& entry : answer->entries)
+      found.insert(entry.address);
+    return found;
+  };
+  snapshot.members[1].isolated = true;
+  CHECK(addresses() == std::set<std::string>{"w1", "x1"});
+  CHECK(NearestEntries(snapshot, "west", "", 8).size() == 2);
+  // The member list still shows this instance as connected.
+  snapshot.self.isolated = true;
+  CHECK(addresses() == std::set<std::string>{"x1"});
+  snapshot.members[2].isolated = true;
+  CHECK(addresses() == std::set<std::string>{"w1", "w2", "x1"});
+  CHECK(NearestEntries(snapshot, "west", "", 8).size() == 2);
+}
+
 }  // namespace jacinth::steering
--- a/source/unit_tests/support/entry_driver.h
+++ b/source/unit_tests/support/entry_driver.h
@@ -41,6 +41,10 @@
     }
     for (auto& attempt : actions.attempts)
       attempts.push_back(std::move(attempt));
+    for (auto& relay : actions.relays)
+      relays.push_back(std::move(relay));
+    for (auto& cancellation : actions.cancellations)
+      cancellations.push_back(cancellation);
     for (auto& answer : actions.answers)
       answers[answer.ticket] = std::move(answer);
     for (auto& probe : actions.probes)
@@ -150,6 +154,8 @@
   std::uint64_t last_ticket = 0;
   std::vector<entry::OutgoingMessage> messages;
   std::vector<entry::StartAttempt> attempts;
+  std::vector<entry::StartRelay> relays;
+  std::vector<entry::CancelAttempt> cancellations;
   std::map<entry::RequestTicket, entry::RequestAnswer> answers;
   std::vector<entry::StartProbe> probes;
   std::shared_ptr<const steering::SteeringSnapshot> snapshot;
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -33,7 +33,7 @@
 }
 
 protocol::EntryStatus MakeFullEntryStatus() {
-  return {"e1", 1, "west", "west-a", "127.0.0.1:1", 2, true};
+  return {"e1", 1, "west", "west-a", "127.0.0.1:1", 2, true, true};
 }
 
 protocol::ListedEndpoint MakeFullListedEndpoint() {
