HTTP: Bound the bytes of responses without end

Callers of all services would lose an entry: an endpoint that sent a body without end was read up to the body limit of the configuration, 64 MB, on every connection at once, which is more than the memory of an instance; interim responses without end were read until the attempt's deadline. Cause: each response had a limit of its own, and all together had none. Change: the incomplete responses of a client have a common limit of 32 MB; beyond it the longest ends as incomplete and its connection is closed. Interim responses count against the limit of one head. A body beyond its limit without a stated length is incomplete, so that a repeatable request is tried elsewhere. Looked for elsewhere: requests (96 MB for all, head and body limits), frames of links, probes and pages of the list have limits already; idle connections are closed on any input. Evidence: with the two limits taken out on a scratch copy, "Responses without end are closed within a limit on their bytes" fails for both endless bodies and, with 0 of 6 exchanges ended, for interim responses.

--- a/source/core/http/event_client.cc
+++ b/source/core/http/event_client.cc
@@ -87,6 +87,20 @@
   on_end(std::move(result));
 }
 
+void EventClient::OnBufferedChange(std::size_t before, std::size_t after) {
+  buffered_bytes_ += after;
+  buffered_bytes_ -= before;
+  if (buffered_bytes_ <= max_buffered_bytes_ || calls_.empty())
+    return;
+  const auto longest = std::max_element(
+      calls_.begin(), calls_.end(), [](const auto& left, const auto& right) {
+        return left.second.first->buffered_bytes() <
+               right.second.first->buffered_bytes();
+      });
+  const ConnectionPtr connection = longest->second.first;
+  connection->AbortResponse();
+}
+
 void EventClient::RemoveIdle(const EventConnection* connection) {
   const auto found = idle_connections_.find(connection->address());
   if (found == idle_connections_.end())
--- a/source/core/http/event_client.h
+++ b/source/core/http/event_client.h
@@ -33,6 +33,10 @@
 /// Identifies a call until it ends.
 using CallId = std::uint64_t;
 
+/// Limit on the bytes of all incomplete responses of a client together. A sixth
+/// to a quarter of the memory of a small instance.
+inline constexpr std::size_t kMaxBufferedResponseBytes = 32UL << 20U;
+
 /// An asynchronous HTTP client that reuses its connections and sends each
 /// request once. Must be used on the thread of its io_context.
 class EventClient {
@@ -59,6 +63,12 @@
   /// Closes the idle connections to `address`.
   void CloseIdleConnections(const std::string& address);
 
+  /// Sets the limit on the bytes of all incomplete responses together. Beyond
+  /// it, the exchange with the longest response so far ends as incomplete, so
+  /// that one without end leaves room for the others.
+  void SetMaxBufferedBytes(std::size_t bytes) { max_buffered_bytes_ = bytes; }
+  std::size_t buffered_bytes() const { return buffered_bytes_; }
+
   /// Cancels all calls and closes all connections.
   void Stop();
 
@@ -73,12 +83,17 @@
   void OnExchangeEnd(CallId id,
                      const ConnectionPtr& connection,
                      ExchangeResult result);
+  /// Called when the bytes that a connection buffers change from `before` to
+  /// `after`.
+  void OnBufferedChange(std::size_t before, std::size_t after);
   void RemoveIdle(const EventConnection* connection);
   ConnectionPtr TakeIdle(const std::string& address, Duration max_idle);
 
   asio::io_context& context_;
   std::size_t max_idle_per_address_;
   std::string source_address_;
+  std::size_t max_buffered_bytes_ = kMaxBufferedResponseBytes;
+  std::size_t buffered_bytes_ = 0;
   CallId last_call_id_ = 0;
   std::uint64_t connections_opened_ = 0;
   std::map<CallId, std::pair<ConnectionPtr, EndHandler>> calls_;
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -61,6 +61,7 @@
   is_head_request_ = call.request.method == "HEAD";
   request_sent_ = false;
   has_excess_input_ = false;
+  interim_bytes_ = 0;
   output_ = WriteRequest(call.request, address_);
   ResetParser();
   opened_connection_ = phase_ == Phase::kNew;
@@ -85,6 +86,7 @@
   if (phase_ == Phase::kClosed)
     return;
   phase_ = Phase::kClosed;
+  SetBufferedBytes(0);
   asio::error_code ignored;
   socket_.close(ignored);
   timer_.cancel();
@@ -186,16 +188,39 @@
   }
   std::size_t offset = 0;
   while (offset < size) {
-    offset += parser_->Feed({read_buffer_.data() + offset, size - offset});
+    const std::size_t consumed =
+        parser_->Feed({read_buffer_.data() + offset, size - offset});
+    offset += consumed;
     const bool interim = parser_->state() == ParseState::kDone &&
                          parser_->status() < kFirstFinalStatus &&
                          parser_->status() != kSwitchingProtocols;
     if (!interim)
       break;
+    interim_bytes_ += consumed;
     ResetParser();
   }
+  if (interim_bytes_ > kMaxResponseHeadBytes) {
+    Finish(ExchangeEnd::kIncomplete);
+    return;
+  }
   has_excess_input_ = offset < size;
-  HandleParseState();
+  SetBufferedBytes(parser_->buffered_bytes());
+  if (phase_ == Phase::kRunning)
+    HandleParseState();
+}
+
+void EventConnection::SetBufferedBytes(std::size_t bytes) {
+  const std::size_t before = std::exchange(buffered_bytes_, bytes);
+  client_.OnBufferedChange(before, bytes);
+}
+
+void EventConnection::AbortResponse() {
+  log::Warning(log::Category::kHttp,
+               "Closing the connection to " + address_ + " after " +
+                   std::to_string(buffered_bytes_) +
+                   " bytes of a response, as incomplete responses take too "
+                   "much memory.");
+  Finish(ExchangeEnd::kIncomplete);
 }
 
 void EventConnection::HandleParseState() {
@@ -208,7 +233,9 @@
       Finish(ExchangeEnd::kAnswered);
       return;
     case ParseState::kBodyTooLarge:
-      Finish(ExchangeEnd::kTooLarge);
+      // Without a stated length, the body may have no end.
+      Finish(parser_->has_length() ? ExchangeEnd::kTooLarge
+                                   : ExchangeEnd::kIncomplete);
       return;
     case ParseState::kMalformed:
     case ParseState::kHeadTooLarge:
@@ -226,6 +253,7 @@
 
 void EventConnection::Finish(ExchangeEnd end) {
   timer_.cancel();
+  SetBufferedBytes(0);
   ExchangeResult result;
   result.end = end;
   result.opened_connection = opened_connection_;
--- a/source/core/http/event_connection.h
+++ b/source/core/http/event_connection.h
@@ -29,6 +29,11 @@
 
   void Close();
 
+  /// Ends the exchange, because the responses take too much memory.
+  void AbortResponse();
+  /// Bytes of the incomplete response.
+  std::size_t buffered_bytes() const { return buffered_bytes_; }
+
   const std::string& address() const { return address_; }
   Time idle_since() const { return idle_since_; }
   /// Time until which the server is expected to keep the idle connection open.
@@ -44,6 +49,7 @@
   void OnRead(asio::error_code error, std::size_t size);
   void HandleParseState();
   void ResetParser();
+  void SetBufferedBytes(std::size_t bytes);
   void Finish(ExchangeEnd end);
   void SetTimer(Duration after);
   void OnTimer();
@@ -65,6 +71,9 @@
   bool request_sent_ = false;
   bool has_excess_input_ = false;
   bool opened_connection_ = false;
+  std::size_t buffered_bytes_ = 0;
+  /// Bytes of the interim responses of this exchange.
+  std::size_t interim_bytes_ = 0;
   std::string output_;
   std::optional<MessageParser> parser_;
   std::array<char, kReadBytes> read_buffer_{};
--- a/source/core/http/message_parser.h
+++ b/source/core/http/message_parser.h
@@ -58,6 +58,10 @@
   int status() const { return static_cast<int>(parser_.status_code); }
   /// True if a length or chunks delimit the body.
   bool is_framed() const { return framed_; }
+  /// True if the head states the length of the body.
+  bool has_length() const { return (parser_.flags & F_CONTENTLENGTH) != 0; }
+  /// Bytes of the message that are held, or that belong to its unfinished head.
+  std::size_t buffered_bytes() const { return head_bytes_ + body_.size(); }
   /// True if the sender waits for `100 Continue` before it sends the body.
   bool expects_continue() const;
 
--- a/source/unit_tests/http/event_client_test.cc
+++ b/source/unit_tests/http/event_client_test.cc
@@ -1,11 +1,17 @@
 #include "core/http/event_client.h"
 
+#include <algorithm>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "core/common/process_clock.h"
 #include "unit_tests/support/raw_server.h"
 
 namespace jacinth::http {
@@ -99,4 +105,134 @@
   CHECK_FALSE(ended);
 }
 
+namespace {
+
+/// Accepts connections and sends `head`, then `piece` again and again until the
+/// client closes the connection.
+class EndlessServer {
+ public:
+  EndlessServer(asio::io_context& context, std::string head, std::string piece)
+      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+        head_(std::move(head)),
+        piece_(std::move(piece)) {
+    Accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int open_connections() const { return open_connections_; }
+
+ private:
+  using SocketPtr = std::shared_ptr<asio::ip::tcp::socket>;
+
+  void Accept() {
+    acceptor_.async_accept([this](asio::error_code error,
+                                  asio::ip::tcp::socket socket) {
+      if (error)
+        return;
+      ++open_connections_;
+      Send(std::make_shared<asio::ip::tcp::socket>(std::move(socket)), head_);
+      Accept();
+    });
+  }
+
+  void Send(const SocketPtr& socket, const std::string& bytes) {
+    asio::async_write(*socket, asio::buffer(bytes),
+                      [this, socket](asio::error_code error, std::size_t) {
+                        if (error)
+                          --open_connections_;
+                        else
+                          Send(socket, piece_);
+                      });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::string head_;
+  std::string piece_;
+  int open_connections_ = 0;
+};
+
+}  // namespace
+
+// Guards against reading without end from endpoints in trouble, which took the
+// memory of the whole instance.
+TEST_CASE("Responses without end are closed within a limit on their bytes") {
+  struct EndlessCase {
+    std::string head;
+    std::string piece;
+  };
+  const std::string kilobyte(1'024, 'x');
+  const auto endless = GENERATE_COPY(
+      EndlessCase{"HTTP/1.1 200 OK\r\n\r\n", kilobyte},
+      EndlessCase{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                  "400\r\n" + kilobyte + "\r\n"},
+      EndlessCase{"HTTP/1.1 200 OK\r\n", "X-More: " + kilobyte + "\r\n"},
+      EndlessCase{"HTTP/1.1 200 OK\r\nX-One: ", kilobyte},
+      EndlessCase{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+      EndlessCase{"", kilobyte});
+  CAPTURE(endless.head, endless.piece);
+  constexpr int kCalls = 6;
+  constexpr std::size_t kLimit = 1UL << 20U;
+  asio::io_context context;
+  EndlessServer server(context, endless.head, endless.piece);
+  EventClient client(context, 4);
+  client.SetMaxBufferedBytes(kLimit);
+  int ended = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    ClientCall call;
+    call.address = server.address();
+    call.request.method = "GET";
+    call.request.target = "/";
+    // The body limit of each response alone would take all memory.
+    call.limits = {1s, 10s, 64UL << 20U};
+    client.Start(call, [&](const ExchangeResult& result) {
+      CHECK(result.end == ExchangeEnd::kIncomplete);
+      ++ended;
+    });
+  }
+  const Time end = MonotonicNow() + 8s;
+  std::size_t most_bytes = 0;
+  while (MonotonicNow() < end &&
+         (ended < kCalls || server.open_connections() > 0)) {
+    context.run_one_for(10ms);
+    most_bytes = std::max(most_bytes, client.buffered_bytes());
+  }
+  CHECK(ended == kCalls);
+  CHECK(server.open_connections() == 0);
+  CHECK(most_bytes <= kLimit + 4'096);
+  CHECK(client.buffered_bytes() == 0);
+}
+
+// Guards against a response without end that takes the others with it.
+TEST_CASE("A response without end leaves room for shorter ones") {
+  asio::io_context context;
+  EndlessServer endless(context, "HTTP/1.1 200 OK\r\n\r\n",
+                        std::string(1'024, 'x'));
+  const std::string body(20'000, 'y');
+  test::RawServer whole("HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" +
+                        body);
+  EventClient client(context, 4);
+  client.SetMaxBufferedBytes(40'000);
+  std::vector<ExchangeEnd> ends;
+  const auto start = [&](const std::string& address) {
+    ClientCall call;
+    call.address = address;
+    call.request.method = "GET";
+    call.request.target = "/";
+    call.limits = {1s, 5s, 1UL << 20U};
+    client.Start(call, [&](const ExchangeResult& result) {
+      ends.push_back(result.end);
+    });
+  };
+  start(endless.address());
+  start(whole.address());
+  const Time until = MonotonicNow() + 6s;
+  while (ends.size() < 2 && MonotonicNow() < until)
+    context.run_one_for(10ms);
+  REQUIRE(ends.size() == 2);
+  CHECK(std::count(ends.begin(), ends.end(), ExchangeEnd::kAnswered) == 1);
+  CHECK(std::count(ends.begin(), ends.end(), ExchangeEnd::kIncomplete) == 1);
+}
+
 }  // namespace jacinth::http
