Forwarding: Don't take overloaded links for lost ones

Cause: probes that don't respond look the same on a lost and on a slow link. Change: links that don't respond are lost only if no endpoint has answered anything for a second; links that refuse connections are lost at once.

--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -10,6 +10,7 @@
 #include "core/common/time.h"
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/endpoint_table.h"
+#include "core/forwarding/link_monitor.h"
 #include "core/forwarding/load_report.h"
 #include "core/forwarding/rate_limit_notice.h"
 #include "core/protocol/claim.h"
@@ -100,8 +101,8 @@
   std::string service;
   std::string endpoint;
   forwarding::ProbeEnd end = forwarding::ProbeEnd::kFailed;
-  /// True if the endpoint accepted the connection of the probe.
-  bool connected = false;
+  /// What the probe says about this entry's links.
+  forwarding::LinkProbeEnd link_end = forwarding::LinkProbeEnd::kNoResponse;
   /// True for a probe of this entry's links; see StartProbe.
   bool tests_links = false;
 };
--- a/source/core/entry/entry_links.cc
+++ b/source/core/entry/entry_links.cc
@@ -24,8 +24,10 @@
                            Time now) {
   if (IsLinkFailure(event.end)) {
     links_.OnFailure(record.endpoint, now);
-  } else if (event.opened_connection && event.end != AttemptEnd::kCancelled) {
-    links_.OnConnected(record.attempt_started, now);
+  } else if (event.end != AttemptEnd::kCancelled) {
+    links_.OnAnswer(now);
+    if (event.opened_connection)
+      links_.OnConnected(record.attempt_started, now);
   }
   OnLinkStateChange(now);
 }
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -88,7 +88,7 @@
 
 void EntryNode::On(const ProbeEnded& event, Time now) {
   if (event.tests_links) {
-    links_.OnProbeEnd(event.connected, now);
+    links_.OnProbeEnd(event.link_end, now);
     OnLinkStateChange(now);
     return;
   }
--- a/source/core/forwarding/link_monitor.cc
+++ b/source/core/forwarding/link_monitor.cc
@@ -26,6 +26,9 @@
 constexpr std::size_t kProbeCount = 4;
 /// Interval between probes while the links are suspected or lost.
 constexpr Duration kProbeInterval = 500ms;
+/// Time without an answer after which links that don't respond are lost, longer
+/// than most requests take.
+constexpr Duration kSilenceTime = 1s;
 /// Time between the end of a suspicion and the next one, as probes cost the
 /// endpoints slots.
 constexpr Duration kTrustTime = 1s;
@@ -95,17 +98,21 @@
   candidates.resize(std::min(candidates.size(), kProbeCount));
   pending_probes_ = static_cast<int>(candidates.size());
   next_probes_ = now + kProbeInterval;
+  all_refused_ = true;
   return candidates;
 }
 
-void LinkMonitor::OnProbeEnd(bool connected, Time now) {
+void LinkMonitor::OnProbeEnd(LinkProbeEnd end, Time now) {
   pending_probes_ = std::max(0, pending_probes_ - 1);
-  if (connected) {
+  if (end == LinkProbeEnd::kConnected) {
     if (state_ != LinkState::kConnected)
       SetConnected(now);
     return;
   }
-  if (state_ == LinkState::kSuspected && pending_probes_ == 0)
+  all_refused_ &= end == LinkProbeEnd::kRefused;
+  const bool silent = now >= last_answer_ + kSilenceTime;
+  if (state_ == LinkState::kSuspected && pending_probes_ == 0 &&
+      (all_refused_ || silent))
     state_ = LinkState::kLost;
 }
 
--- a/source/core/forwarding/link_monitor.h
+++ b/source/core/forwarding/link_monitor.h
@@ -23,6 +23,14 @@
 /// Returns the name of a state in logs.
 std::string_view LinkStateName(LinkState state);
 
+/// How a probe of the links ended.
+enum class LinkProbeEnd {
+  kConnected,
+  /// The connection was refused or reset.
+  kRefused,
+  kNoResponse,
+};
+
 /// An endpoint that may be probed.
 struct LinkCandidate {
   std::string service;
@@ -35,8 +43,10 @@
 ///
 /// Only an exchange on a new connection shows that the links work: connections
 /// that were open before may live on while new ones are refused. When several
-/// endpoints have failed without one, others are probed; if none of these
-/// answers either, the links are lost. Probes go on until one succeeds.
+/// endpoints have failed without one, others are probed. The links are lost if
+/// all of these refuse the connection, or if none responds and no endpoint has
+/// answered any request for a while: as long as answers arrive, the links are
+/// merely slow. Probes go on until one succeeds.
 class LinkMonitor {
  public:
   LinkState state() const { return state_; }
@@ -47,6 +57,8 @@
 
   /// An attempt at the endpoint ended without an answer.
   void OnFailure(const std::string& endpoint, Time now);
+  /// An endpoint answered a request.
+  void OnAnswer(Time now) { last_answer_ = now; }
   /// An endpoint answered on a connection that was opened at `opened` or later.
   /// Failures since then still count, and lost links are restored by probes
   /// only.
@@ -60,7 +72,7 @@
   std::vector<LinkCandidate> SelectProbes(std::vector<LinkCandidate> candidates,
                                           std::uint64_t random_value,
                                           Time now);
-  void OnProbeEnd(bool connected, Time now);
+  void OnProbeEnd(LinkProbeEnd end, Time now);
 
  private:
   bool IsSuspicious() const;
@@ -71,6 +83,9 @@
   std::map<std::string, Time> failed_;
   std::size_t endpoint_count_ = 0;
   int pending_probes_ = 0;
+  /// True if none of the current probes went without a response.
+  bool all_refused_ = true;
+  Time last_answer_{};
   Time next_probes_{};
   /// Time until which the links aren't suspected again.
   Time trusted_until_{};
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -29,6 +29,8 @@
   Response response;
   /// True if the connection can carry another exchange.
   bool reusable = false;
+  /// True if the other side refused the connection, rather than not responding.
+  bool refused = false;
   /// True if the exchange was the first one on its connection.
   bool opened_connection = false;
 };
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -111,6 +111,8 @@
         if (self->phase_ != Phase::kConnecting)
           return;
         if (connect_error) {
+          self->refused_ = connect_error == asio::error::connection_refused ||
+                           connect_error == asio::error::connection_reset;
           self->Finish(ExchangeEnd::kNotConnected);
           return;
         }
@@ -257,6 +259,7 @@
   ExchangeResult result;
   result.end = end;
   result.opened_connection = opened_connection_;
+  result.refused = refused_;
   if (end == ExchangeEnd::kAnswered) {
     // Bytes after the response or a partly sent request would corrupt the next
     // exchange.
--- a/source/core/http/event_connection.h
+++ b/source/core/http/event_connection.h
@@ -71,6 +71,7 @@
   bool request_sent_ = false;
   bool has_excess_input_ = false;
   bool opened_connection_ = false;
+  bool refused_ = false;
   std::size_t buffered_bytes_ = 0;
   /// Bytes of the interim responses of this exchange.
   std::size_t interim_bytes_ = 0;
--- a/source/jacinthroute/attempt_end.cc
+++ b/source/jacinthroute/attempt_end.cc
@@ -23,4 +23,12 @@
   return AttemptEnd::kConnectionLost;
 }
 
+forwarding::LinkProbeEnd ToLinkProbeEnd(const http::ExchangeResult& result) {
+  using forwarding::LinkProbeEnd;
+  if (result.end == ExchangeEnd::kNotConnected)
+    return result.refused ? LinkProbeEnd::kRefused : LinkProbeEnd::kNoResponse;
+  return result.end == ExchangeEnd::kLost ? LinkProbeEnd::kRefused
+                                          : LinkProbeEnd::kConnected;
+}
+
 }  // namespace jacinth
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -373,11 +373,9 @@
   client_call.limits = {kProbeConnectTimeout, kProbeTimeout,
                         kMaxProbeBodyBytes};
   client_.Start(client_call, [this, probe](const http::ExchangeResult& end) {
-    const bool connected = end.end != http::ExchangeEnd::kNotConnected &&
-                           end.end != http::ExchangeEnd::kLost;
     Step(entry::ProbeEnded{probe.service, probe.endpoint,
-                           adapter_.ClassifyProbe(probe, end), connected,
-                           probe.tests_links});
+                           adapter_.ClassifyProbe(probe, end),
+                           ToLinkProbeEnd(end), probe.tests_links});
   });
 }
 
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -69,7 +69,8 @@
     if (!probe.tests_links)
       continue;
     driver.Step(ProbeEnded{probe.service, probe.endpoint,
-                           forwarding::ProbeEnd::kFailed, /*connected=*/false,
+                           forwarding::ProbeEnd::kFailed,
+                           forwarding::LinkProbeEnd::kNoResponse,
                            /*tests_links=*/true});
   }
   REQUIRE(driver.snapshot->self.isolated);
@@ -119,7 +120,8 @@
     driver.AdvanceTime(600ms);
     REQUIRE_FALSE(driver.probes.empty());
     driver.Step(ProbeEnded{"s", driver.probes[0].endpoint,
-                           forwarding::ProbeEnd::kHealthy, /*connected=*/true,
+                           forwarding::ProbeEnd::kHealthy,
+                           forwarding::LinkProbeEnd::kConnected,
                            /*tests_links=*/true});
     driver.AdvanceTime(120ms);
     CHECK_FALSE(driver.last_heartbeat.status.isolated);
--- a/source/unit_tests/forwarding/link_monitor_test.cc
+++ b/source/unit_tests/forwarding/link_monitor_test.cc
@@ -46,21 +46,36 @@
   SECTION("all probes fail") {
     for (std::size_t i = 0; i < probed.size(); ++i) {
       CHECK(links.state() == LinkState::kSuspected);
-      links.OnProbeEnd(false, kNow);
+      links.OnProbeEnd(LinkProbeEnd::kNoResponse, kNow);
     }
     CHECK(links.state() == LinkState::kLost);
     CHECK_FALSE(links.WantsProbes(kNow + 100ms));
     REQUIRE(links.WantsProbes(kNow + 500ms));
     links.SelectProbes(MakeCandidates(), 2, kNow + 500ms);
-    links.OnProbeEnd(true, kNow);
+    links.OnProbeEnd(LinkProbeEnd::kConnected, kNow);
     CHECK(links.state() == LinkState::kConnected);
   }
+  // Guards against handing over requests because the links are overloaded,
+  // which takes twice the bytes of serving them.
+  SECTION("probes don't respond, but requests are still answered") {
+    links.OnAnswer(kNow - 500ms);
+    for (std::size_t i = 0; i < probed.size(); ++i)
+      links.OnProbeEnd(LinkProbeEnd::kNoResponse, kNow);
+    CHECK(links.state() == LinkState::kSuspected);
+    CHECK(links.WantsProbes(kNow + 500ms));
+  }
+  SECTION("all probes are refused, while open connections live on") {
+    links.OnAnswer(kNow);
+    for (std::size_t i = 0; i < probed.size(); ++i)
+      links.OnProbeEnd(LinkProbeEnd::kRefused, kNow);
+    CHECK(links.state() == LinkState::kLost);
+  }
   // Guards against handing over all requests because some endpoints crashed.
   SECTION("one probe connects") {
-    links.OnProbeEnd(false, kNow);
-    links.OnProbeEnd(true, kNow);
-    links.OnProbeEnd(false, kNow);
-    links.OnProbeEnd(false, kNow);
+    links.OnProbeEnd(LinkProbeEnd::kNoResponse, kNow);
+    links.OnProbeEnd(LinkProbeEnd::kConnected, kNow);
+    links.OnProbeEnd(LinkProbeEnd::kNoResponse, kNow);
+    links.OnProbeEnd(LinkProbeEnd::kNoResponse, kNow);
     CHECK(links.state() == LinkState::kConnected);
   }
 }
