Entry: Spread callers again when isolated entries return

Callers that look-ups had sent to the remaining entries kept their connections there after the cut, so that these entries stayed overloaded. Cause: callers leave an address that a look-up omits, but nothing makes them use one that is named again. Change: when entries return, the others close a part of their callers' connections, each after an answer, as many as belong to the returned entries. Evidence: entry_relay_test.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -121,6 +121,9 @@
   /// True if the host must read the endpoint list from the platform, because
   /// the list from the control role is missing or out of date.
   bool list_endpoints = false;
+  /// Fraction of the callers' connections to close after their next answer, so
+  /// that the callers spread over more entries.
+  double recycled_connections = 0;
   /// Log records of decisions and state changes.
   std::vector<log::Record> log_records;
   /// Latest time at which the next Tick must be delivered.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -51,6 +51,7 @@
     ApplyRateShares(*reply, now);
     if (!changed)
       return;
+    SpreadCallers();
     ApplyFleetSettings(now);
     PublishSnapshot();
     return;
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,7 @@
   bool StartRelay(RequestRecord& record, Time now);
   void On(const RelayEnded& event, Time now);
   void RelayWaitingRequests(Time now);
+  void SpreadCallers();
 
   // Arrival and admission of requests.
   void On(const RequestArrived& event, Time now);
@@ -204,6 +206,8 @@
   std::map<std::string, RequestTicket> tickets_by_claim_id_;
   /// Entries that no request is handed to, until the given time.
   std::map<std::string, Time> avoided_entries_;
+  /// Entries that the last member list shows as isolated.
+  std::set<std::string> isolated_entries_;
   bool was_in_contact_ = false;
   std::string logged_leader_;
   Phase phase_ = Phase::kServing;
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -147,4 +147,28 @@
   }
 }
 
+// Asks a part of the callers to connect anew when isolated entries return.
+// Their callers have moved to this one and others, and keep their connections.
+void EntryNode::SpreadCallers() {
+  std::set<std::string> isolated;
+  std::size_t usable = 0;
+  std::size_t returned = 0;
+  for (const EntryStatus& entry : session_.members()) {
+    if (entry.isolated) {
+      isolated.insert(entry.id);
+      continue;
+    }
+    ++usable;
+    returned += isolated_entries_.count(entry.id);
+  }
+  isolated_entries_ = std::move(isolated);
+  if (returned == 0)
+    return;
+  actions_.recycled_connections =
+      static_cast<double>(returned) / static_cast<double>(usable);
+  AddLogRecord("callers_spread")
+      .With("returned", returned)
+      .With("entries", usable);
+}
+
 }  // namespace jacinth::entry
--- a/source/core/http/event_server.cc
+++ b/source/core/http/event_server.cc
@@ -53,6 +53,17 @@
     session->Drain(grace_period);
 }
 
+void EventServer::RecycleConnections(double fraction) {
+  double due = 0;
+  for (const auto& session : sessions_) {
+    due += fraction;
+    if (due < 1)
+      continue;
+    due -= 1;
+    session->CloseAfterResponse();
+  }
+}
+
 void EventServer::Stop() {
   if (stopped_)
     return;
--- a/source/core/http/event_server.h
+++ b/source/core/http/event_server.h
@@ -68,6 +68,10 @@
   /// connections once `grace_period` has passed without a request.
   void BeginDrain(Duration grace_period);
 
+  /// Closes about `fraction` of the connections, each after the response to its
+  /// current or next request, so that their callers choose an instance anew.
+  void RecycleConnections(double fraction);
+
   /// Stops accepting and closes all connections.
   void Stop();
 
--- a/source/core/http/event_session.cc
+++ b/source/core/http/event_session.cc
@@ -79,7 +79,7 @@
   if (phase_ != Phase::kHandling || request_number != request_number_)
     return;
   on_disconnect_ = nullptr;
-  Write(response, !keep_alive_ || server_.draining_);
+  Write(response, !keep_alive_ || close_after_response_ || server_.draining_);
 }
 
 void EventSession::SetDisconnectHandler(std::uint64_t request_number,
--- a/source/core/http/event_session.h
+++ b/source/core/http/event_session.h
@@ -24,6 +24,9 @@
   /// the response to its current request.
   void Drain(Duration grace_period);
 
+  /// Closes the connection after the response to its current or next request.
+  void CloseAfterResponse() { close_after_response_ = true; }
+
   /// Sends the response to request `request_number`.
   void Respond(std::uint64_t request_number, const Response& response);
   void SetDisconnectHandler(std::uint64_t request_number,
@@ -61,6 +64,7 @@
   std::string output_;
   bool read_pending_ = false;
   bool keep_alive_ = false;
+  bool close_after_response_ = false;
   bool is_head_request_ = false;
   bool continue_sent_ = false;
   std::size_t buffered_bytes_ = 0;
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -405,6 +405,8 @@
     SendAnswer(answer);
   for (const entry::StartProbe& probe : actions.probes)
     StartProbe(probe);
+  if (actions.recycled_connections > 0)
+    server_.RecycleConnections(actions.recycled_connections);
   if (actions.list_endpoints) {
     endpoint_lister_.Start(
         [this](std::vector<protocol::ListedEndpoint> endpoints) {
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -212,4 +212,24 @@
   CHECK(driver.relays[0].entry == "e2");
 }
 
+// Guards against callers that stay where the isolated entries sent them, and
+// overload these entries long after.
+TEST_CASE("When isolated entries return, part of the callers connect anew") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  std::vector<protocol::EntryStatus> members = {
+      MakeMember("e1", "west"), MakeMember("e2", "west"),
+      MakeMember("e3", "west"), MakeMember("e4", "east")};
+  members[1].isolated = true;
+  members[2].isolated = true;
+  SetMembers(driver, members);
+  CHECK(driver.recycled_connections == 0);
+  members[1].isolated = false;
+  members[2].isolated = false;
+  SetMembers(driver, members);
+  CHECK(driver.recycled_connections == 0.5);
+  SetMembers(driver, members);
+  CHECK(driver.recycled_connections == 0.5);
+}
+
 }  // namespace jacinth::entry
--- a/source/unit_tests/support/entry_driver.h
+++ b/source/unit_tests/support/entry_driver.h
@@ -49,6 +49,7 @@
       answers[answer.ticket] = std::move(answer);
     for (auto& probe : actions.probes)
       probes.push_back(std::move(probe));
+    recycled_connections += actions.recycled_connections;
     if (actions.snapshot)
       snapshot = actions.snapshot;
     stopped |= actions.stopped;
@@ -160,6 +161,7 @@
   std::vector<entry::StartProbe> probes;
   std::shared_ptr<const steering::SteeringSnapshot> snapshot;
   bool stopped = false;
+  double recycled_connections = 0;
 };
 
 /// Settings of a service `s` with two endpoints, a repeatable kind (GET) and an
