Entry: Keep what is left of a region from being overloaded

Cause: relays answered an overload with more load, and look-ups and relays kept to the region whatever was left of it. Change: before the loss of the links is known, only refused connections lead to a relay; every relay after the first is taken from the retry budget. Look-ups and relays leave a region in which less than 60 % of the entries can be used.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -144,9 +144,11 @@
     return;
   }
   // Other entries may reach an endpoint although this one doesn't, before its
-  // links are known to be lost.
-  if (event.end == AttemptEnd::kNotConnected && !record.may_have_run &&
-      CanRelay(record, now) && StartRelay(record, now))
+  // links are known to be lost. If connections time out, the links may be
+  // overloaded, and a relay would add to that.
+  if (event.connection_refused && !record.may_have_run &&
+      service_state.retries.TryRetry(now) && CanRelay(record, now) &&
+      StartRelay(record, now))
     return;
   const Outcome overall_outcome =
       record.may_have_run
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -68,6 +68,9 @@
   std::optional<forwarding::LoadReport> load;
   /// True if the attempt was the first exchange on its connection.
   bool opened_connection = false;
+  /// True if the endpoint's address refused the connection, rather than not
+  /// responding.
+  bool connection_refused = false;
   /// Empty if the attempt ended without an answer of this endpoint to this
   /// request, or if the limit in it is malformed.
   std::optional<forwarding::RateLimitNotice> rate_limit;
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -4,6 +4,7 @@
 
 #include "core/common/hash.h"
 #include "core/entry/entry_node.h"
+#include "core/steering/isolated_entries.h"
 
 namespace jacinth::entry {
 namespace {
@@ -55,12 +56,16 @@
          SelectRelayEntry(record, now) != nullptr;
 }
 
-// Selects another entry at random, in this region if any there can be used.
+// Selects another entry at random, in this region unless too few there can be
+// used to bear the callers of the others.
 const EntryStatus* EntryNode::SelectRelayEntry(const RequestRecord& record,
                                                Time now) const {
   std::vector<const EntryStatus*> local;
-  std::vector<const EntryStatus*> remote;
+  std::vector<const EntryStatus*> all;
+  std::size_t members_in_region = 0;
   for (const EntryStatus& entry : session_.members()) {
+    const bool in_region = entry.region == options_.self.region;
+    members_in_region += in_region ? 1 : 0;
     const auto avoided = avoided_entries_.find(entry.id);
     const bool usable =
         entry.id != options_.self.id && !entry.isolated && !entry.draining &&
@@ -68,9 +73,13 @@
         (avoided == avoided_entries_.end() || now >= avoided->second);
     if (!usable)
       continue;
-    (entry.region == options_.self.region ? local : remote).push_back(&entry);
+    all.push_back(&entry);
+    if (in_region)
+      local.push_back(&entry);
   }
-  const auto& candidates = local.empty() ? remote : local;
+  const bool region_suffices =
+      steering::RegionSuffices(local.size(), members_in_region);
+  const auto& candidates = region_suffices ? local : all;
   if (candidates.empty())
     return nullptr;
   return candidates[Hash64(options_.self.id, record.arrival.ticket) %
@@ -123,7 +132,8 @@
   record.may_have_run |= outcome != Outcome::kNotRun;
   ServiceState& service_state = services_.at(record.service);
   const bool may_repeat =
-      unavailable || TryAcquireRetry(record, service_state, event.end, now);
+      unavailable ? service_state.retries.TryRetry(now)
+                  : TryAcquireRetry(record, service_state, event.end, now);
   LogAttemptEnd(record, event.end, may_repeat, now);
   if (may_repeat && CanRelay(record, now) && StartRelay(record, now))
     return;
--- a/source/core/steering/isolated_entries.h
+++ b/source/core/steering/isolated_entries.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include <cstddef>
 #include <vector>
 
 #include "core/steering/steering_snapshot.h"
 
 namespace jacinth::steering {
 
+/// Returns true if `usable` of the `members` entries of a region can bear the
+/// region's callers, so that these need not use other regions.
+bool RegionSuffices(std::size_t usable, std::size_t members);
+
 /// Removes the entries that reach no endpoint, unless all of them are such.
 void DropIsolated(const SteeringSnapshot& snapshot,
                   std::vector<const protocol::EntryStatus*>& entries);
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -9,10 +9,6 @@
 
 using protocol::EntryStatus;
 
-/// Minimum number of usable entries for which callers stay within their region:
-/// one may fail.
-constexpr std::size_t kMinEntriesInRegion = 2;
-
 bool IsUsable(const SteeringSnapshot& snapshot, const EntryStatus& entry) {
   const bool drained = snapshot.fleet != nullptr &&
                        snapshot.fleet->drained_entries.count(entry.id) != 0;
@@ -38,6 +34,9 @@
                                                std::string_view failure_domain,
                                                std::size_t limit) {
   std::vector<const EntryStatus*> available = UsableEntries(snapshot);
+  const auto members_in_region = static_cast<std::size_t>(std::count_if(
+      available.begin(), available.end(),
+      [&](const EntryStatus* entry) { return entry->region == region; }));
   DropIsolated(snapshot, available);
   std::vector<const EntryStatus*> in_region;
   for (const EntryStatus* entry : available) {
@@ -45,7 +44,8 @@
       in_region.push_back(entry);
   }
   std::vector<const EntryStatus*>& chosen =
-      in_region.size() >= kMinEntriesInRegion ? in_region : available;
+      RegionSuffices(in_region.size(), members_in_region) ? in_region
+                                                          : available;
   std::stable_partition(chosen.begin(), chosen.end(),
                         [&](const EntryStatus* entry) {
                           return entry->failure_domain == failure_domain;
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -282,6 +282,7 @@
   ended.ticket = attempt.ticket;
   ended.end = attempt_result.end;
   ended.opened_connection = result.opened_connection;
+  ended.connection_refused = result.refused;
   ended.load = attempt_result.load;
   ended.rate_limit = attempt_result.rate_limit;
   ended.answer.status = result.response.status;
--- a/source/unit_tests/steering/lookup_test.cc
+++ b/source/unit_tests/steering/lookup_test.cc
@@ -134,4 +134,20 @@
   CHECK(NearestEntries(snapshot, "west", "", 8).size() == 2);
 }
 
+// Guards against overloading what is left of a region while other regions have
+// room.
+TEST_CASE("Callers leave a region of which too many entries are isolated") {
+  SteeringSnapshot snapshot = MakeSnapshot("[service/s]\nttl_ms = 500\n");
+  snapshot.members.clear();
+  for (int i = 0; i < 6; ++i)
+    snapshot.members.push_back(MakeEntry("w" + std::to_string(i), "west"));
+  snapshot.members.push_back(MakeEntry("x1", "east"));
+  snapshot.members[2].isolated = true;
+  snapshot.members[3].isolated = true;
+  CHECK(NearestEntries(snapshot, "west", "", 8).size() == 4);
+  snapshot.members[4].isolated = true;
+  CHECK(NearestEntries(snapshot, "west", "", 8).size() == 4);
+  CHECK(NearestEntries(snapshot, "west", "", 8).back()->id == "x1");
+}
+
 }  // namespace jacinth::steering
