Jacinthroute: Ignore SIGHUP until the instance handles it

A process that got SIGHUP just after its start ended without a line in its log, and its callers lost it until something started it again. Cause: the signal's default action ends the process, and the handler is set only after the sockets are open. Change: main() ignores the signal first; the settings are read later, so no change is missed.

--- a/source/jacinthroute/main.cc
+++ b/source/jacinthroute/main.cc
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -102,6 +103,9 @@
 }  // namespace
 
 int main(int argc, const char** argv) {
+  // The default action ends the process. The settings are read after this, so a
+  // signal that comes before the instance handles it misses no change.
+  std::signal(SIGHUP, SIG_IGN);
   CommandLine command_line;
   if (!ParseCommandLine(argc, argv, command_line))
     return kExitUsage;
