Jacinthroute: Don't touch requests that are being destroyed at the stop

Cause: Shutdown() cleared the map of pending requests; destroying a transaction closes its connection, the node gives the request up and the host looks it up and erases it in the same map. Change: the requests are moved out of the map first.

--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -99,7 +99,9 @@
 
 template <InterfaceAdapter Adapter>
 void EntryHostImpl<Adapter>::Shutdown() {
-  pending_requests_.clear();
+  // Destroying a transaction closes its connection, which makes the node give
+  // up the request and look for it in `pending_requests_`.
+  const auto abandoned = std::exchange(pending_requests_, {});
   server_.Stop();
   client_.Stop();
 }
