Jacinthroute: Keep signals pending until the instance handles them

An instance that got SIGTERM or SIGINT while it started ended without a log line and with the signal as its status, so whoever supervises it saw a failed process. Cause: the default action applies until the handlers are set after the sockets are open; only SIGHUP was ignored. Change: main() blocks the three signals first, and the instance unblocks them once it handles them, so that a stop is carried out and a reload isn't lost. ChildProcess::Wait() returns which signal ended the process.

--- a/source/jacinthroute/instance.cc
+++ b/source/jacinthroute/instance.cc
@@ -8,6 +8,7 @@
 
 #include "core/common/split.h"
 #include "core/log/log.h"
+#include "jacinthroute/handled_signals.h"
 
 namespace jacinth {
 namespace {
@@ -89,9 +90,9 @@
   }
   if (auto started = hub_->Start(); !started)
     return started;
-  signals_.add(SIGTERM);
-  signals_.add(SIGINT);
-  signals_.add(SIGHUP);
+  for (const int signal : kHandledSignals)
+    signals_.add(signal);
+  UnblockHandledSignals();
   WaitForSignal();
   PollSettingsFile();
   return {};
--- a/source/jacinthroute/main.cc
+++ b/source/jacinthroute/main.cc
@@ -1,4 +1,3 @@
-#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -9,6 +8,7 @@
 #include "core/log/log.h"
 #include "core/settings/instance_settings.h"
 #include "core/settings/settings_page.h"
+#include "jacinthroute/handled_signals.h"
 #include "jacinthroute/instance.h"
 #include "jacinthroute/interface_components.h"
 #include "platform/platform_components.h"
@@ -103,9 +103,9 @@
 }  // namespace
 
 int main(int argc, const char** argv) {
-  // The default action ends the process. The settings are read after this, so a
-  // signal that comes before the instance handles it misses no change.
-  std::signal(SIGHUP, SIG_IGN);
+  // The default action of these signals would end the process. They stay
+  // pending until the instance handles them.
+  jacinth::BlockHandledSignals();
   CommandLine command_line;
   if (!ParseCommandLine(argc, argv, command_line))
     return kExitUsage;
--- a/source/unit_tests/support/child_process.cc
+++ b/source/unit_tests/support/child_process.cc
@@ -50,11 +50,11 @@
 
 int ChildProcess::Wait() {
   if (pid_ <= 0)
-    return -1;
+    return kNotRunning;
   int status = 0;
   waitpid(pid_, &status, 0);
   pid_ = -1;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
 }  // namespace jacinth::test
--- a/source/unit_tests/support/child_process.h
+++ b/source/unit_tests/support/child_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,11 @@
   /// Kills the process with SIGKILL and waits for it to exit.
   void Kill();
 
-  /// Waits for the process to exit and returns its exit code, or -1 if it was
-  /// terminated by a signal.
+  /// Result of Wait() if the process has been waited for already.
+  static constexpr int kNotRunning = std::numeric_limits<int>::min();
+
+  /// Waits for the process to exit and returns its exit code, or the negated
+  /// number of the signal that terminated it.
   int Wait();
 
   bool running() const { return pid_ > 0; }
