Forwarding: Count refused demand for endpoints that can be used

Cause: requests that rate limits keep out count as demand for the owner of their object, whether or not that owner can receive requests. Change: if the owner can't receive requests, its refused requests are demand for all limited endpoints that can. Evidence: "Refused requests of an ejected owner are demand for the others" failed on the code before (10 == 0, 0 > 0) and passes.

--- a/source/core/forwarding/endpoint_rates.cc
+++ b/source/core/forwarding/endpoint_rates.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "core/forwarding/endpoint_table.h"
 
@@ -67,18 +68,17 @@
 
 void EndpointTable::CountRefusedDemand(const std::string& owner) {
   const auto found = endpoints_.find(owner);
-  if (found != endpoints_.end()) {
+  if (found != endpoints_.end() && IsUsable(found->second)) {
     found->second.rate_limit.CountDemand(1);
     return;
   }
-  const auto limited =
-      std::count_if(endpoints_.begin(), endpoints_.end(), [](const auto& item) {
-        return item.second.rate_limit.gate().is_limited();
-      });
+  std::vector<EndpointState*> limited;
   for (auto& [name, state] : endpoints_) {
-    if (state.rate_limit.gate().is_limited())
-      state.rate_limit.CountDemand(1 / static_cast<double>(limited));
+    if (IsUsable(state) && state.rate_limit.gate().is_limited())
+      limited.push_back(&state);
   }
+  for (EndpointState* state : limited)
+    state->rate_limit.CountDemand(1 / static_cast<double>(limited.size()));
 }
 
 bool EndpointTable::IsRateLimited() const {
@@ -91,7 +91,7 @@
 
 bool EndpointTable::IsRateBlocked(const std::string& name, Time now) const {
   const auto found = endpoints_.find(name);
-  return found != endpoints_.end() &&
+  return found != endpoints_.end() && IsUsable(found->second) &&
          !found->second.rate_limit.gate().Allows(now);
 }
 
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -112,13 +112,15 @@
   /// `sequence` and SetRateShares() has applied the result.
   void OnRateLimitReportsReceived(std::uint64_t sequence, Time now);
 
-  /// Counts a request that was not sent to the owner of its slice, or to any
-  /// endpoint if `owner` is empty, because of rate limits.
+  /// Counts a request that was not sent to the owner of its slice because of
+  /// rate limits; to any endpoint, if the owner can't receive requests or
+  /// `owner` is empty.
   void CountRefusedDemand(const std::string& owner);
 
   /// Returns true if any endpoint that can receive new requests has a limit.
   bool IsRateLimited() const;
-  /// Returns true if the endpoint's rate limit allows no request now.
+  /// Returns true if the endpoint can receive requests, but its rate limit
+  /// allows none now.
   bool IsRateBlocked(const std::string& name, Time now) const;
   /// Returns a value if the rate limit of every endpoint that can receive new
   /// requests allows none now.
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -361,4 +361,24 @@
   }
 }
 
+// Guards against an entry that gets no share of any rate limit, and refuses
+// everything, because its demand counts for an endpoint that it can't use.
+TEST_CASE("Refused requests of an ejected owner are demand for the others") {
+  EndpointTable table;
+  table.Update(MakeService(4, 10), kNow);
+  for (const char* name : {"p0", "p1", "p2"})
+    table.OnRateLimitNotice(name, {2.0}, kNow);
+  table.OnProbeEnd("p0", ProbeEnd::kFailed, kNow);
+  table.OnProbeEnd("p0", ProbeEnd::kFailed, kNow);
+  REQUIRE_FALSE(table.CanReceiveRequests("p0"));
+  for (int i = 0; i < 10; ++i)
+    table.CountRefusedDemand("p0");
+  std::map<std::string, double> demand;
+  for (const auto& report : table.TakeRateLimitReports(1, kNow + 500ms))
+    demand[report.key.endpoint] = report.demand_per_s;
+  CHECK(demand.at("p0") == 0);
+  CHECK(demand.at("p1") > 0);
+  CHECK(demand.at("p2") == demand.at("p1"));
+}
+
 }  // namespace jacinth::forwarding
