Forwarding: Report the current demand for a new rate limit

Under a new limit, an entry that had started lately could get next to nothing of the limit for some seconds, so that its callers were refused more often than those of the others. Cause: the demand for an endpoint was summed up from the entry's start, and only a report started the next period. The first report of a limit named all requests ever sent as the rate of one second, and halved it with each second. Change: the demand is a moving average over time, so that it is right whenever it is asked for. The rate at which refused callers are asked back uses the same average and follows a new limit without waiting for the end of a second.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -64,7 +64,7 @@
   }
   if (!endpoint) {
     if (service_state.endpoints.IsRateLimited())
-      service_state.endpoints.CountRefusedDemand(endpoint_criteria.owner);
+      service_state.endpoints.CountRefusedDemand(endpoint_criteria.owner, now);
     return false;
   }
   const settings::EndpointSettings& endpoint_settings =
@@ -93,7 +93,7 @@
     attempt.timeout = std::min(attempt.timeout, record.kind.attempt_timeout);
   attempt.connect_timeout =
       std::min(service_state.settings.connect_timeout, attempt.timeout);
-  service_state.sent.Count(1);
+  service_state.sent.Count(1, now);
   actions_.attempts.push_back(std::move(attempt));
   return true;
 }
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -80,7 +80,6 @@
                                  descriptor->incarnation});
     }
     RefuseUnservable(service_state, now);
-    service_state.UpdateSentRate(now);
     DispatchRequests(service_state, now);
   }
   ProbeLinks(now);
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -83,7 +83,7 @@
                               waiting < block->per_second * longest_wait;
   if (served_in_time || (waiting == 0 && block->until <= record.wait_until))
     return false;
-  service_state.endpoints.CountRefusedDemand(OwnerFor(record));
+  service_state.endpoints.CountRefusedDemand(OwnerFor(record), now);
   RefuseRequest refusal{
       {ErrorKind::kOverloaded, "the rate limits of the endpoints of " +
                                    record.service + " are used up"},
@@ -112,8 +112,8 @@
   if (!service_state.endpoints.IsRateLimited())
     return shortest;
   const Duration longest = (record.deadline - now) / kLongestReturnDivisor;
-  return service_state.returns.Next(now, service_state.sent_per_second,
-                                    shortest, longest);
+  return service_state.returns.Next(now, service_state.sent.Rate(now), shortest,
+                                    longest);
 }
 
 }  // namespace jacinth::entry
--- a/source/core/entry/service_state.cc
+++ b/source/core/entry/service_state.cc
@@ -5,7 +5,6 @@
 
 /// Inverse of the weight that a new answer has in the average.
 constexpr int kAverageDivisor = 16;
-constexpr Duration kSentRateInterval = 1s;
 
 }  // namespace
 
@@ -16,13 +15,6 @@
   removed = false;
 }
 
-void ServiceState::UpdateSentRate(Time now) {
-  if (now < next_sent_rate)
-    return;
-  next_sent_rate = now + kSentRateInterval;
-  sent_per_second = sent.TakeRate(now);
-}
-
 void ServiceState::RecordAnswerTime(const std::string& kind, Duration time) {
   const auto [it, inserted] = average_answer_times.try_emplace(kind, time);
   if (!inserted)
--- a/source/core/entry/service_state.h
+++ b/source/core/entry/service_state.h
@@ -22,8 +22,6 @@
   admission::ReturnSchedule returns;
   /// Requests that were sent to endpoints.
   forwarding::DemandMeter sent;
-  double sent_per_second = 0;
-  Time next_sent_rate{};
   /// Moving average of the time to a complete answer, by request kind.
   std::map<std::string, Duration> average_answer_times;
   /// True if the service was removed from the settings. Its state is kept for
@@ -33,9 +31,6 @@
   /// Applies new settings.
   void Update(const settings::ServiceSettings& service, Time now);
 
-  /// Updates `sent_per_second` once per second.
-  void UpdateSentRate(Time now);
-
   /// Adds the time to a complete answer to the average of its kind.
   void RecordAnswerTime(const std::string& kind, Duration time);
 
--- a/source/core/forwarding/demand_meter.h
+++ b/source/core/forwarding/demand_meter.h
@@ -4,23 +4,19 @@
 
 namespace jacinth::forwarding {
 
-/// Measures how many requests per second an entry has for an endpoint, whether
-/// or not they can be sent.
+/// Measures how many requests per second there are, as an exponentially
+/// weighted moving average over time.
 class DemandMeter {
  public:
   /// Counts a request, or part of one that has several possible endpoints.
-  void Count(double requests) { requests_ += requests; }
+  void Count(double requests, Time now);
 
-  /// Returns the moving average of the rate, in requests per second, and starts
-  /// the next period. Must be called about once per second.
-  double TakeRate(Time now);
-
-  bool has_requests() const { return requests_ > 0; }
+  /// Returns the average rate in requests per second.
+  double Rate(Time now) const;
 
  private:
-  double requests_ = 0;
   double rate_ = 0;
-  Time period_start_{};
+  Time updated_{};
 };
 
 }  // namespace jacinth::forwarding
--- a/source/core/forwarding/endpoint_choice.cc
+++ b/source/core/forwarding/endpoint_choice.cc
@@ -55,9 +55,9 @@
   // A request that its owner's rate limit keeps out is demand for the owner.
   if (IsRateBlocked(endpoint_criteria.owner, now) &&
       *chosen != endpoint_criteria.owner) {
-    CountRefusedDemand(endpoint_criteria.owner);
+    CountRefusedDemand(endpoint_criteria.owner, now);
   } else {
-    state.rate_limit.CountDemand(1);
+    state.rate_limit.CountDemand(1, now);
   }
   return *chosen;
 }
--- a/source/core/forwarding/endpoint_rate_limit.cc
+++ b/source/core/forwarding/endpoint_rate_limit.cc
@@ -75,7 +75,7 @@
   if (!named_ && !share_)
     return std::nullopt;
   const bool lacks_share =
-      share_ && share_->share_per_s <= 0 && demand_.has_requests();
+      share_ && share_->share_per_s <= 0 && has_new_demand_;
   const Duration interval =
       lacks_share ? kDemandReportInterval : kReportInterval;
   if (reported_in_ && now < reported_at_ + interval)
@@ -87,7 +87,8 @@
   report.was_told = was_told_;
   if (answered_at_)
     report.answer_age_ms = ToMillis(now - *answered_at_);
-  report.demand_per_s = demand_.TakeRate(now);
+  report.demand_per_s = demand_.Rate(now);
+  has_new_demand_ = false;
   if (share_)
     report.shared_limit_per_s = share_->limit_per_s;
   return report;
--- a/source/core/forwarding/endpoint_rate_limit.h
+++ b/source/core/forwarding/endpoint_rate_limit.h
@@ -49,7 +49,10 @@
                                                       Time now);
 
   /// Counts a request, or part of one, that was sent or would have been.
-  void CountDemand(double requests) { demand_.Count(requests); }
+  void CountDemand(double requests, Time now) {
+    demand_.Count(requests, now);
+    has_new_demand_ = true;
+  }
   void OnSent(Time now) { gate_.OnSent(now); }
 
   const RateGate& gate() const { return gate_; }
@@ -67,6 +70,8 @@
   std::optional<protocol::RateShare> share_;
   RateGate gate_;
   DemandMeter demand_;
+  /// True if there was demand since the last report.
+  bool has_new_demand_ = false;
   /// Sequence number of the heartbeat with the last report; empty if something
   /// new must be reported.
   std::optional<std::uint64_t> reported_in_;
--- a/source/core/forwarding/endpoint_rates.cc
+++ b/source/core/forwarding/endpoint_rates.cc
@@ -66,10 +66,10 @@
   return reports;
 }
 
-void EndpointTable::CountRefusedDemand(const std::string& owner) {
+void EndpointTable::CountRefusedDemand(const std::string& owner, Time now) {
   const auto found = endpoints_.find(owner);
   if (found != endpoints_.end() && IsUsable(found->second)) {
-    found->second.rate_limit.CountDemand(1);
+    found->second.rate_limit.CountDemand(1, now);
     return;
   }
   std::vector<EndpointState*> limited;
@@ -78,7 +78,7 @@
       limited.push_back(&state);
   }
   for (EndpointState* state : limited)
-    state->rate_limit.CountDemand(1 / static_cast<double>(limited.size()));
+    state->rate_limit.CountDemand(1 / static_cast<double>(limited.size()), now);
 }
 
 bool EndpointTable::IsRateLimited() const {
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -115,7 +115,7 @@
   /// Counts a request that was not sent to the owner of its slice because of
   /// rate limits; to any endpoint, if the owner can't receive requests or
   /// `owner` is empty.
-  void CountRefusedDemand(const std::string& owner);
+  void CountRefusedDemand(const std::string& owner, Time now);
 
   /// Returns true if any endpoint that can receive new requests has a limit.
   bool IsRateLimited() const;
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -372,7 +372,7 @@
   table.OnProbeEnd("p0", ProbeEnd::kFailed, kNow);
   REQUIRE_FALSE(table.CanReceiveRequests("p0"));
   for (int i = 0; i < 10; ++i)
-    table.CountRefusedDemand("p0");
+    table.CountRefusedDemand("p0", kNow);
   std::map<std::string, double> demand;
   for (const auto& report : table.TakeRateLimitReports(1, kNow + 500ms))
     demand[report.key.endpoint] = report.demand_per_s;
@@ -381,4 +381,25 @@
   CHECK(demand.at("p2") == demand.at("p1"));
 }
 
+// Guards against shares of a new rate limit that follow how long an entry has
+// been running instead of what it needs.
+TEST_CASE("The demand reported for a new rate limit is the current one") {
+  EndpointTable table;
+  table.Update(MakeService(1, 10), kNow);
+  Time now = kNow;
+  for (int i = 0; i < 1'000; ++i) {
+    now += 100ms;
+    REQUIRE(ReserveWithoutObject(table, now) == "p0");
+    table.OnAttemptEnd("p0", AttemptEnd::kAnswered, {}, now);
+  }
+  table.OnRateLimitNotice("p0", {5.0}, now);
+  const auto reports = table.TakeRateLimitReports(1, now);
+  REQUIRE(reports.size() == 1);
+  CHECK(reports.front().demand_per_s > 8);
+  CHECK(reports.front().demand_per_s < 12);
+  const auto later = table.TakeRateLimitReports(2, now + 10s);
+  REQUIRE(later.size() == 1);
+  CHECK(later.front().demand_per_s < 0.1);
+}
+
 }  // namespace jacinth::forwarding
