Entry: Hand requests to entries in the allowed regions only

Bodies of requests on a route whose `regions` are limited could be sent to an entry in any region, while the entry that the caller had connected to was isolated. Cause: relays choose among all members; only the choice of endpoints looked at the regions of the route. Change: members outside the allowed regions are no candidates. Without a candidate the request is refused at once, as before. Evidence: "Requests are handed to entries in the allowed regions only" failed on the code before (handed to e2 and e3 instead of e4; handed on instead of refused).

--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,14 @@
 /// reached no endpoint: a few heartbeats, after which the member list tells.
 constexpr Duration kAvoidEntryTime = 2s;
 
+// Returns true if a request may be served in the region; an empty list allows
+// all regions.
+bool IsAllowedRegion(const std::vector<std::string>& allowed,
+                     const std::string& region) {
+  return allowed.empty() ||
+         std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
 Error ErrorForRelayEnd(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotConnected:
@@ -57,7 +66,8 @@
 }
 
 // Selects another entry at random, in this region unless too few there can be
-// used to bear the callers of the others.
+// used to bear the callers of the others, and never outside the regions that
+// may serve the request.
 const EntryStatus* EntryNode::SelectRelayEntry(const RequestRecord& record,
                                                Time now) const {
   std::vector<const EntryStatus*> local;
@@ -69,6 +79,7 @@
     const auto avoided = avoided_entries_.find(entry.id);
     const bool usable =
         entry.id != options_.self.id && !entry.isolated && !entry.draining &&
+        IsAllowedRegion(record.kind.regions, entry.region) &&
         record.tried_entries.count(entry.id) == 0 &&
         (avoided == avoided_entries_.end() || now >= avoided->second);
     if (!usable)
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -190,6 +190,31 @@
   CHECK(driver.relays[0].entry == "e3");
 }
 
+// Guards against passing a request on to a region that may not handle it.
+TEST_CASE("Requests are handed to entries in the allowed regions only") {
+  EntryDriver driver = MakeIsolatedDriver();
+  const auto set_regions = [&](const std::string& regions) {
+    driver.ApplySettings(SettingsText() + "regions = " + regions + "\n");
+    SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west"),
+                        MakeMember("e3", "east"), MakeMember("e4", "north")});
+  };
+  SECTION("also if too few entries of the own region can be used") {
+    set_regions("north");
+    for (int i = 0; i < 20; ++i)
+      SendOnce(driver);
+    REQUIRE(driver.relays.size() == 20);
+    for (const StartRelay& relay : driver.relays)
+      CHECK(relay.entry == "e4");
+  }
+  SECTION("and refused if there is no entry") {
+    set_regions("south");
+    const RequestTicket ticket = SendOnce(driver);
+    CHECK(driver.relays.empty());
+    REQUIRE(driver.FindRefusal(ticket) != nullptr);
+    CHECK(driver.FindRefusal(ticket)->outcome == Outcome::kNotRun);
+  }
+}
+
 TEST_CASE("A relay ends when its caller leaves") {
   EntryDriver driver = MakeIsolatedDriver();
   const RequestTicket ticket = SendOnce(driver);
