Entry: Don't hand requests to drained entries

An entry that an operator had drained went on getting requests from isolated ones. Cause: look-ups leave out draining and drained entries, relays only draining ones. Change: relays leave out both. Found by comparing the two choices.

--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -79,6 +79,7 @@
     const auto avoided = avoided_entries_.find(entry.id);
     const bool usable =
         entry.id != options_.self.id && !entry.isolated && !entry.draining &&
+        session_.fleet()->drained_entries.count(entry.id) == 0 &&
         IsAllowedRegion(record.kind.regions, entry.region) &&
         record.tried_entries.count(entry.id) == 0 &&
         (avoided == avoided_entries_.end() || now >= avoided->second);
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -215,6 +215,19 @@
   }
 }
 
+// Guards against sending requests to an entry that an operator has drained.
+TEST_CASE("Requests are not handed to drained entries") {
+  EntryDriver driver = MakeIsolatedDriver();
+  driver.ApplySettings(SettingsText() + "[entry/e2]\ndrain = true\n");
+  SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west"),
+                      MakeMember("e3", "east")});
+  for (int i = 0; i < 20; ++i)
+    SendOnce(driver);
+  REQUIRE(driver.relays.size() == 20);
+  for (const StartRelay& relay : driver.relays)
+    CHECK(relay.entry == "e3");
+}
+
 TEST_CASE("A relay ends when its caller leaves") {
   EntryDriver driver = MakeIsolatedDriver();
   const RequestTicket ticket = SendOnce(driver);
