--- a/source/unit_tests/http/event_client_test.cc
+++ b/source/unit_tests/http/event_client_test.cc
@@ -169,6 +169,10 @@
                   "400\r\n" + kilobyte + "\r\n"},
       EndlessCase{"HTTP/1.1 200 OK\r\n", "X-More: " + kilobyte + "\r\n"},
       EndlessCase{"HTTP/1.1 200 OK\r\nX-One: ", kilobyte},
+      EndlessCase{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+                  kilobyte},
+      EndlessCase{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                  "X-More: " + kilobyte + "\r\n"},
       EndlessCase{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
       EndlessCase{"", kilobyte});
   CAPTURE(endless.head, endless.piece);
