Forwarding: Notice links that open connections but carry no responses

Callers of an entry waited for their deadline, one request after the other, when the links to the endpoints accepted connections and passed nothing on, or when open connections fell silent: nothing failed, so nothing was suspected. Cause: only attempts that had ended could cast doubt on the links, and the time limit of an attempt on the platform is that of its request. A probe whose connection opened counted as a response. Change: three endpoints that have got requests, and none of all has answered for a second, cast doubt on the links. A probe without a response is no proof that they work, except for links that opened no connections before: endpoints that are too busy for a probe must not keep an entry isolated. Why it works: an answer of any endpoint ends the doubt, so that slow services don't cause it as long as others answer.

--- a/source/core/entry/entry_links.cc
+++ b/source/core/entry/entry_links.cc
@@ -32,6 +32,13 @@
   OnLinkStateChange(now);
 }
 
+// Suspects links that carry no responses, and probes those under suspicion.
+void EntryNode::CheckLinks(Time now) {
+  links_.CheckSilence(now);
+  OnLinkStateChange(now);
+  ProbeLinks(now);
+}
+
 // Probes endpoints while the links are suspected or lost.
 void EntryNode::ProbeLinks(Time now) {
   if (!links_.WantsProbes(now))
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -82,7 +82,7 @@
     RefuseUnservable(service_state, now);
     DispatchRequests(service_state, now);
   }
-  ProbeLinks(now);
+  CheckLinks(now);
   AdvanceStop(now);
 }
 
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -109,6 +109,7 @@
   void TrackLinks(const RequestRecord& record,
                   const AttemptEnded& event,
                   Time now);
+  void CheckLinks(Time now);
   void ProbeLinks(Time now);
   void OnLinkStateChange(Time now);
 
--- a/source/core/forwarding/link_monitor.cc
+++ b/source/core/forwarding/link_monitor.cc
@@ -26,8 +26,8 @@
 constexpr std::size_t kProbeCount = 4;
 /// Interval between probes while the links are suspected or lost.
 constexpr Duration kProbeInterval = 500ms;
-/// Time without an answer after which links that don't respond are lost, longer
-/// than most requests take.
+/// Time without an answer after which the links are suspected, and after which
+/// those that don't respond are lost; longer than most requests take.
 constexpr Duration kSilenceTime = 1s;
 /// Time between the end of a suspicion and the next one, as probes cost the
 /// endpoints slots.
@@ -59,14 +59,32 @@
     SetConnected(now);
 }
 
+void LinkMonitor::OnAnswer(Time now) {
+  last_answer_ = now;
+  unanswered_.clear();
+}
+
+void LinkMonitor::CheckSilence(Time now) {
+  if (state_ != LinkState::kConnected || now < trusted_until_)
+    return;
+  const auto overdue = std::count_if(
+      unanswered_.begin(), unanswered_.end(),
+      [&](const auto& item) { return item.second + kSilenceTime <= now; });
+  if (static_cast<std::size_t>(overdue) >= MinSuspiciousEndpoints())
+    state_ = LinkState::kSuspected;
+}
+
+std::size_t LinkMonitor::MinSuspiciousEndpoints() const {
+  return std::clamp<std::size_t>(endpoint_count_, 1, kMinFailedEndpoints);
+}
+
 bool LinkMonitor::IsSuspicious() const {
-  const std::size_t enough =
-      std::clamp<std::size_t>(endpoint_count_, 1, kMinFailedEndpoints);
-  return failed_.size() >= enough;
+  return failed_.size() >= MinSuspiciousEndpoints();
 }
 
 void LinkMonitor::SetConnected(Time now) {
   failed_.clear();
+  unanswered_.clear();
   state_ = LinkState::kConnected;
   trusted_until_ = now + kTrustTime;
 }
@@ -99,21 +117,31 @@
   pending_probes_ = static_cast<int>(candidates.size());
   next_probes_ = now + kProbeInterval;
   all_refused_ = true;
+  any_silent_ = false;
   return candidates;
 }
 
 void LinkMonitor::OnProbeEnd(LinkProbeEnd end, Time now) {
   pending_probes_ = std::max(0, pending_probes_ - 1);
-  if (end == LinkProbeEnd::kConnected) {
+  // Links that opened no connections when they were lost are restored when they
+  // do, even if the endpoint is too busy to respond.
+  const bool restored = end == LinkProbeEnd::kSilent &&
+                        state_ == LinkState::kLost && !any_silent_when_lost_;
+  if (end == LinkProbeEnd::kConnected || restored) {
     if (state_ != LinkState::kConnected)
       SetConnected(now);
     return;
   }
   all_refused_ &= end == LinkProbeEnd::kRefused;
+  any_silent_ |= end == LinkProbeEnd::kSilent;
   const bool silent = now >= last_answer_ + kSilenceTime;
-  if (state_ == LinkState::kSuspected && pending_probes_ == 0 &&
-      (all_refused_ || silent))
-    state_ = LinkState::kLost;
+  const bool lost = state_ == LinkState::kSuspected && pending_probes_ == 0 &&
+                    (all_refused_ || silent);
+  if (!lost)
+    return;
+  state_ = LinkState::kLost;
+  all_refused_when_lost_ = all_refused_;
+  any_silent_when_lost_ = any_silent_;
 }
 
 }  // namespace jacinth::forwarding
--- a/source/core/forwarding/link_monitor.h
+++ b/source/core/forwarding/link_monitor.h
@@ -25,10 +25,14 @@
 
 /// How a probe of the links ended.
 enum class LinkProbeEnd {
+  /// The endpoint responded.
   kConnected,
   /// The connection was refused or reset.
   kRefused,
+  /// No connection was established in time.
   kNoResponse,
+  /// The connection was established, but no response was received in time.
+  kSilent,
 };
 
 /// An endpoint that may be probed.
@@ -43,13 +47,19 @@
 ///
 /// Only an exchange on a new connection shows that the links work: connections
 /// that were open before may live on while new ones are refused. When several
-/// endpoints have failed without one, others are probed. The links are lost if
-/// all of these refuse the connection, or if none responds and no endpoint has
-/// answered any request for a while: as long as answers arrive, the links are
-/// merely slow. Probes go on until one succeeds.
+/// endpoints have failed without one, or have got requests and none has answered
+/// for a while, others are probed. The links are lost if all of these refuse the
+/// connection, or if none responds and no endpoint has answered any request for
+/// a while: as long as answers arrive, the links are merely slow. Probes go on
+/// until one succeeds.
 class LinkMonitor {
  public:
   LinkState state() const { return state_; }
+  /// Returns true if the links are lost and open connections carry no responses
+  /// either, as far as it is known.
+  bool is_silent() const {
+    return state_ == LinkState::kLost && !all_refused_when_lost_;
+  }
 
   /// Sets the number of endpoints of all services. If there are few, the
   /// failure of all of them is enough for a suspicion.
@@ -57,8 +67,15 @@
 
   /// An attempt at the endpoint ended without an answer.
   void OnFailure(const std::string& endpoint, Time now);
+  /// A request was sent to the endpoint.
+  void OnSent(const std::string& endpoint, Time now) {
+    unanswered_.try_emplace(endpoint, now);
+  }
   /// An endpoint answered a request.
-  void OnAnswer(Time now) { last_answer_ = now; }
+  void OnAnswer(Time now);
+  /// Suspects the links if several endpoints have got requests and none has
+  /// answered for a while.
+  void CheckSilence(Time now);
   /// An endpoint answered on a connection that was opened at `opened` or later.
   /// Failures since then still count, and lost links are restored by probes
   /// only.
@@ -75,16 +92,26 @@
   void OnProbeEnd(LinkProbeEnd end, Time now);
 
  private:
+  /// Returns the number of endpoints that is enough for a suspicion.
+  std::size_t MinSuspiciousEndpoints() const;
   bool IsSuspicious() const;
   void SetConnected(Time now);
 
   LinkState state_ = LinkState::kConnected;
   /// Time of the last failure of each endpoint since the last connection.
   std::map<std::string, Time> failed_;
+  /// Endpoints that have got a request since the last answer of any endpoint,
+  /// with the time of the first one.
+  std::map<std::string, Time> unanswered_;
   std::size_t endpoint_count_ = 0;
   int pending_probes_ = 0;
   /// True if none of the current probes went without a response.
   bool all_refused_ = true;
+  /// True if one of the current probes established a connection.
+  bool any_silent_ = false;
+  /// Values of `all_refused_` and `any_silent_` when the links were lost.
+  bool all_refused_when_lost_ = false;
+  bool any_silent_when_lost_ = false;
   Time last_answer_{};
   Time next_probes_{};
   /// Time until which the links aren't suspected again.
--- a/source/jacinthroute/attempt_end.cc
+++ b/source/jacinthroute/attempt_end.cc
@@ -25,10 +25,17 @@
 
 forwarding::LinkProbeEnd ToLinkProbeEnd(const http::ExchangeResult& result) {
   using forwarding::LinkProbeEnd;
-  if (result.end == ExchangeEnd::kNotConnected)
-    return result.refused ? LinkProbeEnd::kRefused : LinkProbeEnd::kNoResponse;
-  return result.end == ExchangeEnd::kLost ? LinkProbeEnd::kRefused
-                                          : LinkProbeEnd::kConnected;
+  switch (result.end) {
+    case ExchangeEnd::kNotConnected:
+      return result.refused ? LinkProbeEnd::kRefused
+                            : LinkProbeEnd::kNoResponse;
+    case ExchangeEnd::kLost:
+      return LinkProbeEnd::kRefused;
+    case ExchangeEnd::kTimedOut:
+      return LinkProbeEnd::kSilent;
+    default:
+      return LinkProbeEnd::kConnected;
+  }
 }
 
 }  // namespace jacinth
--- a/source/unit_tests/forwarding/link_monitor_test.cc
+++ b/source/unit_tests/forwarding/link_monitor_test.cc
@@ -70,6 +70,26 @@
       links.OnProbeEnd(LinkProbeEnd::kRefused, kNow);
     CHECK(links.state() == LinkState::kLost);
   }
+  SECTION("all probes connect and go without a response") {
+    for (std::size_t i = 0; i < probed.size(); ++i)
+      links.OnProbeEnd(LinkProbeEnd::kSilent, kNow);
+    CHECK(links.state() == LinkState::kLost);
+    CHECK(links.is_silent());
+    // Another connection without a response shows nothing new.
+    links.OnProbeEnd(LinkProbeEnd::kSilent, kNow + 500ms);
+    CHECK(links.state() == LinkState::kLost);
+    links.OnProbeEnd(LinkProbeEnd::kConnected, kNow + 500ms);
+    CHECK(links.state() == LinkState::kConnected);
+  }
+  // Guards against staying isolated because all endpoints are too busy to
+  // answer probes.
+  SECTION("links that opened no connections are restored once they do") {
+    for (std::size_t i = 0; i < probed.size(); ++i)
+      links.OnProbeEnd(LinkProbeEnd::kNoResponse, kNow);
+    CHECK(links.state() == LinkState::kLost);
+    links.OnProbeEnd(LinkProbeEnd::kSilent, kNow + 500ms);
+    CHECK(links.state() == LinkState::kConnected);
+  }
   // Guards against handing over all requests because some endpoints crashed.
   SECTION("one probe connects") {
     links.OnProbeEnd(LinkProbeEnd::kNoResponse, kNow);
@@ -80,6 +100,29 @@
   }
 }
 
+// Guards against links that open connections but carry no responses, which
+// look like slow endpoints until the requests time out.
+TEST_CASE(
+    "Several endpoints that owe answers for a while cast doubt on the "
+    "links") {
+  LinkMonitor links;
+  links.SetEndpointCount(12);
+  for (const char* endpoint : {"p0", "p1", "p2"})
+    links.OnSent(endpoint, kNow);
+  links.CheckSilence(kNow + 900ms);
+  CHECK(links.state() == LinkState::kConnected);
+  SECTION("if none has answered") {
+    links.CheckSilence(kNow + 1s);
+    CHECK(links.state() == LinkState::kSuspected);
+    CHECK(links.WantsProbes(kNow + 1s));
+  }
+  SECTION("unless any endpoint has answered since") {
+    links.OnAnswer(kNow + 900ms);
+    links.CheckSilence(kNow + 1s);
+    CHECK(links.state() == LinkState::kConnected);
+  }
+}
+
 TEST_CASE(
     "Failures long apart, or of one endpoint, don't cast doubt on the "
     "links") {
