Entry: Hand over requests under way when the links fall silent

Callers whose repeatable requests were under way when an entry lost its links waited for the route's timeout, although the loss was known and other entries could serve them (listed as open in docs/incidents/recover.md). Cause: only requests that came or waited later were handed over. Change: when the links are lost and silent, repeatable requests under way are canceled and handed over, each as a retry of the budget. Idle connections are closed, as they may stay silent after the links are back. If connections are refused, open ones may live on and are left alone; requests that run once keep waiting for their answer, which may still arrive. Evidence: "Repeatable requests under way are handed over when the links fall silent" fails without the hand-over (0 == 3 relays) and passes.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -124,6 +124,9 @@
   /// Fraction of the callers' connections to close after their next answer, so
   /// that the callers spread over more entries.
   double recycled_connections = 0;
+  /// True if idle connections to endpoints must be closed, because the links
+  /// that they use may have dropped them.
+  bool drop_idle_connections = false;
   /// Log records of decisions and state changes.
   std::vector<log::Record> log_records;
   /// Latest time at which the next Tick must be delivered.
--- a/source/core/entry/entry_links.cc
+++ b/source/core/entry/entry_links.cc
@@ -83,8 +83,13 @@
     service_state.endpoints.ForgiveFailures();
   session_.SetIsolated(lost);
   PublishSnapshot();
-  if (lost)
-    RelayWaitingRequests(now);
+  if (!lost)
+    return;
+  RelayWaitingRequests(now);
+  if (!links_.is_silent())
+    return;
+  actions_.drop_idle_connections = true;
+  RelayRunningRequests(now);
 }
 
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -121,6 +121,7 @@
   bool StartRelay(RequestRecord& record, Time now);
   void On(const RelayEnded& event, Time now);
   void RelayWaitingRequests(Time now);
+  void RelayRunningRequests(Time now);
   void SpreadCallers();
 
   // Arrival and admission of requests.
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -169,6 +169,26 @@
   }
 }
 
+// Hands the repeatable requests that endpoints have got to other entries, as
+// their answers can't arrive before the links are restored.
+void EntryNode::RelayRunningRequests(Time now) {
+  for (auto& [ticket, record] : requests_) {
+    if (record.endpoint.empty() || !record.kind.repeatable() ||
+        !CanRelay(record, now))
+      continue;
+    ServiceState& service_state = services_.at(record.service);
+    if (!TryAcquireRetry(record, service_state, AttemptEnd::kTimedOut, now))
+      continue;
+    LogAttemptEnd(record, AttemptEnd::kTimedOut, /*will_retry=*/true, now);
+    service_state.endpoints.OnAttemptEnd(record.endpoint,
+                                         AttemptEnd::kCancelled, {}, now);
+    actions_.cancellations.push_back({ticket});
+    record.endpoint.clear();
+    record.may_have_run = true;
+    StartRelay(record, now);
+  }
+}
+
 // Asks a part of the callers to connect anew when isolated entries return.
 // Their callers have moved to this one and others, and keep their connections.
 void EntryNode::SpreadCallers() {
--- a/source/core/http/event_client.cc
+++ b/source/core/http/event_client.cc
@@ -53,10 +53,7 @@
     connection->Close();
 }
 
-void EventClient::Stop() {
-  const auto calls = std::exchange(calls_, {});
-  for (const auto& [id, call] : calls)
-    call.first->Close();
+void EventClient::CloseAllIdleConnections() {
   const auto idle = std::exchange(idle_connections_, {});
   for (const auto& [address, connections] : idle) {
     for (const ConnectionPtr& connection : connections)
@@ -64,6 +61,13 @@
   }
 }
 
+void EventClient::Stop() {
+  const auto calls = std::exchange(calls_, {});
+  for (const auto& [id, call] : calls)
+    call.first->Close();
+  CloseAllIdleConnections();
+}
+
 void EventClient::OnExchangeEnd(CallId id,
                                 const ConnectionPtr& connection,
                                 ExchangeResult result) {
--- a/source/core/http/event_client.h
+++ b/source/core/http/event_client.h
@@ -62,6 +62,8 @@
 
   /// Closes the idle connections to `address`.
   void CloseIdleConnections(const std::string& address);
+  /// Closes the idle connections to all addresses.
+  void CloseAllIdleConnections();
 
   /// Sets the limit on the bytes of all incomplete responses together. Beyond
   /// it, the exchange with the longest response so far ends as incomplete, so
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -395,6 +395,8 @@
     ApplySnapshot(std::move(actions.snapshot));
   for (const entry::OutgoingMessage& message : actions.messages)
     hub_.Send(message.to_instance, message.envelope);
+  if (actions.drop_idle_connections)
+    client_.CloseAllIdleConnections();
   for (const entry::CancelAttempt& cancel : actions.cancellations) {
     const auto pending = pending_requests_.find(cancel.ticket);
     if (pending != pending_requests_.end())
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -55,6 +55,19 @@
   return arrival.ticket;
 }
 
+/// Ends all probes of the links.
+void EndProbes(EntryDriver& driver, forwarding::LinkProbeEnd end) {
+  const auto probes = driver.probes;
+  driver.probes.clear();
+  for (const StartProbe& probe : probes) {
+    if (!probe.tests_links)
+      continue;
+    driver.Step(ProbeEnded{probe.service, probe.endpoint,
+                           forwarding::ProbeEnd::kFailed, end,
+                           /*tests_links=*/true});
+  }
+}
+
 /// Fails attempts and probes until the links are known to be lost.
 void LoseLinks(EntryDriver& driver) {
   std::size_t failed = 0;
@@ -64,16 +77,7 @@
       driver.EndAttempt(driver.attempts[failed], AttemptEnd::kNotConnected);
   }
   driver.AdvanceTime(20ms);
-  const auto probes = driver.probes;
-  driver.probes.clear();
-  for (const StartProbe& probe : probes) {
-    if (!probe.tests_links)
-      continue;
-    driver.Step(ProbeEnded{probe.service, probe.endpoint,
-                           forwarding::ProbeEnd::kFailed,
-                           forwarding::LinkProbeEnd::kNoResponse,
-                           /*tests_links=*/true});
-  }
+  EndProbes(driver, forwarding::LinkProbeEnd::kNoResponse);
   REQUIRE(driver.snapshot->self.isolated);
   const auto relays = driver.relays;
   for (const StartRelay& relay : relays)
@@ -228,6 +232,40 @@
     CHECK(relay.entry == "e3");
 }
 
+// Guards against holding requests until their deadline although their answers
+// can't arrive (docs/incidents/recover.md).
+TEST_CASE(
+    "Repeatable requests under way are handed over when the links fall "
+    "silent") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west")});
+  std::vector<RequestTicket> repeatable;
+  for (int i = 0; i < 3; ++i)
+    repeatable.push_back(driver.SendRequest("GET", "/x"));
+  const RequestTicket once = SendOnce(driver);
+  driver.AdvanceTime(1'100ms);
+  const bool refused = GENERATE(true, false);
+  EndProbes(driver, refused ? forwarding::LinkProbeEnd::kRefused
+                            : forwarding::LinkProbeEnd::kSilent);
+  REQUIRE(driver.snapshot->self.isolated);
+  // Open connections may live on while new ones are refused.
+  if (refused) {
+    CHECK(driver.relays.empty());
+    CHECK(driver.cancellations.empty());
+    return;
+  }
+  CHECK(driver.dropped_idle_connections);
+  REQUIRE(driver.relays.size() == repeatable.size());
+  CHECK(driver.cancellations.size() == repeatable.size());
+  for (const StartRelay& relay : driver.relays) {
+    CHECK(relay.ticket != once);
+    EndRelay(driver, relay, AttemptEnd::kAnswered);
+    CHECK(driver.answers.count(relay.ticket) == 1);
+  }
+  CHECK(driver.node.active_requests() == 1);
+}
+
 TEST_CASE("A relay ends when its caller leaves") {
   EntryDriver driver = MakeIsolatedDriver();
   const RequestTicket ticket = SendOnce(driver);
--- a/source/unit_tests/support/entry_driver.h
+++ b/source/unit_tests/support/entry_driver.h
@@ -50,6 +50,7 @@
     for (auto& probe : actions.probes)
       probes.push_back(std::move(probe));
     recycled_connections += actions.recycled_connections;
+    dropped_idle_connections |= actions.drop_idle_connections;
     if (actions.snapshot)
       snapshot = actions.snapshot;
     stopped |= actions.stopped;
@@ -162,6 +163,7 @@
   std::shared_ptr<const steering::SteeringSnapshot> snapshot;
   bool stopped = false;
   double recycled_connections = 0;
+  bool dropped_idle_connections = false;
 };
 
 /// Settings of a service `s` with two endpoints, a repeatable kind (GET) and an
