--- a/source/core/forwarding/link_monitor.h
+++ b/source/core/forwarding/link_monitor.h
@@ -47,11 +47,11 @@
 ///
 /// Only an exchange on a new connection shows that the links work: connections
 /// that were open before may live on while new ones are refused. When several
-/// endpoints have failed without one, or have got requests and none has answered
-/// for a while, others are probed. The links are lost if all of these refuse the
-/// connection, or if none responds and no endpoint has answered any request for
-/// a while: as long as answers arrive, the links are merely slow. Probes go on
-/// until one succeeds.
+/// endpoints have failed without one, or have got requests and none has
+/// answered for a while, others are probed. The links are lost if all of these
+/// refuse the connection, or if none responds and no endpoint has answered any
+/// request for a while: as long as answers arrive, the links are merely slow.
+/// Probes go on until one succeeds.
 class LinkMonitor {
  public:
   LinkState state() const { return state_; }
