Admission: Let urgent refused callers return first

Under a rate limit, urgent callers that were refused got a time to come back behind all less urgent ones that had been refused before, up to a third of the time that they had left. Cause: a service's returns were planned in one order for all ranks. Change: each rank has its own next time; a return that is planned also delays the next ones of less urgent ranks, so that all together come no faster than before. Evidence: "Urgent refused callers return before less urgent ones" fails with one order for all ranks (1.1 s == 100 ms, 1.2 s == 200 ms) and passes. Two more checks there hold the rate of all together.

--- a/source/core/admission/return_schedule.cc
+++ b/source/core/admission/return_schedule.cc
@@ -14,15 +14,19 @@
 }  // namespace
 
 Duration ReturnSchedule::Next(Time now,
+                              Rank rank,
                               double per_second,
                               Duration shortest,
                               Duration longest) {
-  const Time planned = std::max(next_return_, now + shortest);
+  const Time planned = std::max(next_returns_[RankIndex(rank)], now + shortest);
   if (planned - now >= longest)
     return std::max(shortest, longest);
-  const std::chrono::duration<double> spacing(
-      1 / (std::max(per_second, kMinRate) * kReturningPart));
-  next_return_ = planned + std::chrono::duration_cast<Duration>(spacing);
+  const auto spacing =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          1 / (std::max(per_second, kMinRate) * kReturningPart)));
+  // Less urgent callers that are refused later make room for this one.
+  for (std::size_t i = RankIndex(rank); i < kRankCount; ++i)
+    next_returns_[i] = std::max(next_returns_[i], planned) + spacing;
   return planned - now;
 }
 
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -105,15 +105,15 @@
 }
 
 // Returns the time after which a refused caller may retry. The callers of a
-// service with rate limits return one after the other.
+// service with rate limits return one after the other, urgent ones first.
 Duration EntryNode::ScheduleReturn(const RequestRecord& record, Time now) {
   const Duration shortest = RetryAfter(record);
   ServiceState& service_state = services_.at(record.service);
   if (!service_state.endpoints.IsRateLimited())
     return shortest;
   const Duration longest = (record.deadline - now) / kLongestReturnDivisor;
-  return service_state.returns.Next(now, service_state.sent.Rate(now), shortest,
-                                    longest);
+  return service_state.returns.Next(
+      now, record.kind.rank, service_state.sent.Rate(now), shortest, longest);
 }
 
 }  // namespace jacinth::entry
