Entry: Refuse waiting requests that a rate limit keeps out

Callers whose requests waited for an endpoint when its rate limit was named were held for as long as they may wait, which without an objective is their whole time limit, and refused then, although it was known that no endpoint would take them. Cause: the limits were compared with a request's time only when it arrived. Change: whenever requests are dispatched, those that the limits keep out for longer than they may wait are refused as not run, less urgent ones first, and count as demand for the shares. Evidence: "Waiting requests that a new rate limit keeps out are refused at once" fails without the call (36 <= 2) and passes.

--- a/source/core/admission/admission_queue.cc
+++ b/source/core/admission/admission_queue.cc
@@ -1,6 +1,8 @@
 #include "core/admission/admission_queue.h"
 
 #include <algorithm>
+#include <chrono>
+#include <tuple>
 
 namespace jacinth::admission {
 
@@ -65,6 +67,31 @@
   return expired;
 }
 
+std::vector<RequestTicket> AdmissionQueue::TakeUnservable(Time next,
+                                                          double per_second) {
+  using Seconds = std::chrono::duration<double>;
+  std::vector<std::tuple<Rank, Time, RequestTicket>> order;
+  for (const auto& [name, state] : kinds_) {
+    for (const WaitingRequest& waiting : state.waiting)
+      order.emplace_back(state.rank, waiting.deadline, waiting.ticket);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<RequestTicket> unservable;
+  double servable = 0;
+  for (const auto& [rank, deadline, ticket] : order) {
+    const bool in_time =
+        next <= deadline &&
+        servable <= Seconds(deadline - next).count() * per_second;
+    if (in_time)
+      servable += 1;
+    else
+      unservable.push_back(ticket);
+  }
+  for (const RequestTicket ticket : unservable)
+    Remove(ticket);
+  return unservable;
+}
+
 std::optional<RequestTicket> AdmissionQueue::TakeNext(int slots) {
   KindState* chosen_kind = nullptr;
   for (const Rank rank : kRanks) {
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -42,6 +42,11 @@
   /// Removes and returns the waiting requests whose deadline has passed.
   std::vector<RequestTicket> TakeExpired(Time now);
 
+  /// Removes and returns the waiting requests that can't be taken before their
+  /// deadlines if one request can be taken at `next`, and `per_second` requests
+  /// after it. Less urgent requests are removed first.
+  std::vector<RequestTicket> TakeUnservable(Time next, double per_second);
+
   /// Removes and returns the next request to run; `slots` is the total number
   /// of slots, which the shares refer to. Returns nullopt if no request can run
   /// now.
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -103,6 +103,7 @@
   bool RefuseBeyondRate(const RequestRecord& record,
                         ServiceState& service_state,
                         Time now);
+  void RefuseWaitingBeyondRate(ServiceState& service_state, Time now);
   std::string OwnerFor(const RequestRecord& record) const;
 
   // Links to endpoints.
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -12,6 +12,11 @@
 /// caller, which leaves it time for the request and one more attempt.
 constexpr int kLongestReturnDivisor = 3;
 
+Error RateLimitError(const std::string& service) {
+  return {ErrorKind::kOverloaded,
+          "the rate limits of the endpoints of " + service + " are used up"};
+}
+
 }  // namespace
 
 void EntryNode::OnRateLimitNotice(const RequestRecord& record,
@@ -84,17 +89,31 @@
   if (served_in_time || (waiting == 0 && block->until <= record.wait_until))
     return false;
   service_state.endpoints.CountRefusedDemand(OwnerFor(record), now);
-  RefuseRequest refusal{
-      {ErrorKind::kOverloaded, "the rate limits of the endpoints of " +
-                                   record.service + " are used up"},
-      Outcome::kNotRun,
-      ScheduleReturn(record, now)};
+  RefuseRequest refusal{RateLimitError(record.service), Outcome::kNotRun,
+                        ScheduleReturn(record, now)};
   LogRefusal(record.arrival, refusal);
   actions_.answers.push_back(
       {record.arrival.ticket, std::move(refusal), record.kind.rank});
   return true;
 }
 
+// Refuses the queued requests that the rate limits of all endpoints keep out
+// for longer than they may wait. The limits may have been named after they
+// arrived.
+void EntryNode::RefuseWaitingBeyondRate(ServiceState& service_state, Time now) {
+  if (service_state.queue.waiting() == 0)
+    return;
+  const auto block = service_state.endpoints.FindRateBlock(now);
+  if (!block)
+    return;
+  for (const RequestTicket ticket :
+       service_state.queue.TakeUnservable(block->until, block->per_second)) {
+    const RequestRecord& record = requests_.at(ticket);
+    service_state.endpoints.CountRefusedDemand(OwnerFor(record), now);
+    Refuse(ticket, RateLimitError(record.service), now);
+  }
+}
+
 // Returns the owner of the slice of the request's object; empty if there is
 // none.
 std::string EntryNode::OwnerFor(const RequestRecord& record) const {
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -240,14 +240,15 @@
   EndRequest(ticket, RefuseRequest{std::move(error), outcome, {}}, now);
 }
 
-// Starts attempts of queued requests while endpoints have free slots.
+// Starts attempts of queued requests while endpoints have free slots, and
+// refuses those that rate limits keep out.
 void EntryNode::DispatchRequests(ServiceState& service_state, Time now) {
   while (service_state.queue.waiting() != 0 &&
          service_state.endpoints.HasFreeSlot(now)) {
     const auto ticket =
         service_state.queue.TakeNext(service_state.endpoints.UsableSlots());
     if (!ticket)
-      return;
+      break;
     RequestRecord& record = requests_.at(*ticket);
     record.phase = RequestPhase::kRunning;
     if (IsTooLate(record, service_state, now)) {
@@ -266,6 +267,7 @@
             "no endpoint that may serve the request has a free slot"},
            now);
   }
+  RefuseWaitingBeyondRate(service_state, now);
 }
 
 }  // namespace jacinth::entry
--- a/source/unit_tests/admission/admission_queue_test.cc
+++ b/source/unit_tests/admission/admission_queue_test.cc
@@ -179,4 +179,27 @@
   CHECK(property_holds);
 }
 
+TEST_CASE(
+    "Waiting requests that a rate keeps out are taken, less urgent ones "
+    "first") {
+  QueueFixture fixture(0, 0);
+  for (const char* kind :
+       {"background1", "background2", "normal1", "urgent1", "urgent2"})
+    fixture.AdmitAndEnqueue(kind);
+  SECTION("none if all are taken in time") {
+    CHECK(fixture.queue.TakeUnservable(kDeadline - 5s, 1).empty());
+    CHECK(fixture.queue.TakeUnservable(kDeadline - 4s, 1).empty());
+    CHECK(fixture.queue.waiting() == 5);
+  }
+  SECTION("those that are not taken in time") {
+    CHECK(fixture.queue.TakeUnservable(kDeadline - 2s, 1) ==
+          std::vector<RequestTicket>{1, 2});
+    CHECK(fixture.NextKind(10) == "urgent1");
+  }
+  SECTION("all if none is taken in time") {
+    CHECK(fixture.queue.TakeUnservable(Time::max(), 0).size() == 5);
+    CHECK(fixture.queue.waiting() == 0);
+  }
+}
+
 }  // namespace jacinth::admission
--- a/source/unit_tests/entry/entry_rate_limit_test.cc
+++ b/source/unit_tests/entry/entry_rate_limit_test.cc
@@ -89,6 +89,41 @@
   CHECK(refused + sent + 4 >= driver.last_ticket - first + 1);
 }
 
+// Guards against holding callers until their deadline whom a limit that was
+// named while they waited keeps out.
+TEST_CASE(
+    "Waiting requests that a new rate limit keeps out are refused at once") {
+  EntryDriver driver;
+  driver.ApplySettings(test::ServiceSettingsText());
+  std::vector<RequestTicket> waiting;
+  for (int i = 0; i < 40; ++i) {
+    const RequestTicket ticket = driver.SendRequest("GET", "/x");
+    const bool started =
+        !driver.attempts.empty() && driver.attempts.back().ticket == ticket;
+    if (!started && driver.FindRefusal(ticket) == nullptr)
+      waiting.push_back(ticket);
+  }
+  REQUIRE(waiting.size() >= 4);
+  constexpr double kLimit = 0.5;
+  const std::size_t started = driver.attempts.size();
+  for (std::size_t i = 0; i < started; ++i)
+    AnswerWithLimit(driver, driver.attempts[i], kLimit);
+  driver.AdvanceTime(20ms);
+  std::size_t held = 0;
+  for (const RequestTicket ticket : waiting) {
+    const RefuseRequest* refusal = driver.FindRefusal(ticket);
+    const bool refused = refusal != nullptr;
+    held += refused || driver.WasForwarded(ticket) ? 0 : 1;
+    if (!refused)
+      continue;
+    CHECK(refusal->outcome == Outcome::kNotRun);
+    CHECK(refusal->retry_after > Duration{0});
+  }
+  // Two endpoints can take two requests in the time limit of 2 s, and the
+  // attempts that started before the limit was named.
+  CHECK(held <= 2 + driver.attempts.size() - started);
+}
+
 // Guards against treating the refusals of an endpoint that is in need as its
 // failure, which would move its objects to endpoints that are cold for them.
 TEST_CASE("An endpoint with a rate limit is not ejected for its refusals") {
