Admission: Let urgent requests pass those that wait under a rate limit

Urgent callers were refused while less urgent ones waited for what the rate limits of all endpoints left, although they would have been served first. Cause: on arrival, all waiting requests counted as being ahead of the new one. Change: only requests of the same or a more urgent rank count; the least urgent waiting one is refused in its place. Evidence: "Less urgent requests that wait under a rate limit make room" fails when all ranks count (the urgent request is refused) and passes.

--- a/source/core/admission/admission_queue.cc
+++ b/source/core/admission/admission_queue.cc
@@ -140,6 +140,13 @@
   return count;
 }
 
+std::size_t AdmissionQueue::WaitingAtOrAbove(Rank rank) const {
+  std::size_t count = 0;
+  for (const auto& [name, state] : kinds_)
+    count += state.rank <= rank ? state.waiting.size() : 0;
+  return count;
+}
+
 bool AdmissionQueue::HasRunnableRequest(const KindState& state) const {
   return !state.waiting.empty() && state.running < state.concurrency_limit;
 }
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -60,6 +60,8 @@
   void Release(const std::string& kind, bool running);
 
   std::size_t waiting() const;
+  /// Returns the number of waiting requests of `rank` and more urgent ones.
+  std::size_t WaitingAtOrAbove(Rank rank) const;
 
  private:
   struct WaitingRequest {
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -81,12 +81,14 @@
   const auto block = service_state.endpoints.FindRateBlock(now);
   if (!block)
     return false;
-  const auto waiting = static_cast<double>(service_state.queue.waiting());
-  const double longest_wait =
-      std::chrono::duration<double>(record.wait_until - now).count();
+  // Less urgent requests that wait make room for this one.
+  const auto ahead = static_cast<double>(
+      service_state.queue.WaitingAtOrAbove(record.kind.rank));
+  const std::chrono::duration<double> time_left =
+      record.wait_until - block->until;
   const bool served_in_time = block->until <= record.wait_until &&
-                              waiting < block->per_second * longest_wait;
-  if (served_in_time || (waiting == 0 && block->until <= record.wait_until))
+                              ahead <= time_left.count() * block->per_second;
+  if (served_in_time)
     return false;
   service_state.endpoints.CountRefusedDemand(OwnerFor(record), now);
   RefuseRequest refusal{RateLimitError(record.service), Outcome::kNotRun,
--- a/source/unit_tests/entry/entry_rate_limit_test.cc
+++ b/source/unit_tests/entry/entry_rate_limit_test.cc
@@ -61,6 +61,13 @@
   return driver.attempts.size() - before;
 }
 
+std::size_t CountRefusals(const EntryDriver& driver) {
+  std::size_t count = 0;
+  for (const auto& [ticket, answer] : driver.answers)
+    count += std::holds_alternative<RefuseRequest>(answer.body) ? 1 : 0;
+  return count;
+}
+
 }  // namespace
 
 // Guards against sending an endpoint more requests than the limit that it names
@@ -124,6 +131,23 @@
   CHECK(held <= 2 + driver.attempts.size() - started);
 }
 
+// Guards against refusing urgent callers because less urgent ones wait for what
+// a rate limit leaves.
+TEST_CASE("Less urgent requests that wait under a rate limit make room") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText() +
+                       "[service/s/kind/batch]\npath_prefix = /\n"
+                       "method = PUT\nrepeatable = true\n"
+                       "rank = background\n");
+  SendSteadily(driver, 1s, 5.0);
+  while (driver.FindRefusal(driver.SendRequest("PUT", "/x")) == nullptr) {
+  }
+  const std::size_t refused = CountRefusals(driver);
+  const RequestTicket urgent = driver.SendRequest("GET", "/x");
+  CHECK(driver.FindRefusal(urgent) == nullptr);
+  CHECK(CountRefusals(driver) == refused + 1);
+}
+
 // Guards against treating the refusals of an endpoint that is in need as its
 // failure, which would move its objects to endpoints that are cold for them.
 TEST_CASE("An endpoint with a rate limit is not ejected for its refusals") {
