Forwarding: Notice lost links of an entry with few requests

All callers of a quiet entry that had lost its links were refused after two connect timeouts each, for as long as the loss lasted. Cause: the links are suspected when three endpoints have failed within 2 s, and the failures of requests that are further apart were forgotten, although no endpoint had answered in between. Change: a failure counts until an endpoint has answered after it, and for 2 s in any case. A suspicion alone changes nothing; probes decide.

--- a/source/core/forwarding/link_monitor.cc
+++ b/source/core/forwarding/link_monitor.cc
@@ -19,8 +19,9 @@
 
 /// Number of endpoints that must have failed to suspect the links.
 constexpr std::size_t kMinFailedEndpoints = 3;
-/// Time for which a failure counts: longer than a connect timeout and a few
-/// times the interval between the requests of a quiet entry.
+/// Time for which a failure counts once an endpoint has answered after it:
+/// longer than a connect timeout. Without an answer it counts until there is
+/// one, as the requests of a quiet entry may be far apart.
 constexpr Duration kFailureLifetime = 2s;
 /// Number of endpoints probed at a time.
 constexpr std::size_t kProbeCount = 4;
@@ -44,7 +45,7 @@
   if (state_ != LinkState::kConnected)
     return;
   std::erase_if(failed_, [&](const auto& item) {
-    return item.second + kFailureLifetime < now;
+    return item.second + kFailureLifetime < now && last_answer_ > item.second;
   });
   if (IsSuspicious() && now >= trusted_until_)
     state_ = LinkState::kSuspected;
