Entry: Admit no more requests than the instance's network link carries

Callers of a grown site were held for seconds and served late or not at all, also by entries that had their links to endpoints, while 42 of 71 entries had lost theirs: the links of the other 29 (2.8 Mbit/s) would have had to carry 3.6 Mbit/s each. Cause: nothing in an entry knew what its network link carries, so that packets queued there and made all requests late instead of some refused. Change: an entry counts the bytes of requests and answers, the answers in advance by the average of their kind, and refuses what its bandwidth doesn't carry at once as not run. Refused callers return one after the other. The bandwidth is the new setting bandwidth_mbps; 0 is the behavior before.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -111,6 +111,7 @@
   if (event.rate_limit)
     OnRateLimitNotice(record, service_state, *event.rate_limit, now);
   RecordSliceUse(record, now);
+  record.answer_bytes += static_cast<double>(event.answer_bytes);
   const bool refused = event.end == AttemptEnd::kRefused;
   // The endpoint refused despite an idle slot. It may be chosen for the next
   // attempt, as it may own the object's slice and be warm for it.
@@ -139,6 +140,8 @@
   if (answered) {
     service_state.RecordAnswerTime(record.kind.name,
                                    now - record.attempt_started);
+    service_state.RecordAnswerBytes(record.kind.name,
+                                    static_cast<double>(event.answer_bytes));
     FinishClaim(record, Outcome::kRan, event.answer, now);
     EndRequest(event.ticket, ForwardAnswer{}, now);
     DispatchRequests(service_state, now);
--- a/source/core/entry/entry_completion.cc
+++ b/source/core/entry/entry_completion.cc
@@ -113,6 +113,7 @@
   services_.at(record.service).queue.Release(record.kind.name, running);
   ceilings_.Release(record.kind.rank);
   tickets_by_claim_id_.erase(record.claim_id);
+  SettleBandwidth(record, now);
   LogRequestEnd(record, body, now);
   actions_.answers.push_back({ticket, std::move(body), record.kind.rank});
   requests_.erase(found);
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -51,6 +52,8 @@
   /// Time budget given by the caller; zero if none, negative if its deadline
   /// has already passed.
   Duration budget{0};
+  /// Size of the request on the wire, in bytes.
+  std::size_t message_bytes = 0;
   /// W3C trace context; empty if the request isn't traced.
   std::string traceparent;
   /// True if another entry has handed the request to this one, which must not
@@ -64,6 +67,8 @@
   forwarding::AttemptEnd end = forwarding::AttemptEnd::kConnectionLost;
   /// The parts of a complete answer that the ledger records.
   protocol::RecordedAnswer answer;
+  /// Size of the answer on the wire, in bytes; 0 if there was none.
+  std::size_t answer_bytes = 0;
   /// Load reported by the endpoint with its answer.
   std::optional<forwarding::LoadReport> load;
   /// True if the attempt was the first exchange on its connection.
@@ -82,6 +87,8 @@
   /// kAnswered for a final answer of any kind; kRefused if the other entry
   /// can't serve the request either and has not run it.
   forwarding::AttemptEnd end = forwarding::AttemptEnd::kConnectionLost;
+  /// Size of the answer on the wire, in bytes; 0 if there was none.
+  std::size_t answer_bytes = 0;
 };
 
 /// The caller closed its connection before it received an answer.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -31,7 +31,8 @@
 EntryNode::EntryNode(EntryOptions options)
     : options_(std::move(options)),
       session_(options_.self, options_.heartbeat, options_.control_timeout),
-      ceilings_(options_.max_requests) {
+      ceilings_(options_.max_requests),
+      bandwidth_(options_.bandwidth) {
   session_.SetContacts(options_.contacts);
 }
 
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/bandwidth_budget.h"
 #include "core/admission/rank_ceilings.h"
+#include "core/admission/return_schedule.h"
 #include "core/common/error.h"
 #include "core/common/time.h"
 #include "core/entry/claim_client.h"
@@ -17,6 +19,7 @@
 #include "core/entry/request_record.h"
 #include "core/entry/service_state.h"
 #include "core/entry/weighted_round_robin.h"
+#include "core/forwarding/demand_meter.h"
 #include "core/forwarding/link_monitor.h"
 #include "core/settings/fleet_limits.h"
 
@@ -33,6 +36,9 @@
   Duration drain_limit{0};
   /// Maximum number of requests held at once.
   int max_requests = 0;
+  /// Bandwidth of the network link in each direction, in bytes per second; 0 if
+  /// requests are not limited by it.
+  double bandwidth = 0;
   /// Limits that apply to all entry instances together.
   settings::FleetLimits limits;
   /// Region of each failure domain; the platform's list gives only the failure
@@ -106,6 +112,14 @@
   void RefuseWaitingBeyondRate(ServiceState& service_state, Time now);
   std::string OwnerFor(const RequestRecord& record) const;
 
+  // Bandwidth of this instance's network link.
+  void CountArrival(const RequestArrived& event, Time now);
+  void CountExpectedAnswer(RequestRecord& record,
+                           const ServiceState& service_state,
+                           Time now);
+  void SettleBandwidth(const RequestRecord& record, Time now);
+  bool RefuseBeyondBandwidth(const RequestRecord& record, Time now);
+
   // Links to endpoints.
   void TrackLinks(const RequestRecord& record,
                   const AttemptEnded& event,
@@ -133,6 +147,7 @@
                                     Time now) const;
   Duration RetryAfter(const RequestRecord& record) const;
   Duration ScheduleReturn(const RequestRecord& record, Time now);
+  Duration LongestReturn(const RequestRecord& record, Time now) const;
   void Admit(RequestRecord record, ServiceState& service_state, Time now);
   void StartClaim(RequestRecord& record, Time now);
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
@@ -193,6 +208,11 @@
   ControlSession session_;
   ClaimClient claim_client_;
   admission::RankCeilings ceilings_;
+  admission::BandwidthBudget bandwidth_;
+  /// Returns of the callers that were refused for lack of bandwidth.
+  admission::ReturnSchedule bandwidth_returns_;
+  /// Requests that were admitted.
+  forwarding::DemandMeter admitted_;
   forwarding::LinkMonitor links_;
   /// State that OnLinkStateChange() has acted on.
   forwarding::LinkState applied_links_ = forwarding::LinkState::kConnected;
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -132,9 +132,13 @@
   ServiceState& service_state = services_.at(record.service);
   if (!service_state.endpoints.IsRateLimited())
     return shortest;
-  const Duration longest = (record.deadline - now) / kLongestReturnDivisor;
-  return service_state.returns.Next(
-      now, record.kind.rank, service_state.sent.Rate(now), shortest, longest);
+  return service_state.returns.Next(now, record.kind.rank,
+                                    service_state.sent.Rate(now), shortest,
+                                    LongestReturn(record, now));
+}
+
+Duration EntryNode::LongestReturn(const RequestRecord& record, Time now) const {
+  return (record.deadline - now) / kLongestReturnDivisor;
 }
 
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -132,7 +132,10 @@
     return;
   RequestRecord& record = found->second;
   const std::string entry = std::exchange(record.relay_entry, {});
+  record.answer_bytes += static_cast<double>(event.answer_bytes);
   if (event.end == AttemptEnd::kAnswered) {
+    services_.at(record.service)
+        .RecordAnswerBytes(record.kind.name, record.answer_bytes);
     EndRequest(event.ticket, RelayedAnswer{}, now);
     return;
   }
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -56,6 +56,7 @@
     LogRefusal(event, refusal);
     actions_.answers.push_back({event.ticket, std::move(refusal), {}});
   };
+  CountArrival(event, now);
   if (const auto error = CheckArrival(event)) {
     refuse(*error, kMaxRetryAfter);
     return;
@@ -90,6 +91,8 @@
   }
   if (!links_lost && RefuseBeyondRate(record, service_state, now))
     return;
+  if (RefuseBeyondBandwidth(record, now))
+    return;
   Admit(std::move(record), service_state, now);
 }
 
@@ -190,6 +193,7 @@
   service_state.retries.OnFirstAttempt(now);
   const bool needs_claim = record.kind.execution == Execution::kAtMostOnce;
   RequestRecord& stored = requests_[ticket] = std::move(record);
+  CountExpectedAnswer(stored, service_state, now);
   if (ShouldRelay(stored, now)) {
     stored.phase = RequestPhase::kRelaying;
     StartRelay(stored, now);
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -44,6 +44,10 @@
   std::set<std::string> tried_entries;
   /// Endpoints that the next attempt must not use.
   std::set<std::string> excluded_endpoints;
+  /// Size of the answer that was counted as bandwidth in advance, and of the
+  /// answers received so far, in bytes.
+  double expected_answer_bytes = 0;
+  double answer_bytes = 0;
   /// An earlier attempt ran the request or ended with an unknown outcome.
   bool may_have_run = false;
   /// The last attempt ended with an unknown outcome, such as a lost connection
--- a/source/core/entry/service_state.cc
+++ b/source/core/entry/service_state.cc
@@ -21,6 +21,17 @@
     it->second += (time - it->second) / kAverageDivisor;
 }
 
+void ServiceState::RecordAnswerBytes(const std::string& kind, double bytes) {
+  const auto [it, inserted] = average_answer_bytes.try_emplace(kind, bytes);
+  if (!inserted)
+    it->second += (bytes - it->second) / kAverageDivisor;
+}
+
+double ServiceState::ExpectedAnswerBytes(const std::string& kind) const {
+  const auto it = average_answer_bytes.find(kind);
+  return it == average_answer_bytes.end() ? 0 : it->second;
+}
+
 bool ServiceState::CanFinishByDeadline(const std::string& kind,
                                        Time deadline,
                                        Time now) const {
--- a/source/core/entry/service_state.h
+++ b/source/core/entry/service_state.h
@@ -24,6 +24,8 @@
   forwarding::DemandMeter sent;
   /// Moving average of the time to a complete answer, by request kind.
   std::map<std::string, Duration> average_answer_times;
+  /// Moving average of the size of answers in bytes, by request kind.
+  std::map<std::string, double> average_answer_bytes;
   /// True if the service was removed from the settings. Its state is kept for
   /// the requests that have not ended.
   bool removed = false;
@@ -34,6 +36,12 @@
   /// Adds the time to a complete answer to the average of its kind.
   void RecordAnswerTime(const std::string& kind, Duration time);
 
+  /// Adds the size of an answer to the average of its kind.
+  void RecordAnswerBytes(const std::string& kind, double bytes);
+
+  /// Returns the average size of answers of a kind; 0 if there was none yet.
+  double ExpectedAnswerBytes(const std::string& kind) const;
+
   /// Returns true if an attempt started now is expected to end before
   /// `deadline`, by the average answer time of its kind.
   bool CanFinishByDeadline(const std::string& kind,
--- a/source/core/settings/instance_setting_table.cc
+++ b/source/core/settings/instance_setting_table.cc
@@ -117,6 +117,14 @@
                         "2048",
                         "Maximum number of open caller connections; further "
                         "connections are closed."},
+    InstanceSettingSpec{"entry",
+                        "bandwidth_mbps",
+                        SettingType::kDecimal,
+                        {},
+                        "0",
+                        "Bandwidth of the network link in each direction, in "
+                        "Mbit/s; requests that it can't carry in time are "
+                        "refused. With 0, requests aren't limited by it."},
     InstanceSettingSpec{"entry",
                         "control_timeout_ms",
                         SettingType::kInteger,
--- a/source/core/settings/instance_settings.cc
+++ b/source/core/settings/instance_settings.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "core/common/decimal.h"
 #include "core/common/split.h"
 #include "core/settings/ini_document.h"
 #include "core/settings/tree.h"
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr std::size_t kSha256HexLength = 64;
+constexpr double kBytesPerMegabit = 125'000;
 constexpr std::array<std::string_view, 5> kLogLevels = {
     "trace", "debug", "info", "warning", "error"};
 
@@ -158,6 +160,9 @@
     settings_.ready_address = GetText("entry", "ready_address");
     settings_.entry_requests = GetInt("entry", "requests");
     settings_.entry_connections = GetInt("entry", "connections");
+    settings_.entry_bandwidth =
+        ParseDecimal(GetText("entry", "bandwidth_mbps")).value_or(0) *
+        kBytesPerMegabit;
     settings_.control_timeout = GetMilliseconds("entry", "control_timeout_ms");
     settings_.entry_heartbeat = GetMilliseconds("entry", "heartbeat_ms");
     settings_.drain_limit = GetMilliseconds("entry", "drain_limit_ms");
--- a/source/core/settings/instance_settings.h
+++ b/source/core/settings/instance_settings.h
@@ -50,6 +50,9 @@
   /// Maximum number of requests held and of caller connections open at once.
   int entry_requests = 0;
   int entry_connections = 0;
+  /// Bandwidth of the network link in each direction, in bytes per second; 0 if
+  /// requests are not limited by it.
+  double entry_bandwidth = 0;
   /// Time without contact with the control role after which the entry omits
   /// itself from look-ups.
   Duration control_timeout{0};
--- a/source/core/settings/setting_spec.cc
+++ b/source/core/settings/setting_spec.cc
@@ -7,6 +7,7 @@
 #include <asio/ip/address.hpp>
 #include <asio/ip/network_v4.hpp>
 
+#include "core/common/decimal.h"
 #include "core/common/name_table.h"
 #include "core/common/rank.h"
 #include "core/common/split.h"
@@ -16,6 +17,7 @@
 
 constexpr std::array kTypeNames = {
     NamedValue<SettingType>{SettingType::kInteger, "integer"},
+    NamedValue<SettingType>{SettingType::kDecimal, "decimal number"},
     NamedValue<SettingType>{SettingType::kBoolean, "true or false"},
     NamedValue<SettingType>{SettingType::kText, "text"},
     NamedValue<SettingType>{SettingType::kAddress, "ip:port"},
@@ -93,6 +95,10 @@
   switch (type) {
     case SettingType::kInteger:
       return CheckInteger(range, value);
+    case SettingType::kDecimal:
+      if (!ParseDecimal(value))
+        return "must be a decimal number that is not negative";
+      return std::nullopt;
     case SettingType::kBoolean:
       if (value != "true" && value != "false")
         return "must be true or false";
--- a/source/core/settings/setting_spec.h
+++ b/source/core/settings/setting_spec.h
@@ -10,6 +10,8 @@
 /// Type of a setting, which determines the values that are valid.
 enum class SettingType {
   kInteger,
+  /// Decimal number, not negative.
+  kDecimal,
   kBoolean,
   kText,
   /// `ip:port`, numeric.
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/common/process_clock.h"
+#include "core/http/message_size.h"
 #include "core/log/log.h"
 #include "jacinthroute/entry_host_impl.h"
 
@@ -56,6 +57,7 @@
   options.control_timeout = settings.control_timeout;
   options.drain_limit = settings.drain_limit;
   options.max_requests = settings.entry_requests;
+  options.bandwidth = settings.entry_bandwidth;
   options.limits = adapter.fleet_limits();
   options.failure_domain_regions = settings.failure_domain_regions;
   options.can_list_endpoints = !settings.discovery_address.empty();
@@ -143,6 +145,8 @@
   pending.forwarded.arrival.relayed =
       !http::HeaderValue(transaction->request().headers, kRelayedHeader)
            .empty();
+  pending.forwarded.arrival.message_bytes =
+      http::MessageSize(transaction->request());
   std::erase_if(pending.forwarded.outgoing.headers, [](const auto& field) {
     return http::EqualsIgnoringCase(field.first, kRelayedHeader);
   });
@@ -251,8 +255,9 @@
     return;
   PendingRequest& pending = found->second;
   pending.exchange = 0;
-  entry::RelayEnded ended{ticket, ToAttemptEnd(result.end)};
+  entry::RelayEnded ended{ticket, ToAttemptEnd(result.end), 0};
   if (result.end == http::ExchangeEnd::kAnswered) {
+    ended.answer_bytes = http::MessageSize(result.response);
     if (!adapter_.IsAnswerTo(pending.forwarded, result.response))
       ended.end = forwarding::AttemptEnd::kAnswerIncomplete;
     else if (!http::HeaderValue(result.response.headers, kUnavailableHeader)
@@ -285,6 +290,8 @@
   ended.end = attempt_result.end;
   ended.opened_connection = result.opened_connection;
   ended.connection_refused = result.refused;
+  if (result.end == http::ExchangeEnd::kAnswered)
+    ended.answer_bytes = http::MessageSize(result.response);
   ended.load = attempt_result.load;
   ended.rate_limit = attempt_result.rate_limit;
   ended.answer.status = result.response.status;
--- a/source/unit_tests/settings/instance_settings_test.cc
+++ b/source/unit_tests/settings/instance_settings_test.cc
@@ -50,6 +50,20 @@
             .line == 10);
 }
 
+TEST_CASE("The bandwidth of an entry is a decimal number of Mbit/s") {
+  const auto parse = [](const std::string& value) {
+    return ParseInstanceSettings(InstanceFile(
+        "entry",
+        "[entry]\naddress = 127.0.0.1:3\n" +
+            (value.empty() ? "" : "bandwidth_mbps = " + value + "\n")));
+  };
+  CHECK(parse("2.8").settings.entry_bandwidth == Approx(350'000));
+  CHECK(parse("1000").settings.entry_bandwidth == Approx(125e6));
+  CHECK(parse("").settings.entry_bandwidth == 0);
+  for (const char* value : {"-1", "fast", "2,8", "inf"})
+    CHECK(parse(value).faults.size() == 1);
+}
+
 TEST_CASE(
     "An operator is allowed to change its branches and their descendants") {
   OperatorSettings operator_settings;
