Entry: Count a relayed request once in the retry budget

Endpoints could get more retries than the budget of the whole fleet allows while entries are isolated, up to twice as many if all requests are relayed. Cause: the entry that hands a request over and the one that serves it each counted it as a first attempt. Change: only the former counts it. Evidence: "Requests from other entries add nothing to the retry budget" fails when the latter counts it, too (90 <= 50), and passes.

--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -190,7 +190,9 @@
     actions_.answers.push_back({ticket, std::move(refusal), record.kind.rank});
     return;
   }
-  service_state.retries.OnFirstAttempt(now);
+  // The entry that handed the request over has counted it.
+  if (!record.arrival.relayed)
+    service_state.retries.OnFirstAttempt(now);
   const bool needs_claim = record.kind.execution == Execution::kAtMostOnce;
   RequestRecord& stored = requests_[ticket] = std::move(record);
   CountExpectedAnswer(stored, service_state, now);
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -232,6 +232,29 @@
     CHECK(relay.entry == "e3");
 }
 
+// Guards against retries that exceed the budget of the whole fleet because two
+// entries count the same request.
+TEST_CASE("Requests from other entries add nothing to the retry budget") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  std::size_t failed = 0;
+  constexpr int kRequests = 40;
+  for (int i = 0; i < kRequests; ++i) {
+    RequestArrived arrival;
+    arrival.ticket = ++driver.last_ticket;
+    arrival.service = "s";
+    arrival.method = "GET";
+    arrival.path = "/x";
+    arrival.relayed = true;
+    driver.Step(arrival);
+    for (; failed < driver.attempts.size(); ++failed)
+      driver.EndAttempt(driver.attempts[failed], AttemptEnd::kAnsweredFailure);
+  }
+  // The reserve of an entry that has no requests of its own.
+  constexpr int kReserve = 10;
+  CHECK(driver.attempts.size() <= kRequests + kReserve);
+}
+
 // Guards against holding requests until their deadline although their answers
 // can't arrive (docs/incidents/recover.md).
 TEST_CASE(
