Entry: End requests whose answers can't arrive over silent links

Cause: without budget the request was left waiting for an answer that can't arrive. Change: it ends at once with an unknown outcome; callers repeat such requests elsewhere. Requests that run at most once still wait, as their callers can't repeat them. Evidence: "Repeatable requests under way that can't be handed over end when the links fall silent" fails on the code before (0 == 3, no refusal) and passes.

--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -173,22 +173,33 @@
 }
 
 // Hands the repeatable requests that endpoints have got to other entries, as
-// their answers can't arrive before the links are restored.
+// their answers can't arrive before the links are restored. Those that can't be
+// handed over end, so that their callers can repeat them elsewhere.
 void EntryNode::RelayRunningRequests(Time now) {
-  for (auto& [ticket, record] : requests_) {
-    if (record.endpoint.empty() || !record.kind.repeatable() ||
-        !CanRelay(record, now))
-      continue;
+  std::vector<RequestTicket> running;
+  for (const auto& [ticket, record] : requests_) {
+    if (!record.endpoint.empty() && record.kind.repeatable())
+      running.push_back(ticket);
+  }
+  for (const RequestTicket ticket : running) {
+    RequestRecord& record = requests_.at(ticket);
     ServiceState& service_state = services_.at(record.service);
-    if (!TryAcquireRetry(record, service_state, AttemptEnd::kTimedOut, now))
-      continue;
-    LogAttemptEnd(record, AttemptEnd::kTimedOut, /*will_retry=*/true, now);
+    const bool will_relay =
+        CanRelay(record, now) &&
+        TryAcquireRetry(record, service_state, AttemptEnd::kTimedOut, now);
+    LogAttemptEnd(record, AttemptEnd::kTimedOut, will_relay, now);
     service_state.endpoints.OnAttemptEnd(record.endpoint,
                                          AttemptEnd::kCancelled, {}, now);
     actions_.cancellations.push_back({ticket});
     record.endpoint.clear();
     record.may_have_run = true;
-    StartRelay(record, now);
+    if (will_relay && StartRelay(record, now))
+      continue;
+    Refuse(ticket,
+           {ErrorKind::kEndpointFailed,
+            "the links of this instance to the endpoints were lost while the "
+            "request was under way"},
+           now);
   }
 }
 
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -289,6 +289,33 @@
   CHECK(driver.node.active_requests() == 1);
 }
 
+// Guards against holding callers until their deadline for answers that can't
+// arrive, when there are more of them than the retry budget allows to hand
+// over.
+TEST_CASE(
+    "Repeatable requests under way that can't be handed over end when the "
+    "links fall silent") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  std::vector<RequestTicket> repeatable;
+  for (int i = 0; i < 3; ++i)
+    repeatable.push_back(driver.SendRequest("GET", "/x"));
+  const RequestTicket once = SendOnce(driver);
+  // There is no other entry.
+  driver.AdvanceTime(1'100ms);
+  EndProbes(driver, forwarding::LinkProbeEnd::kSilent);
+  REQUIRE(driver.snapshot->self.isolated);
+  CHECK(driver.relays.empty());
+  CHECK(driver.cancellations.size() == repeatable.size());
+  for (const RequestTicket ticket : repeatable) {
+    const RefuseRequest* refusal = driver.FindRefusal(ticket);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->outcome == Outcome::kUnknown);
+  }
+  // It may not run again, and its answer may still arrive.
+  CHECK(driver.answers.count(once) == 0);
+}
+
 TEST_CASE("A relay ends when its caller leaves") {
   EntryDriver driver = MakeIsolatedDriver();
   const RequestTicket ticket = SendOnce(driver);
