Admission: Let a long message keep out others for a second at most

All callers of an entry would be refused for as long as its link needs for one long answer, 28 s for 10 MB at 2.8 Mbit/s, so that a single caller could block an entry. Cause: all bytes of a message counted against those that come after it, although it shares the link with them while it is under way. Change: the debt of the budget is bounded by what the link carries in a second. Evidence: "A long message keeps out others for a short time only" fails without the bound (urgent and background requests refused after 1 s) and passes.

--- a/source/core/admission/bandwidth_budget.cc
+++ b/source/core/admission/bandwidth_budget.cc
@@ -15,6 +15,9 @@
 constexpr Seconds kBurstTime{0.25};
 /// Time that the bytes of urgent requests may take beyond that.
 constexpr Seconds kUrgentOverdraft{0.25};
+/// Longest time for which counted bytes keep out requests. A longer message
+/// shares the link with others while it is under way.
+constexpr Seconds kMaxDebt{1};
 
 }  // namespace
 
@@ -31,7 +34,8 @@
 }
 
 void BandwidthBudget::Count(double bytes, Time now) {
-  tokens_ = TokensAt(now) - bytes;
+  tokens_ =
+      std::max(TokensAt(now) - bytes, -bytes_per_second_ * kMaxDebt.count());
   updated_ = now;
 }
 
--- a/source/unit_tests/admission/bandwidth_budget_test.cc
+++ b/source/unit_tests/admission/bandwidth_budget_test.cc
@@ -55,6 +55,16 @@
   CHECK(budget.Allows(Rank::kNormal, kNow));
 }
 
+// Guards against refusing all callers for as long as the link needs for one
+// long message.
+TEST_CASE("A long message keeps out others for a short time only") {
+  BandwidthBudget budget(100'000);
+  budget.Count(10'000'000, kNow);
+  CHECK_FALSE(budget.Allows(Rank::kUrgent, kNow));
+  CHECK(budget.Allows(Rank::kUrgent, kNow + 1s));
+  CHECK(budget.Allows(Rank::kBackground, kNow + 1100ms));
+}
+
 TEST_CASE("Without a bandwidth all requests are allowed") {
   BandwidthBudget budget(0);
   CHECK(AllowedPart(budget, 1'000, Rank::kBackground) == 1);
