--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -264,6 +264,7 @@
   driver.ApplySettings(SettingsText());
   SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west")});
   std::vector<RequestTicket> repeatable;
+  repeatable.reserve(3);
   for (int i = 0; i < 3; ++i)
     repeatable.push_back(driver.SendRequest("GET", "/x"));
   const RequestTicket once = SendOnce(driver);
@@ -298,6 +299,7 @@
   EntryDriver driver;
   driver.ApplySettings(SettingsText());
   std::vector<RequestTicket> repeatable;
+  repeatable.reserve(3);
   for (int i = 0; i < 3; ++i)
     repeatable.push_back(driver.SendRequest("GET", "/x"));
   const RequestTicket once = SendOnce(driver);
