Entry: Average the answer of a relay alone

The expected size of answers grew too large for a kind whose requests had failed here before they were handed over, so that fewer than the link carries were admitted. Cause: the answers of the failed attempts were added to that of the relay. Change: only the relay's answer counts for the average. Found by reading the diff.

--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -135,7 +135,8 @@
   record.answer_bytes += static_cast<double>(event.answer_bytes);
   if (event.end == AttemptEnd::kAnswered) {
     services_.at(record.service)
-        .RecordAnswerBytes(record.kind.name, record.answer_bytes);
+        .RecordAnswerBytes(record.kind.name,
+                           static_cast<double>(event.answer_bytes));
     EndRequest(event.ticket, RelayedAnswer{}, now);
     return;
   }
