--- a/source/unit_tests/support/child_process.cc
+++ b/source/unit_tests/support/child_process.cc
@@ -1,7 +1,9 @@
 #include "unit_tests/support/child_process.h"
 
 #include <csignal>
+#include <cstdint>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <unistd.h>
@@ -43,6 +45,16 @@
     kill(pid_, signal);
 }
 
+bool ChildProcess::Handles(int signal) const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::uint64_t handled = 0;
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("SigBlk:") || line.starts_with("SigCgt:"))
+      handled |= std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+  }
+  return (handled >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+}
+
 void ChildProcess::Kill() {
   Signal(SIGKILL);
   Wait();
--- a/source/unit_tests/support/child_process.h
+++ b/source/unit_tests/support/child_process.h
@@ -23,6 +23,11 @@
 
   void Signal(int signal);
 
+  /// Returns true if the process blocks or catches the signal, so that the
+  /// signal's default action doesn't apply. A process that has just been
+  /// spawned does so once it has reached its main().
+  bool Handles(int signal) const;
+
   /// Kills the process with SIGKILL and waits for it to exit.
   void Kill();
 
