Entry: Call a route unknown only with the newest settings

Cause: an entry that finds no route answers 404, whatever it knows of the age of its settings.

Change: only an entry that asked a leader within the control timeout and knows of no newer revision answers 404. All others refuse the request as not run, to be sent again after a heartbeat interval. The same in look-ups of services that a cut-off instance doesn't know.

--- a/source/core/common/error_kind.cc
+++ b/source/core/common/error_kind.cc
@@ -56,7 +56,7 @@
                   "The endpoint's answer was cut short", 502, 6,
                   Outcome::kUnknown},
     ErrorKindInfo{ErrorKind::kNotReady, "not_ready",
-                  "This instance has no settings yet", 503, 4,
+                  "This instance lacks current settings", 503, 4,
                   Outcome::kNotRun},
     ErrorKindInfo{ErrorKind::kDraining, "draining", "This instance is leaving",
                   503, 4, Outcome::kNotRun},
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -68,6 +68,7 @@
   if (!confirmed && fleet_ == nullptr)
     return false;
   bool changed = false;
+  newest_revision_ = std::max(newest_revision_, reply.revision);
   if (confirmed) {
     leader_ = reply.leader_hint;
     last_leader_reply_ = now;
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -84,6 +84,12 @@
   bool InContact(Time now) const { return now < contact_until_; }
   Time contact_until() const { return contact_until_; }
 
+  /// Returns true if a leader that was asked less than the control timeout ago
+  /// had no settings that are newer than the ones in force here.
+  bool HasNewestSettings(Time now) const {
+    return InContact(now) && self_.revision >= newest_revision_;
+  }
+
   /// Settings in force; null until the first ones have been received.
   const std::shared_ptr<const settings::FleetSettings>& fleet() const {
     return fleet_;
@@ -119,6 +125,8 @@
   Time contact_until_{};
   std::string leader_;
   Time last_leader_reply_{};
+  /// Newest revision that a leader has named.
+  std::uint64_t newest_revision_ = 0;
   settings::Tree tree_;
   std::shared_ptr<const settings::FleetSettings> fleet_;
   protocol::MemberList members_;
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -62,6 +62,12 @@
     return;
   }
   auto resolved = Resolve(event);
+  if (!resolved && !session_.HasNewestSettings(now)) {
+    refuse({ErrorKind::kNotReady,
+            resolved.error().detail + " here, but the settings are outdated"},
+           options_.heartbeat);
+    return;
+  }
   if (!resolved) {
     refuse(resolved.error(), Duration{0});
     return;
--- a/source/core/steering/lookup.cc
+++ b/source/core/steering/lookup.cc
@@ -133,6 +133,11 @@
                 "no settings received from the control role yet");
   const auto found = snapshot.fleet->services.find(std::string(service));
   if (found == snapshot.fleet->services.end()) {
+    if (now >= snapshot.contact_until) {
+      return Fail(ErrorKind::kNotReady, "service " + std::string(service) +
+                                            " is not in the settings here, "
+                                            "which may be outdated");
+    }
     return Fail(ErrorKind::kUnknownService,
                 "unknown service " + std::string(service));
   }
--- a/source/core/steering/lookup.h
+++ b/source/core/steering/lookup.h
@@ -42,7 +42,8 @@
 /// callers are spread if there are more instances than fit into one answer.
 ///
 /// Fails with kUnknownService, with kBadRequest for a malformed client address,
-/// or with kNotReady if there are no settings or no usable instances.
+/// or with kNotReady if there are no settings or no usable instances, or if the
+/// service is unknown to an instance without contact to the control role.
 Result<LookupAnswer> AnswerLookup(const SteeringSnapshot& snapshot,
                                   std::string_view service,
                                   std::string_view client,
