Net: Count each part of a message as received

What callers saw: entries that stay on old settings, or on none, after a change that takes longer to arrive than a link may be silent (1.5 s). An entry with a link of 2 Mbit/s needs that for 375 KB, half of that beside other traffic.

Cause: a link counted as silent until a whole message had arrived. The dialling side closed it in the middle of a large message and dialled again, which lost the message; the next attempt went the same way.

Change: each part that arrives counts. A link that carries nothing is still noticed after the same time.

--- a/source/core/net/link.cc
+++ b/source/core/net/link.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
@@ -82,8 +83,15 @@
     return;
   }
   body_.resize(size);
+  // Each part of a message counts as received, as a large message can take
+  // longer than a link may stay silent.
+  const auto note_progress = [self = shared_from_this()](asio::error_code error,
+                                                         std::size_t bytes) {
+    self->last_received_ = MonotonicNow();
+    return asio::transfer_all()(error, bytes);
+  };
   asio::async_read(
-      socket_, asio::buffer(body_),
+      socket_, asio::buffer(body_), note_progress,
       [self = shared_from_this()](asio::error_code error, std::size_t) {
         if (self->closed_)
           return;
@@ -91,7 +99,6 @@
           self->CloseWithReason(error.message());
           return;
         }
-        self->last_received_ = MonotonicNow();
         auto envelope = wire::DecodeEnvelope(self->body_);
         if (!envelope) {
           self->CloseWithReason(envelope.error().detail);
--- a/source/core/net/link.h
+++ b/source/core/net/link.h
@@ -39,6 +39,7 @@
   /// Closes the connection without calling the close handler.
   void Close();
 
+  /// Time at which a part of a message last arrived.
   Time last_received() const { return last_received_; }
 
   /// The remote instance; empty until it is authenticated.
