Control: Send settings in packed pieces, one at a time

Cause: the leader answered each heartbeat of an entry that lacked the change with the whole change, 290 KB, although the first copy was still on its way; the next change pushed both again. An entry sends three heartbeats a second and its link carries 250 KB in that time, so the copies filled the links of all entries for 8 s, kept callers and heartbeats out, and held 140 MB in the leader's queues. Class: a retransmission without knowledge of what is under way, which grows as the network slows down.

Change: entries say with their heartbeats which part of which update they have. The leader packs an update once for all entries with the same settings, and sends an entry the next 16 KB when the last piece is confirmed, or after a second without word of it. A change that comes while an update is under way follows it. Older entries, which name no position, get whole updates, but no second one within a second; older leaders ignore the position.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -166,6 +166,7 @@
       registry_term_ = replica_->term();
       registry_.Reset(registry_term_, clock.now);
       catalog_.Reset(registry_term_);
+      settings_sender_.Reset();
       sent_versions_.clear();
       pushed_revision_ = 0;
     }
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -18,6 +18,7 @@
 #include "core/control/endpoint_catalog.h"
 #include "core/control/entry_registry.h"
 #include "core/control/rate_share_allocator.h"
+#include "core/control/settings_sender.h"
 #include "core/control/slice_assignment.h"
 
 namespace jacinth::control {
@@ -149,7 +150,7 @@
   void On(const EndpointsListed& event, ClockReading clock);
   void PushLists(Time now);
   void ResetListsForTerm();
-  void RetainListedLimits(Time now);
+  void ForgetDeparted(Time now);
   void AllocateRateShares(Time now);
   protocol::RateShareUpdate RateSharesFor(const std::string& entry,
                                           std::uint64_t held_version,
@@ -168,6 +169,9 @@
 
   // Messages to entries.
   void SendToEntry(const std::string& entry, protocol::Envelope envelope);
+  void AddSettings(const std::string& entry,
+                   protocol::HeartbeatReply& reply,
+                   Time now);
   protocol::SettingsUpdate MakeSettingsUpdate(
       std::uint64_t held_revision) const;
 
@@ -184,6 +188,7 @@
   ControlState state_;
   EntryRegistry registry_;
   EndpointCatalog catalog_;
+  SettingsSender settings_sender_;
   SliceAssignment slices_;
   RateShareAllocator rate_shares_;
   /// By entry instance. If a message is lost, the versions in the entry's next
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -24,8 +24,8 @@
   registry_.OnHeartbeat(heartbeat.status, clock.now);
   reply.leader = true;
   reply.revision = state_.revision();
-  if (heartbeat.status.revision < state_.revision())
-    reply.update = MakeSettingsUpdate(heartbeat.status.revision);
+  settings_sender_.OnHeartbeat(from, heartbeat);
+  AddSettings(from, reply, clock.now);
   if (registry_.Version(clock.now) != heartbeat.members_version) {
     reply.members = registry_.Members(clock.now);
     reply.replicas = ReplicaInstances();
@@ -140,18 +140,30 @@
   reply.leader = true;
   reply.leader_hint = LeaderInstance();
   reply.revision = state_.revision();
-  std::map<std::uint64_t, protocol::SettingsUpdate> updates;
   for (const protocol::EntryStatus& entry : registry_.Statuses()) {
-    if (entry.revision >= state_.revision())
-      continue;
-    auto [update, added] = updates.try_emplace(entry.revision);
-    if (added)
-      update->second = MakeSettingsUpdate(entry.revision);
-    reply.update = update->second;
-    SendToEntry(entry.id, reply);
+    // Sent even without settings, so that the entry knows that it lacks some.
+    protocol::HeartbeatReply entry_reply = reply;
+    AddSettings(entry.id, entry_reply, clock.now);
+    SendToEntry(entry.id, std::move(entry_reply));
   }
 }
 
+void ControlNode::AddSettings(const std::string& entry,
+                              protocol::HeartbeatReply& reply,
+                              Time now) {
+  settings_sender_.AddNext(
+      entry, state_.revision(),
+      [this](std::uint64_t held_revision) {
+        protocol::SettingsUpdate update = MakeSettingsUpdate(held_revision);
+        LogEvent("settings_update_made")
+            .With("base", update.base_revision)
+            .With("revision", update.revision)
+            .With("branches", update.changes.size());
+        return update;
+      },
+      reply, now);
+}
+
 void ControlNode::SendToEntry(const std::string& entry,
                               protocol::Envelope envelope) {
   actions_.messages.push_back({entry, std::move(envelope)});
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -21,7 +21,7 @@
   ResetListsForTerm();
   catalog_.ApplyListing(event.endpoints, clock.now);
   slices_.RetainOwners(SliceEndpoints(clock.now));
-  RetainListedLimits(clock.now);
+  ForgetDeparted(clock.now);
   PushLists(clock.now);
 }
 
@@ -36,8 +36,8 @@
 }
 
 // Forgets the limits of endpoints that have gone or restarted, and the demand
-// of entries that are gone.
-void ControlNode::RetainListedLimits(Time now) {
+// and the transfers of entries that are gone.
+void ControlNode::ForgetDeparted(Time now) {
   std::map<protocol::EndpointKey, std::int64_t> started_ms;
   for (const protocol::ListedEndpoint& endpoint : catalog_.Endpoints(now))
     started_ms[{endpoint.service, endpoint.id}] = endpoint.started_ms;
@@ -46,6 +46,7 @@
   for (const protocol::EntryStatus& entry : registry_.Statuses())
     entries.insert(entry.id);
   rate_shares_.RetainEntries(entries);
+  settings_sender_.RetainEntries(entries);
 }
 
 void ControlNode::AllocateRateShares(Time now) {
--- /dev/null
+++ b/source/core/control/settings_sender.cc
@@ -0,0 +1,97 @@
+#include "core/control/settings_sender.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/common/hash.h"
+#include "core/wire/settings_packing.h"
+
+namespace jacinth::control {
+namespace {
+
+/// Largest piece, which takes a link of 2 Mbit/s for 65 ms.
+constexpr std::size_t kPieceBytes = 16 * 1024;
+/// Time after which an unconfirmed message is taken to be lost.
+constexpr Duration kResendAfter = 1s;
+/// Number of packed updates that are kept for transfers under way.
+constexpr std::size_t kMaxPackedUpdates = 16;
+
+}  // namespace
+
+void SettingsSender::Reset() {
+  entries_.clear();
+  packed_.clear();
+}
+
+void SettingsSender::RetainEntries(const std::set<std::string>& entries) {
+  std::erase_if(entries_, [&](const auto& item) {
+    return entries.count(item.first) == 0;
+  });
+}
+
+void SettingsSender::OnHeartbeat(const std::string& entry,
+                                 const protocol::Heartbeat& heartbeat) {
+  EntryState& state = entries_[entry];
+  const bool is_unchanged = state.held_revision == heartbeat.status.revision &&
+                            state.position == heartbeat.settings_position;
+  if (is_unchanged)
+    return;
+  state.held_revision = heartbeat.status.revision;
+  state.position = heartbeat.settings_position;
+  state.sent.reset();
+}
+
+void SettingsSender::AddNext(const std::string& entry,
+                             std::uint64_t current,
+                             const MakeUpdate& make_update,
+                             protocol::HeartbeatReply& reply,
+                             Time now) {
+  EntryState& state = entries_[entry];
+  const bool may_be_on_its_way = state.sent && now < *state.sent + kResendAfter;
+  if (state.held_revision >= current || may_be_on_its_way)
+    return;
+  state.sent = now;
+  if (!state.position) {
+    reply.update = make_update(state.held_revision);
+    return;
+  }
+  const PackedUpdate& packed = FindOrPack(state, current, make_update);
+  protocol::SettingsPiece& piece = reply.settings_piece;
+  piece.position = packed.position;
+  if (state.position->checksum == packed.position.checksum)
+    piece.position.offset = state.position->offset;
+  piece.total_bytes = packed.bytes.size();
+  piece.bytes = packed.bytes.substr(piece.position.offset, kPieceBytes);
+}
+
+// Returns the update that the entry is receiving, if it is kept, or else one to
+// the current revision.
+const SettingsSender::PackedUpdate& SettingsSender::FindOrPack(
+    const EntryState& state,
+    std::uint64_t current,
+    const MakeUpdate& make_update) {
+  const auto continues = [&](const PackedUpdate& packed) {
+    return packed.position.base_revision == state.held_revision &&
+           packed.position.revision == state.position->revision &&
+           packed.position.checksum == state.position->checksum &&
+           state.position->offset < packed.bytes.size();
+  };
+  const auto leads_to_current = [&](const PackedUpdate& packed) {
+    return packed.position.base_revision == state.held_revision &&
+           packed.position.revision == current;
+  };
+  auto found = std::find_if(packed_.begin(), packed_.end(), continues);
+  if (found == packed_.end())
+    found = std::find_if(packed_.begin(), packed_.end(), leads_to_current);
+  if (found != packed_.end())
+    return *found;
+  PackedUpdate packed;
+  packed.bytes = wire::PackSettings(make_update(state.held_revision));
+  packed.position = {state.held_revision, current, Hash64(packed.bytes), 0};
+  packed_.push_back(std::move(packed));
+  if (packed_.size() > kMaxPackedUpdates)
+    packed_.pop_front();
+  return packed_.back();
+}
+
+}  // namespace jacinth::control
--- /dev/null
+++ b/source/core/control/settings_sender.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/common/time.h"
+#include "core/protocol/heartbeat.h"
+
+namespace jacinth::control {
+
+/// Sends settings from the leader to the entries.
+///
+/// An update is packed once for all entries that hold the same revision. Each
+/// entry gets it in pieces, the next one when its heartbeat confirms the last
+/// one, so that a large update takes only a part of the entry's link and never
+/// more than one piece is on its way.
+class SettingsSender {
+ public:
+  /// Returns the update from a revision, 0 for none, to the current one.
+  using MakeUpdate =
+      std::function<protocol::SettingsUpdate(std::uint64_t held_revision)>;
+
+  /// Forgets all entries and updates, at the start of a leader's term.
+  void Reset();
+
+  /// Forgets the entries that aren't listed.
+  void RetainEntries(const std::set<std::string>& entries);
+
+  /// Records what an entry holds and has received.
+  void OnHeartbeat(const std::string& entry,
+                   const protocol::Heartbeat& heartbeat);
+
+  /// Adds what the entry needs next to get to revision `current` to `reply`:
+  /// nothing if it is there, or if what was sent last may still be on its way.
+  void AddNext(const std::string& entry,
+               std::uint64_t current,
+               const MakeUpdate& make_update,
+               protocol::HeartbeatReply& reply,
+               Time now);
+
+ private:
+  struct PackedUpdate {
+    /// Start of the update.
+    protocol::SettingsPosition position;
+    std::string bytes;
+  };
+  struct EntryState {
+    std::uint64_t held_revision = 0;
+    /// Nothing if the entry takes only whole updates, as older builds do.
+    std::optional<protocol::SettingsPosition> position;
+    /// Time of the last message that no heartbeat has confirmed yet.
+    std::optional<Time> sent;
+  };
+
+  const PackedUpdate& FindOrPack(const EntryState& state,
+                                 std::uint64_t current,
+                                 const MakeUpdate& make_update);
+
+  std::map<std::string, EntryState> entries_;
+  /// Newest last.
+  std::deque<PackedUpdate> packed_;
+};
+
+}  // namespace jacinth::control
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/common/hash.h"
+#include "core/log/log.h"
 #include "core/settings/tree_validation.h"
 
 namespace jacinth::entry {
@@ -55,6 +56,7 @@
   heartbeat.claims = slices_.TakeClaims();
   heartbeat.uses = slices_.TakeUses();
   heartbeat.rate_shares_version = rate_shares_.version;
+  heartbeat.settings_position = receiver_.position();
   return heartbeat;
 }
 
@@ -80,6 +82,8 @@
   }
   if (reply.update.revision > self_.revision)
     changed |= ApplySettings(reply.update);
+  if (reply.settings_piece.position.revision > self_.revision)
+    changed |= ApplyPiece(reply.settings_piece);
   if (confirmed && reply.members.version != 0 &&
       reply.members.version != members_.version) {
     members_ = reply.members;
@@ -210,6 +214,23 @@
   return std::nullopt;
 }
 
+// Adds a piece of an update, and applies the update if it is complete. Returns
+// true if new settings are in force.
+bool ControlSession::ApplyPiece(const protocol::SettingsPiece& piece) {
+  const bool is_complete = receiver_.Add(piece, self_.revision);
+  // Asks for the next piece.
+  next_heartbeat_ = Time{};
+  if (!is_complete)
+    return false;
+  const auto update = receiver_.Take();
+  if (!update) {
+    log::Warning(log::Category::kEntry,
+                 "Received damaged settings: " + update.error().detail + ".");
+    return false;
+  }
+  return ApplySettings(*update);
+}
+
 bool ControlSession::ApplySettings(const SettingsUpdate& update) {
   settings::Tree tree;
   if (update.base_revision != 0) {
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/entry/settings_receiver.h"
 #include "core/forwarding/slice_map.h"
 #include "core/protocol/heartbeat.h"
 #include "core/settings/fleet_settings.h"
@@ -111,6 +112,7 @@
 
   std::optional<Time> FindSendTime(std::uint64_t sequence) const;
   bool ApplySettings(const protocol::SettingsUpdate& update);
+  bool ApplyPiece(const protocol::SettingsPiece& piece);
   bool ApplyEndpointUpdate(const protocol::EndpointUpdate& update, Time now);
   void AddContact(const std::string& instance);
   bool SetEndpoint(const protocol::ListedEndpoint& endpoint, Time now);
@@ -127,6 +129,7 @@
   Time last_leader_reply_{};
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision_ = 0;
+  SettingsReceiver receiver_;
   settings::Tree tree_;
   std::shared_ptr<const settings::FleetSettings> fleet_;
   protocol::MemberList members_;
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -8,6 +9,7 @@
 #include "core/protocol/endpoint_list.h"
 #include "core/protocol/entry_status.h"
 #include "core/protocol/rate_limit.h"
+#include "core/protocol/settings_piece.h"
 #include "core/protocol/slice.h"
 
 namespace jacinth::protocol {
@@ -29,6 +31,8 @@
   std::uint64_t rate_shares_version = 0;
   /// Rate limits that have changed or were not reported for a while.
   std::vector<RateLimitReport> rate_limits;
+  /// Set by entries that take settings in pieces.
+  std::optional<SettingsPosition> settings_position;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -68,7 +72,8 @@
   std::string leader_hint;
   /// Current revision of the settings; 0 if the sender is not the leader.
   std::uint64_t revision = 0;
-  /// Set if the entry's settings are outdated; otherwise its revision is 0.
+  /// Set if the settings of an entry that takes no pieces are outdated;
+  /// otherwise its revision is 0.
   SettingsUpdate update;
   /// Set if the entry's member list is outdated; otherwise its version is 0.
   MemberList members;
@@ -82,6 +87,8 @@
   /// The entry's shares of rate limits; its version is 0 if the sender doesn't
   /// know the limits.
   RateShareUpdate rate_shares;
+  /// The next piece of a settings update; its revision is 0 if there is none.
+  SettingsPiece settings_piece;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -31,6 +31,16 @@
 generated::HeartbeatReply ToWire(const protocol::HeartbeatReply& reply);
 protocol::HeartbeatReply FromWire(const generated::HeartbeatReply& reply);
 
+generated::SettingsUpdate ToWire(const protocol::SettingsUpdate& update);
+protocol::SettingsUpdate FromWire(const generated::SettingsUpdate& update);
+
+generated::SettingsPosition ToWire(const protocol::SettingsPosition& position);
+protocol::SettingsPosition FromWire(
+    const generated::SettingsPosition& position);
+
+generated::SettingsPiece ToWire(const protocol::SettingsPiece& piece);
+protocol::SettingsPiece FromWire(const generated::SettingsPiece& piece);
+
 generated::ClaimKey ToWire(const protocol::ClaimKey& key);
 protocol::ClaimKey FromWire(const generated::ClaimKey& key);
 
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -62,6 +62,8 @@
       static_cast<std::int64_t>(heartbeat.rate_shares_version);
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     out.rate_limits.push_back(ToWire(report));
+  if (heartbeat.settings_position)
+    out.__set_settings_position(ToWire(*heartbeat.settings_position));
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -85,6 +87,8 @@
       static_cast<std::uint64_t>(heartbeat.rate_shares_version);
   for (const generated::RateLimitReport& report : heartbeat.rate_limits)
     out.rate_limits.push_back(FromWire(report));
+  if (heartbeat.__isset.settings_position)
+    out.settings_position = FromWire(heartbeat.settings_position);
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -95,17 +99,8 @@
   out.leader = reply.leader;
   out.leader_hint = reply.leader_hint;
   out.revision = static_cast<std::int64_t>(reply.revision);
-  if (reply.update.revision != 0) {
-    generated::SettingsUpdate update;
-    update.revision = static_cast<std::int64_t>(reply.update.revision);
-    update.text = reply.update.text;
-    update.checksum = static_cast<std::int64_t>(reply.update.checksum);
-    update.base_revision =
-        static_cast<std::int64_t>(reply.update.base_revision);
-    for (const protocol::BranchChange& change : reply.update.changes)
-      update.changes.push_back(ToWire(change));
-    out.__set_update(update);
-  }
+  if (reply.update.revision != 0)
+    out.__set_update(ToWire(reply.update));
   if (reply.members.version != 0)
     out.__set_members(MembersToWire(reply.members));
   if (reply.endpoints.version != 0)
@@ -115,6 +110,8 @@
     out.__set_slices(ToWire(reply.slices));
   if (reply.rate_shares.version != 0)
     out.__set_rate_shares(ToWire(reply.rate_shares));
+  if (reply.settings_piece.position.revision != 0)
+    out.__set_settings_piece(ToWire(reply.settings_piece));
   return out;
 }
 
@@ -124,15 +121,8 @@
   out.leader = reply.leader;
   out.leader_hint = reply.leader_hint;
   out.revision = static_cast<std::uint64_t>(reply.revision);
-  if (reply.__isset.update) {
-    out.update.revision = static_cast<std::uint64_t>(reply.update.revision);
-    out.update.text = reply.update.text;
-    out.update.checksum = static_cast<std::uint64_t>(reply.update.checksum);
-    out.update.base_revision =
-        static_cast<std::uint64_t>(reply.update.base_revision);
-    for (const generated::BranchChange& change : reply.update.changes)
-      out.update.changes.push_back(FromWire(change));
-  }
+  if (reply.__isset.update)
+    out.update = FromWire(reply.update);
   if (reply.__isset.members)
     out.members = MembersFromWire(reply.members);
   if (reply.__isset.endpoints)
@@ -142,6 +132,8 @@
     out.slices = FromWire(reply.slices);
   if (reply.__isset.rate_shares)
     out.rate_shares = FromWire(reply.rate_shares);
+  if (reply.__isset.settings_piece)
+    out.settings_piece = FromWire(reply.settings_piece);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -34,11 +34,20 @@
 struct RateShareUpdate {
   1: i64 version, 2: bool unchanged, 3: list<RateShare> shares
 }
+struct SettingsPosition {
+  1: i64 base_revision, 2: i64 revision, 3: i64 checksum, 4: i64 offset
+}
+struct SettingsPiece {
+  1: SettingsPosition position, 2: i64 total_bytes, 3: binary bytes
+}
+// A SettingsUpdate, serialized and compressed by zlib.
+struct PackedSettings { 1: i64 unpacked_bytes, 2: binary compressed }
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
   4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims,
   7: list<SliceUse> uses, 8: i64 rate_shares_version,
-  9: list<RateLimitReport> rate_limits
+  9: list<RateLimitReport> rate_limits,
+  10: optional SettingsPosition settings_position
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -59,7 +68,8 @@
   1: i64 sequence, 2: bool leader, 3: string leader_hint, 4: i64 revision,
   5: optional SettingsUpdate update, 6: optional MemberList members,
   7: optional EndpointUpdate endpoints, 8: list<string> replicas,
-  9: optional SliceUpdate slices, 10: optional RateShareUpdate rate_shares
+  9: optional SliceUpdate slices, 10: optional RateShareUpdate rate_shares,
+  11: optional SettingsPiece settings_piece
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
