--- a/source/unit_tests/support/child_process.cc
+++ b/source/unit_tests/support/child_process.cc
@@ -60,6 +60,14 @@
   Wait();
 }
 
+bool ChildProcess::HasEnded() const {
+  siginfo_t info{};
+  return pid_ > 0 &&
+         waitid(P_PID, static_cast<id_t>(pid_), &info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == pid_;
+}
+
 int ChildProcess::Wait() {
   if (pid_ <= 0)
     return kNotRunning;
--- a/source/unit_tests/support/child_process.h
+++ b/source/unit_tests/support/child_process.h
@@ -38,6 +38,9 @@
   /// number of the signal that terminated it.
   int Wait();
 
+  /// Returns true if the process has ended and has not been waited for.
+  bool HasEnded() const;
+
   bool running() const { return pid_ > 0; }
   pid_t pid() const { return pid_; }
 
