Consensus: Wait for the reply before sending an entry again

Cause: the time after which entries count as lost ran from the last entry that was confirmed, however long ago, and not from the sending. So each entry after a quiet time was sent again with the next heartbeat.

Change: the time runs from the first unconfirmed entry.

--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -110,7 +110,9 @@
     std::uint64_t next = 1;
     std::uint64_t match = 0;
     std::size_t inflight = 0;
-    Time last_advance{};
+    /// Time since which no reply has confirmed further entries, while some are
+    /// sent and unconfirmed.
+    Time waiting_since{};
     /// Set while a snapshot is in flight.
     std::optional<Time> snapshot_sent;
   };
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -155,7 +155,7 @@
   Progress& progress = found->second;
   if (added) {
     progress.next = log_.last_index() + 1;
-    progress.last_advance = now;
+    progress.waiting_since = now;
     even_if_empty = true;
   }
   const bool snapshot_in_flight =
@@ -183,6 +183,10 @@
   message.commit = commit_index_;
   message.round = lease_->StartRound(now);
   if (!message.entries.empty()) {
+    // The time of waiting for a reply begins here, however long ago the last
+    // entry was.
+    if (progress.next == progress.match + 1)
+      progress.waiting_since = now;
     progress.next += message.entries.size();
     ++progress.inflight;
   }
@@ -196,7 +200,7 @@
   message.snapshot = log_.base();
   message.round = lease_->StartRound(now);
   progress.next = log_.base().index + 1;
-  progress.last_advance = now;
+  progress.waiting_since = now;
   progress.snapshot_sent = now;
   Send(std::move(message), /*wait_for_sync=*/false);
 }
@@ -229,7 +233,7 @@
   }
   if (message.index > progress.match) {
     progress.match = message.index;
-    progress.last_advance = now;
+    progress.waiting_since = now;
     progress.next = std::max(progress.next, progress.match + 1);
     if (progress.match + 1 >= log_.first_index())
       progress.snapshot_sent.reset();
@@ -276,11 +280,11 @@
       Progress& progress = found->second;
       // Messages may have been lost: resends from the last known match.
       const bool stalled =
-          now > progress.last_advance + options_.election_timeout / 2;
+          now > progress.waiting_since + options_.election_timeout / 2;
       if (progress.match + 1 < progress.next && stalled) {
         progress.next = progress.match + 1;
         progress.inflight = 0;
-        progress.last_advance = now;
+        progress.waiting_since = now;
       }
     }
     SendAppend(id, /*even_if_empty=*/true, now);
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -274,4 +274,45 @@
   CHECK(actions.writes.empty());
 }
 
+// Guards against a second copy of each large entry that is proposed after a
+// quiet time, which takes the group's processor time and links.
+TEST_CASE("An entry isn't sent again before its reply can be missed") {
+  Replica replica(Options("a#1"), GroupStart(), kStart);
+  ReplicaActions actions = Elect(replica, kLater);
+  Time now = kLater;
+  const auto answer_heartbeats = [&] {
+    for (const char* follower : {"b#1", "c#1"}) {
+      replica.OnMessage(Ack(follower, replica.term(), 2, LastRound(actions)),
+                        now);
+    }
+    SyncAll(replica, actions, now);
+    actions = replica.TakeActions();
+  };
+  const auto count_entries = [&] {
+    std::size_t count = 0;
+    for (const DeferredPeerMessage& message : actions.messages)
+      count += message.message.entries.size();
+    return count;
+  };
+  for (int i = 0; i < 50; ++i) {
+    now += 20ms;
+    replica.OnTick(now);
+    answer_heartbeats();
+  }
+  REQUIRE(replica.Propose("payload", now));
+  actions = replica.TakeActions();
+  CHECK(count_entries() == 2);
+  // Followers answer within half an election timeout.
+  for (int i = 0; i < 4; ++i) {
+    now += 20ms;
+    replica.OnTick(now);
+    actions = replica.TakeActions();
+    CHECK(count_entries() == 0);
+  }
+  now += kElectionTimeout / 2;
+  replica.OnTick(now);
+  actions = replica.TakeActions();
+  CHECK(count_entries() == 2);
+}
+
 }  // namespace jacinth::consensus
