Control: Deliver first and mismatched settings without delay

Found by the reviewer of the last changes, before callers saw it: - The first settings of a fleet were pushed to entries that take them only with the reply to a heartbeat, and came a second later. - An update that doesn't fit an entry's settings was sent over and over. The entry now logs it and asks for the whole tree. - In a storm of changes the update that an entry was receiving could be dropped before its last piece. Updates are kept while an entry names them. - Entries of older builds got a second copy after a second, each made and serialized anew. They share one, and three seconds pass between copies. - A heartbeat with an offset beyond the update made the leader throw. - A look-up on an entry that knows that its settings are outdated called a new service unknown. The tree's text and hash are made once per revision.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -172,8 +172,7 @@
   void AddSettings(const std::string& entry,
                    protocol::HeartbeatReply& reply,
                    Time now);
-  protocol::SettingsUpdate MakeSettingsUpdate(
-      std::uint64_t held_revision) const;
+  protocol::SettingsUpdate MakeSettingsUpdate(std::uint64_t held_revision);
 
   // Administration calls.
   void On(const ChangeRequested& event, ClockReading clock);
@@ -200,6 +199,10 @@
   /// By proposal id.
   std::map<std::uint64_t, PendingProposal> pending_proposals_;
   std::uint64_t pushed_revision_ = 0;
+  /// INI text of the settings tree at `tree_text_revision_`, and its Hash64.
+  std::string tree_text_;
+  std::uint64_t tree_checksum_ = 0;
+  std::uint64_t tree_text_revision_ = 0;
   std::deque<DeferredMessage> deferred_messages_;
   consensus::SyncId synced_ = 0;
   bool storage_failed_ = false;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -141,6 +141,9 @@
   reply.leader_hint = LeaderInstance();
   reply.revision = state_.revision();
   for (const protocol::EntryStatus& entry : registry_.Statuses()) {
+    // An entry takes its first settings only with the reply to a heartbeat.
+    if (entry.revision == 0)
+      continue;
     // Sent even without settings, so that the entry knows that it lacks some.
     protocol::HeartbeatReply entry_reply = reply;
     AddSettings(entry.id, entry_reply, clock.now);
@@ -170,18 +173,22 @@
 }
 
 protocol::SettingsUpdate ControlNode::MakeSettingsUpdate(
-    std::uint64_t held_revision) const {
+    std::uint64_t held_revision) {
   protocol::SettingsUpdate update;
   update.revision = state_.revision();
-  std::string text = state_.tree().ToIni();
-  update.checksum = Hash64(text);
+  if (tree_text_revision_ != state_.revision()) {
+    tree_text_revision_ = state_.revision();
+    tree_text_ = state_.tree().ToIni();
+    tree_checksum_ = Hash64(tree_text_);
+  }
+  update.checksum = tree_checksum_;
   auto changes =
       held_revision == 0 ? std::nullopt : state_.ChangesSince(held_revision);
   if (changes) {
     update.base_revision = held_revision;
     update.changes = std::move(*changes);
   } else {
-    update.text = std::move(text);
+    update.text = tree_text_;
   }
   return update;
 }
--- a/source/core/control/settings_sender.cc
+++ b/source/core/control/settings_sender.cc
@@ -11,16 +11,19 @@
 
 /// Largest piece, which takes a link of 2 Mbit/s for 65 ms.
 constexpr std::size_t kPieceBytes = 16 * 1024;
-/// Time after which an unconfirmed message is taken to be lost.
-constexpr Duration kResendAfter = 1s;
-/// Number of packed updates that are kept for transfers under way.
-constexpr std::size_t kMaxPackedUpdates = 16;
+/// Time after which an unconfirmed piece is taken to be lost.
+constexpr Duration kResendPieceAfter = 1s;
+/// The same for a whole update, which can take seconds on a narrow link.
+constexpr Duration kResendWholeAfter = 3s;
+/// Number of packed updates that are kept beside those that are being sent.
+constexpr std::size_t kMaxUnusedUpdates = 4;
 
 }  // namespace
 
 void SettingsSender::Reset() {
   entries_.clear();
   packed_.clear();
+  whole_ = {};
 }
 
 void SettingsSender::RetainEntries(const std::set<std::string>& entries) {
@@ -36,6 +39,7 @@
                             state.position == heartbeat.settings_position;
   if (is_unchanged)
     return;
+  state.incarnation = heartbeat.status.incarnation;
   state.held_revision = heartbeat.status.revision;
   state.position = heartbeat.settings_position;
   state.sent.reset();
@@ -47,18 +51,27 @@
                              protocol::HeartbeatReply& reply,
                              Time now) {
   EntryState& state = entries_[entry];
-  const bool may_be_on_its_way = state.sent && now < *state.sent + kResendAfter;
+  const Duration resend_after =
+      state.position ? kResendPieceAfter : kResendWholeAfter;
+  const bool may_be_on_its_way = state.sent && now < *state.sent + resend_after;
   if (state.held_revision >= current || may_be_on_its_way)
     return;
   state.sent = now;
   if (!state.position) {
-    reply.update = make_update(state.held_revision);
+    if (whole_.revision != current ||
+        whole_held_revision_ != state.held_revision) {
+      whole_ = make_update(state.held_revision);
+      whole_held_revision_ = state.held_revision;
+    }
+    reply.update = whole_;
     return;
   }
   const PackedUpdate& packed = FindOrPack(state, current, make_update);
   protocol::SettingsPiece& piece = reply.settings_piece;
   piece.position = packed.position;
-  if (state.position->checksum == packed.position.checksum)
+  const bool continues = state.position->checksum == packed.position.checksum &&
+                         state.position->offset < packed.bytes.size();
+  if (continues)
     piece.position.offset = state.position->offset;
   piece.total_bytes = packed.bytes.size();
   piece.bytes = packed.bytes.substr(piece.position.offset, kPieceBytes);
@@ -88,10 +101,26 @@
   PackedUpdate packed;
   packed.bytes = wire::PackSettings(make_update(state.held_revision));
   packed.position = {state.held_revision, current, Hash64(packed.bytes), 0};
+  DropUnused();
   packed_.push_back(std::move(packed));
-  if (packed_.size() > kMaxPackedUpdates)
-    packed_.pop_front();
   return packed_.back();
 }
 
+// Drops old updates that no entry is receiving.
+void SettingsSender::DropUnused() {
+  std::set<std::uint64_t> used;
+  for (const auto& [entry, state] : entries_) {
+    if (state.position)
+      used.insert(state.position->checksum);
+  }
+  std::size_t unused = 0;
+  for (auto packed = packed_.end(); packed != packed_.begin();) {
+    --packed;
+    if (used.count(packed->position.checksum) != 0)
+      continue;
+    if (++unused > kMaxUnusedUpdates)
+      packed = packed_.erase(packed);
+  }
+}
+
 }  // namespace jacinth::control
--- a/source/core/control/settings_sender.h
+++ b/source/core/control/settings_sender.h
@@ -50,6 +50,7 @@
     std::string bytes;
   };
   struct EntryState {
+    std::uint64_t incarnation = 0;
     std::uint64_t held_revision = 0;
     /// Nothing if the entry takes only whole updates, as older builds do.
     std::optional<protocol::SettingsPosition> position;
@@ -62,8 +63,13 @@
                                  const MakeUpdate& make_update);
 
   std::map<std::string, EntryState> entries_;
+  void DropUnused();
+
   /// Newest last.
   std::deque<PackedUpdate> packed_;
+  /// The last update for entries that take only whole ones.
+  protocol::SettingsUpdate whole_;
+  std::uint64_t whole_held_revision_ = 0;
 };
 
 }  // namespace jacinth::control
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -49,6 +49,8 @@
     sent_.pop_front();
   Heartbeat heartbeat;
   heartbeat.status = self_;
+  if (needs_whole_tree_)
+    heartbeat.status.revision = 0;
   heartbeat.members_version = members_.version;
   heartbeat.sequence = sequence_;
   heartbeat.endpoints_version = endpoints_version_;
@@ -70,6 +72,8 @@
   if (!confirmed && fleet_ == nullptr)
     return false;
   bool changed = false;
+  // Look-ups depend on whether newer settings are known.
+  changed |= reply.revision > newest_revision_;
   newest_revision_ = std::max(newest_revision_, reply.revision);
   if (confirmed) {
     leader_ = reply.leader_hint;
@@ -217,18 +221,25 @@
 // Adds a piece of an update, and applies the update if it is complete. Returns
 // true if new settings are in force.
 bool ControlSession::ApplyPiece(const protocol::SettingsPiece& piece) {
-  const bool is_complete = receiver_.Add(piece, self_.revision);
-  // Asks for the next piece.
-  next_heartbeat_ = Time{};
-  if (!is_complete)
+  const std::uint64_t revision = piece.position.revision;
+  if (!receiver_.Add(piece, needs_whole_tree_ ? 0 : self_.revision)) {
+    // Asks for the next piece.
+    next_heartbeat_ = Time{};
     return false;
+  }
   const auto update = receiver_.Take();
-  if (!update) {
-    log::Warning(log::Category::kEntry,
-                 "Received damaged settings: " + update.error().detail + ".");
-    return false;
+  if (update && ApplySettings(*update)) {
+    needs_whole_tree_ = false;
+    return true;
   }
-  return ApplySettings(*update);
+  log::Warning(log::Category::kEntry,
+               "The update to revision " + std::to_string(revision) +
+                   " can't be applied: " +
+                   (update ? "it doesn't fit the settings held or is invalid"
+                           : update.error().detail) +
+                   ". Requesting all settings.");
+  needs_whole_tree_ = true;
+  return false;
 }
 
 bool ControlSession::ApplySettings(const SettingsUpdate& update) {
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -88,8 +88,10 @@
   /// Returns true if a leader that was asked less than the control timeout ago
   /// had no settings that are newer than the ones in force here.
   bool HasNewestSettings(Time now) const {
-    return InContact(now) && self_.revision >= newest_revision_;
+    return InContact(now) && !IsOutdated();
   }
+  /// Returns true if a leader has named a newer revision.
+  bool IsOutdated() const { return self_.revision < newest_revision_; }
 
   /// Settings in force; null until the first ones have been received.
   const std::shared_ptr<const settings::FleetSettings>& fleet() const {
@@ -130,6 +132,8 @@
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision_ = 0;
   SettingsReceiver receiver_;
+  /// True if an update couldn't be applied, so that the whole tree is needed.
+  bool needs_whole_tree_ = false;
   settings::Tree tree_;
   std::shared_ptr<const settings::FleetSettings> fleet_;
   protocol::MemberList members_;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -262,6 +262,7 @@
   snapshot->members = session_.members();
   snapshot->self = session_.self();
   snapshot->contact_until = session_.contact_until();
+  snapshot->is_outdated = session_.IsOutdated();
   actions_.snapshot = std::move(snapshot);
 }
 
--- a/source/core/steering/lookup.cc
+++ b/source/core/steering/lookup.cc
@@ -133,7 +133,7 @@
                 "no settings received from the control role yet");
   const auto found = snapshot.fleet->services.find(std::string(service));
   if (found == snapshot.fleet->services.end()) {
-    if (now >= snapshot.contact_until) {
+    if (now >= snapshot.contact_until || snapshot.is_outdated) {
       return Fail(ErrorKind::kNotReady, "service " + std::string(service) +
                                             " is not in the settings here, "
                                             "which may be outdated");
--- a/source/core/steering/steering_snapshot.h
+++ b/source/core/steering/steering_snapshot.h
@@ -24,6 +24,8 @@
   /// Time until which the control role is known to consider this instance
   /// alive; afterwards the instance omits itself from look-up answers.
   Time contact_until{};
+  /// True if the control role has newer settings than `fleet`.
+  bool is_outdated = false;
 };
 
 }  // namespace jacinth::steering
--- a/source/unit_tests/entry/settings_delivery_test.cc
+++ b/source/unit_tests/entry/settings_delivery_test.cc
@@ -231,6 +231,45 @@
   CHECK(entry.driver->node.session().self().revision == fleet.revision());
 }
 
+// Guards against first settings that come a second late, as the entry discards
+// them unless they answer a heartbeat.
+TEST_CASE("Entries that wait for the first settings get them at once") {
+  NarrowFleet fleet(8);
+  fleet.AddRoutes(0, 5);
+  fleet.Run(500ms);
+  for (NarrowEntry& entry : fleet.entries())
+    CHECK(entry.driver->node.session().self().revision == fleet.revision());
+}
+
+// Guards against an entry that receives an update that doesn't fit its settings
+// over and over again.
+TEST_CASE(
+    "An entry whose settings differ from the leader's gets the whole tree") {
+  NarrowFleet fleet(1);
+  fleet.AddRoutes(0, 5);
+  fleet.Run(1s);
+  EntryDriver& driver = *fleet.entries().front().driver;
+  protocol::HeartbeatReply reply;
+  reply.leader = true;
+  reply.update.base_revision = fleet.revision();
+  reply.update.revision = fleet.revision() + 1;
+  reply.update.changes = {{RouteBranch(99), RouteValues(99)}};
+  settings::Tree tree;
+  tree.Replace("service/s", {{"probe_interval_ms", "0"}});
+  for (int i = 0; i < 5; ++i)
+    tree.Replace(RouteBranch(i), RouteValues(i));
+  tree.Replace(RouteBranch(99), RouteValues(99));
+  reply.update.checksum = Hash64(tree.ToIni());
+  driver.Step(MessageReceived{"c1", reply});
+  REQUIRE(driver.node.session().self().revision == fleet.revision() + 1);
+  fleet.AddRoutes(5, 1);
+  fleet.AddRoutes(6, 1);
+  fleet.Run(1s);
+  CHECK(driver.node.session().self().revision == fleet.revision());
+  CHECK_FALSE(IsUnknownRoute(driver, 6));
+  CHECK(IsUnknownRoute(driver, 99));
+}
+
 // Guards against a 404 from an entry that knows that it lacks newer settings or
 // that hasn't heard from a leader for a while.
 TEST_CASE(
--- a/source/unit_tests/steering/lookup_test.cc
+++ b/source/unit_tests/steering/lookup_test.cc
@@ -153,11 +153,14 @@
 // Guards against a 404 for a service that was just added, from an instance that
 // has lost the control role.
 TEST_CASE("Only an instance in contact says that a service is unknown") {
-  const SteeringSnapshot snapshot = MakeSnapshot("[service/s]\nttl_ms = 500\n");
+  SteeringSnapshot snapshot = MakeSnapshot("[service/s]\nttl_ms = 500\n");
   CHECK(AnswerLookup(snapshot, "new", "", 0, kNow).error().kind ==
         ErrorKind::kUnknownService);
   CHECK(AnswerLookup(snapshot, "new", "", 0, kNow + 1s).error().kind ==
         ErrorKind::kNotReady);
+  snapshot.is_outdated = true;
+  CHECK(AnswerLookup(snapshot, "new", "", 0, kNow).error().kind ==
+        ErrorKind::kNotReady);
 }
 
 }  // namespace jacinth::steering
