--- /dev/null
+++ b/source/unit_tests/http/truncated_response_test.cc
@@ -0,0 +1,76 @@
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "core/http/event_client.h"
+#include "unit_tests/support/raw_server.h"
+
+namespace jacinth::http {
+namespace {
+
+/// Sends a request to a server that responds with `bytes` and closes the
+/// connection.
+ExchangeResult ExchangeWith(const std::string& bytes) {
+  test::RawServer server(bytes);
+  asio::io_context context;
+  EventClient client(context, 4);
+  std::optional<ExchangeResult> ended;
+  ClientCall call;
+  call.address = server.address();
+  call.request.method = "GET";
+  call.request.target = "/";
+  call.limits = {1s, 2s, 1'024};
+  client.Start(call, [&](ExchangeResult result) {
+    ended = std::move(result);
+    context.stop();
+  });
+  context.run();
+  return ended.value();
+}
+
+}  // namespace
+
+// Guards against passing on a response that was cut off as a whole one.
+TEST_CASE("A response that is cut off at any byte is never complete") {
+  const std::string response = GENERATE(
+      as<std::string>{},
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 12\r\n\r\nhello, world",
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n"
+      "Content-Length: 1\r\n\r\nx",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n"
+      "10\r\n0123456789abcdef\r\n0\r\nX-Trailer: t\r\n\r\n");
+  for (std::size_t size = 0; size < response.size(); ++size) {
+    CAPTURE(size);
+    CHECK(ExchangeWith(response.substr(0, size)).end != ExchangeEnd::kAnswered);
+  }
+  CHECK(ExchangeWith(response).end == ExchangeEnd::kAnswered);
+}
+
+// Guards against a head that lost its length: the end of the connection then
+// seems to be the end of the body.
+TEST_CASE("A response whose body ends with its connection is incomplete") {
+  const std::string response =
+      GENERATE(as<std::string>{}, "HTTP/1.1 200 OK\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nabc",
+               "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length:\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc",
+               "HTTP/1.0 200 OK\r\n\r\nabc", "HTTP/1.1 503 Busy\r\n\r\n",
+               "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc");
+  CAPTURE(response);
+  CHECK(ExchangeWith(response).end == ExchangeEnd::kIncomplete);
+}
+
+// Guards against waiting for the end of a connection whose response is whole.
+TEST_CASE("A response that has no body is complete without a length") {
+  const std::string response =
+      GENERATE(as<std::string>{}, "HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n",
+               "HTTP/1.1 304 Not Modified\r\nX-Id: a\r\n\r\n");
+  CAPTURE(response);
+  CHECK(ExchangeWith(response).end == ExchangeEnd::kAnswered);
+}
+
+}  // namespace jacinth::http
