HTTP: Send no request on a connection with unread bytes

An idle connection was watched by a pending read, whose handler closed it. A request that started before the handler ran was sent on the connection, and the bytes were taken for its answer, even if they had come before the request was sent. If an answer filled the read buffer exactly, bytes behind it were not seen either, and the next request was sent at once.

An idle connection now waits for input without reading it, and a connection is reused only if there is nothing to read and it has not ended.

Before: "A kept connection with bytes of an earlier request isn't used again" failed for each kind of bytes, and "Bytes that follow an answer aren't the answer to the next request" for both sizes: no new connection was opened.

--- a/source/core/http/event_client.cc
+++ b/source/core/http/event_client.cc
@@ -7,6 +7,7 @@
 
 #include "core/common/process_clock.h"
 #include "core/http/event_connection.h"
+#include "core/log/log.h"
 
 namespace jacinth::http {
 
@@ -121,15 +122,28 @@
   const auto found = idle_connections_.find(address);
   if (found == idle_connections_.end() || max_idle <= Duration{0})
     return nullptr;
-  ConnectionPtr candidate = found->second.back();
+  std::vector<ConnectionPtr>& idle = found->second;
   const Time now = MonotonicNow();
-  if (now > candidate->idle_since() + max_idle ||
-      now >= candidate->reusable_until())
-    return nullptr;
-  found->second.pop_back();
-  if (found->second.empty())
+  ConnectionPtr taken;
+  while (!taken && !idle.empty()) {
+    const ConnectionPtr newest = idle.back();
+    // The remaining connections have been idle even longer.
+    if (now > newest->idle_since() + max_idle ||
+        now >= newest->reusable_until())
+      break;
+    idle.pop_back();
+    if (newest->HasInput()) {
+      newest->Close();
+      log::Info(log::Category::kHttp,
+                "Closing an idle connection to " + address +
+                    ", which ended or has bytes of no request.");
+      continue;
+    }
+    taken = newest;
+  }
+  if (idle.empty())
     idle_connections_.erase(found);
-  return candidate;
+  return taken;
 }
 
 }  // namespace jacinth::http
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -1,12 +1,14 @@
 #include "core/http/event_connection.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <sys/socket.h>
 
 #include "core/common/process_clock.h"
 #include "core/http/address.h"
@@ -70,6 +72,8 @@
     return;
   }
   phase_ = Phase::kRunning;
+  asio::error_code ignored;
+  socket_.cancel(ignored);
   SetTimer(limits_.timeout);
   Send();
   Read();
@@ -78,10 +82,31 @@
 void EventConnection::BecomeIdle(Time now) {
   phase_ = Phase::kIdle;
   idle_since_ = now;
-  Read();
+  WatchIdle();
   SetTimer(reusable_until_ - now);
 }
 
+bool EventConnection::HasInput() {
+  char byte = 0;
+  const ssize_t size = ::recv(socket_.native_handle(), &byte, sizeof(byte),
+                              MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+// Waits for input without reading it, so that HasInput() sees it.
+void EventConnection::WatchIdle() {
+  socket_.async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), id = call_id_](asio::error_code error) {
+        const bool still_idle =
+            self->phase_ == Phase::kIdle && self->call_id_ == id;
+        if (error == asio::error::operation_aborted || !still_idle)
+          return;
+        self->Close();
+        self->client_.RemoveIdle(self.get());
+      });
+}
+
 void EventConnection::Close() {
   if (phase_ == Phase::kClosed)
     return;
@@ -170,11 +195,6 @@
 }
 
 void EventConnection::OnRead(asio::error_code error, std::size_t size) {
-  if (phase_ == Phase::kIdle) {
-    Close();
-    client_.RemoveIdle(this);
-    return;
-  }
   if (phase_ != Phase::kRunning)
     return;
   if (error) {
--- a/source/core/http/event_connection.h
+++ b/source/core/http/event_connection.h
@@ -27,6 +27,10 @@
   /// the stream, makes it unusable.
   void BecomeIdle(Time now);
 
+  /// Returns true if an idle connection has bytes to read or has ended, so that
+  /// it can't carry another exchange.
+  bool HasInput();
+
   void Close();
 
   /// Ends the exchange, because the responses take too much memory.
@@ -45,6 +49,7 @@
   void Connect();
   bool BindSource();
   void Send();
+  void WatchIdle();
   void Read();
   void OnRead(asio::error_code error, std::size_t size);
   void HandleParseState();
