HTTP: Reject heads that continue with the head of another answer

Found by the property test over a faulty endpoint, which follows: an endpoint that stops in a head and writes another answer behind it made one head of two. Cut before its very last byte, the head was taken as complete, because http_parser accepts any byte in place of the last LF, and the bytes of the other answer became the body. Cut in the reason or in a field's value, the answer had the status of one request and the body of the other.

A CR of a head must be followed by LF, and neither the reason nor a value of a response may contain a status line.

--- a/source/core/http/message_parser.cc
+++ b/source/core/http/message_parser.cc
@@ -82,6 +82,11 @@
     return 0;
   started_ = true;
   const bool was_in_head = state_ == ParseState::kHead;
+  // http_parser takes any byte after the CR of the last line for its LF.
+  if (was_in_head && !lines_.Feed(bytes)) {
+    state_ = ParseState::kMalformed;
+    return 0;
+  }
   const std::size_t consumed =
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   if (was_in_head)
@@ -134,6 +139,13 @@
   return *static_cast<MessageParser*>(parser->data);
 }
 
+int MessageParser::OnStatus(http_parser* parser,
+                            const char* data,
+                            std::size_t size) {
+  FromHttpParser(parser).reason_.append(data, size);
+  return kContinueParsing;
+}
+
 int MessageParser::OnUrl(http_parser* parser,
                          const char* data,
                          std::size_t size) {
@@ -213,6 +225,7 @@
   static const http_parser_settings kCallbacks = [] {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
+    settings.on_status = OnStatus;
     settings.on_url = OnUrl;
     settings.on_header_field = OnFieldName;
     settings.on_header_value = OnFieldValue;
@@ -241,8 +254,13 @@
       !EqualsIgnoringCase(HeaderValue(headers_, "Transfer-Encoding"),
                           "chunked"))
     return false;
-  if (parser_.type == HTTP_RESPONSE)
-    return true;
+  if (parser_.type == HTTP_RESPONSE) {
+    return !ContainsStatusLine(reason_) &&
+           std::none_of(headers_.begin(), headers_.end(),
+                        [](const auto& field) {
+                          return ContainsStatusLine(field.second);
+                        });
+  }
   const bool has_absolute_path = !target_.empty() && target_.front() == '/';
   return has_absolute_path && CountFields(headers_, "Host") == 1;
 }
--- a/source/core/http/message_parser.h
+++ b/source/core/http/message_parser.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/http/head_lines.h"
 #include "core/http/message.h"
 
 namespace jacinth::http {
@@ -30,7 +31,8 @@
 ///
 /// Rejects ambiguous framing as malformed: repeated or invalid lengths, a
 /// length together with a transfer encoding, and transfer encodings other than
-/// `chunked`.
+/// `chunked`. Rejects heads with a CR that no LF follows, and responses whose
+/// head was cut off and continues with the head of another one.
 class MessageParser {
  public:
   enum class Kind { kRequest, kResponse };
@@ -72,6 +74,7 @@
 
  private:
   static MessageParser& FromHttpParser(http_parser* parser);
+  static int OnStatus(http_parser* parser, const char* data, std::size_t size);
   static int OnUrl(http_parser* parser, const char* data, std::size_t size);
   static int OnFieldName(http_parser* parser,
                          const char* data,
@@ -95,6 +98,8 @@
   bool in_field_value_ = false;
   std::size_t head_bytes_ = 0;
   ParseState state_ = ParseState::kHead;
+  HeadLines lines_;
+  std::string reason_;
   std::string target_;
   Headers headers_;
   std::string body_;
--- a/source/unit_tests/http/message_parser_test.cc
+++ b/source/unit_tests/http/message_parser_test.cc
@@ -113,6 +113,40 @@
   CHECK(parser.TakeResponse().body == "abc");
 }
 
+// Guards against a head that was cut off before its last byte, after which the
+// bytes of another answer count as the body.
+TEST_CASE("A CR without LF in the head is malformed") {
+  const std::string bytes = GENERATE(
+      as<std::string>{}, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\rXabc",
+      "HTTP/1.1 200 OK\r\nX: a\rContent-Length: 3\r\n\r\nabc",
+      "HTTP/1.1 200 OK\rX: a\r\nContent-Length: 3\r\n\r\nabc",
+      "\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\rXabc");
+  const std::size_t read_size = GENERATE(std::size_t{1}, std::size_t{1'000});
+  CAPTURE(bytes, read_size);
+  MessageParser parser(MessageParser::Kind::kResponse, kLimits);
+  for (std::size_t start = 0; start < bytes.size(); start += read_size)
+    parser.Feed(bytes.substr(start, read_size));
+  CHECK(parser.state() == ParseState::kMalformed);
+}
+
+// Guards against an answer with the status of one request and the body of
+// another.
+TEST_CASE("A head that continues with another status line is malformed") {
+  const std::string start =
+      GENERATE(as<std::string>{}, "HTTP/1.1 200 OK", "HTTP/1.1 200 ",
+               "HTTP/1.1 200 OK\r\nX-One: a",
+               "HTTP/1.1 200 OK\r\nX-One: ", "HTTP/1.1 200 OK\r\nX-On",
+               "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1");
+  const std::size_t read_size = GENERATE(std::size_t{1}, std::size_t{1'000});
+  const std::string bytes =
+      start + "HTTP/1.1 503 Busy\r\nContent-Length: 3\r\n\r\nabc";
+  CAPTURE(bytes, read_size);
+  MessageParser parser(MessageParser::Kind::kResponse, kLimits);
+  for (std::size_t i = 0; i < bytes.size(); i += read_size)
+    parser.Feed(bytes.substr(i, read_size));
+  CHECK(parser.state() == ParseState::kMalformed);
+}
+
 TEST_CASE("A response shorter than its Content-Length is never complete") {
   MessageParser parser(MessageParser::Kind::kResponse, kLimits);
   parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
