--- a/source/core/http/address.cc
+++ b/source/core/http/address.cc
@@ -3,6 +3,11 @@
 #include <charconv>
 
 namespace jacinth::http {
+namespace {
+
+constexpr int kMaxPort = 65535;
+
+}  // namespace
 
 Result<Address> ParseAddress(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -14,7 +19,8 @@
   const char* end = digits.data() + digits.size();
   const auto [parsed_end, error] =
       std::from_chars(digits.data(), end, address.port);
-  if (error != std::errc() || parsed_end != end)
+  const bool in_range = address.port >= 0 && address.port <= kMaxPort;
+  if (error != std::errc() || parsed_end != end || !in_range)
     return Fail(ErrorKind::kBadRequest,
                 "invalid port in address " + std::string(text));
   return address;
--- a/source/core/http/address.h
+++ b/source/core/http/address.h
@@ -13,7 +13,8 @@
   int port = 0;
 };
 
-/// Parses `ip:port`. Fails with kBadRequest if the port is missing or invalid.
+/// Parses `ip:port`. Fails with kBadRequest if the port is missing or not
+/// from 0 to 65535.
 Result<Address> ParseAddress(std::string_view text);
 
 }  // namespace jacinth::http
