Entry: Close connections whose answers are another's or refusals without id

Answers of the native interface have no id: a refusal that an endpoint repeats on a kept connection was taken for that of the next request. Its connection now ends with a refusal. Connections whose answer bears another id were closed, but those to other entries were not.

--- a/source/core/http/event_client.h
+++ b/source/core/http/event_client.h
@@ -28,6 +28,9 @@
   /// Longest idle time of a connection to be reused. Zero forces a new
   /// connection.
   Duration max_idle{0};
+  /// Returns true if the connection of a response may be reused. If empty, all
+  /// may.
+  std::function<bool(const Response&)> keeps_connection;
 };
 
 /// Identifies a call until it ends.
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -59,6 +59,7 @@
 void EventConnection::StartExchange(CallId id, const ClientCall& call) {
   call_id_ = id;
   limits_ = call.limits;
+  keeps_connection_ = call.keeps_connection;
   deadline_ = MonotonicNow() + call.limits.timeout;
   is_head_request_ = call.request.method == "HEAD";
   request_sent_ = false;
@@ -281,6 +282,8 @@
     result.reusable = parser_->keep_alive() && parser_->is_framed() &&
                       request_sent_ && !has_excess_input_;
     result.response = parser_->TakeResponse();
+    if (keeps_connection_)
+      result.reusable = result.reusable && keeps_connection_(result.response);
     reusable_until_ =
         MonotonicNow() + ServerIdleTimeout(result.response.headers);
   }
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -195,6 +195,12 @@
                                ? kMaxIdleTimeRepeatable
                                : kMaxIdleTimeAtMostOnce;
   }
+  client_call.keeps_connection =
+      [this, ticket = attempt.ticket](const http::Response& response) {
+        const auto request = pending_requests_.find(ticket);
+        return request != pending_requests_.end() &&
+               adapter_.KeepsConnection(request->second.forwarded, response);
+      };
   std::int64_t started = 0;
   trace::SpanContext context;
   if (Adapter::kHasTraceContext) {
@@ -241,6 +247,12 @@
   client_call.max_idle = relay.execution == Execution::kRepeatable
                              ? kMaxIdleTimeRepeatable
                              : kMaxIdleTimeAtMostOnce;
+  client_call.keeps_connection =
+      [this, ticket = relay.ticket](const http::Response& response) {
+        const auto request = pending_requests_.find(ticket);
+        return request != pending_requests_.end() &&
+               adapter_.IsAnswerTo(request->second.forwarded, response);
+      };
   pending.exchange = client_.Start(
       client_call, [this, ticket = relay.ticket](http::ExchangeResult result) {
         OnRelayEnd(ticket, std::move(result));
--- a/source/jacinthroute/interface_adapter.h
+++ b/source/jacinthroute/interface_adapter.h
@@ -57,6 +57,8 @@
   std::vector<protocol::ListedEndpoint> endpoints;
   /// Token of the next page; empty on the last page.
   std::string next_page_token;
+  /// Number of entries of the page that name no usable endpoint.
+  std::size_t skipped_endpoints = 0;
 };
 
 /// Translates between EntryNode and the HTTP interface to callers and
@@ -95,6 +97,11 @@
   {
     adapter.IsAnswerTo(forwarded, result.response)
     } -> std::convertible_to<bool>;
+  // Returns true if the connection of an endpoint's response may carry other
+  // requests.
+  {
+    adapter.KeepsConnection(forwarded, result.response)
+    } -> std::convertible_to<bool>;
   // Determines how an attempt ended.
   {
     adapter.ClassifyAttempt(forwarded, attempt, result)
--- a/source/jacinthroute/native_adapter.cc
+++ b/source/jacinthroute/native_adapter.cc
@@ -77,6 +77,12 @@
   return out;
 }
 
+// Returns true if an endpoint states that it did not run the request.
+bool IsRefusal(const Response& response) {
+  return HeaderValue(response.headers, "Jacinth-Outcome") ==
+         OutcomeName(Outcome::kNotRun);
+}
+
 Response JsonResponse(const nlohmann::json& body) {
   Response response;
   response.content_type = "application/json";
@@ -232,15 +238,20 @@
   return true;
 }
 
+// A refusal has no id. Repeated on its connection, it would be taken for the
+// refusal of a later request.
+bool NativeAdapter::KeepsConnection(const ForwardedRequest& /*forwarded*/,
+                                    const Response& response) const {
+  return !IsRefusal(response);
+}
+
 AttemptResult NativeAdapter::ClassifyAttempt(
     const ForwardedRequest& /*forwarded*/,
     const entry::StartAttempt& /*attempt*/,
     const http::ExchangeResult& result) const {
   if (result.end != http::ExchangeEnd::kAnswered)
     return {ToAttemptEnd(result.end), std::nullopt, std::nullopt};
-  const bool refused =
-      HeaderValue(result.response.headers, "Jacinth-Outcome") ==
-      OutcomeName(Outcome::kNotRun);
+  const bool refused = IsRefusal(result.response);
   return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered, std::nullopt,
           forwarding::ParseRateLimitNotice(
               HeaderValue(result.response.headers, "Jacinth-Rate-Limit"))};
