Platform: Let an odd entry of the list spoil no other

A page was parsed as a whole. A number too large or bytes that are not UTF-8 in one entry made it unreadable, so that the list stood still until the entry was gone. An unreadable token was taken for the end of the list, which removed the endpoints of the pages behind it, and so was a list without end.

The number of entries that name none is logged when it grows. Ports out of range were refused before.

--- a/source/jacinthroute/endpoint_lister.cc
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -29,6 +29,7 @@
     return;
   reading_ = true;
   requested_pages_ = 0;
+  skipped_endpoints_ = 0;
   endpoints_.clear();
   on_done_ = std::move(on_done);
   RequestPage("");
@@ -61,11 +62,22 @@
   }
   for (protocol::ListedEndpoint& endpoint : page->endpoints)
     endpoints_.push_back(std::move(endpoint));
-  if (!page->next_page_token.empty() && requested_pages_ < kMaxPages) {
-    RequestPage(page->next_page_token);
+  skipped_endpoints_ += page->skipped_endpoints;
+  if (!page->next_page_token.empty()) {
+    if (requested_pages_ < kMaxPages)
+      RequestPage(page->next_page_token);
+    else
+      OnFailure("the list has no end");
     return;
   }
   reading_ = false;
+  if (std::exchange(last_skipped_endpoints_, skipped_endpoints_) <
+      skipped_endpoints_) {
+    log::Warning(log::Category::kEntry,
+                 std::to_string(skipped_endpoints_) +
+                     " entries of the endpoint list are malformed and name no "
+                     "endpoint.");
+  }
   if (std::exchange(last_read_failed_, false))
     log::Info(log::Category::kEntry, "The endpoint list can be read again.");
   on_done_(std::move(endpoints_));
--- a/source/jacinthroute/endpoint_lister.h
+++ b/source/jacinthroute/endpoint_lister.h
@@ -42,6 +42,8 @@
   bool reading_ = false;
   bool last_read_failed_ = false;
   int requested_pages_ = 0;
+  std::size_t skipped_endpoints_ = 0;
+  std::size_t last_skipped_endpoints_ = 0;
   std::vector<protocol::ListedEndpoint> endpoints_;
 };
 
