Wire: Receive listed endpoints that can't be used as removed

The leader checks the entries of the list, but entries took over what they were sent. A leader of an older build, which runs beside this one during an upgrade, sends slots, warm-ups and ids that it has not checked.

--- a/source/core/wire/convert_endpoints.cc
+++ b/source/core/wire/convert_endpoints.cc
@@ -1,3 +1,6 @@
+#include <utility>
+
+#include "core/protocol/endpoint_check.h"
 #include "core/wire/convert.h"
 
 namespace jacinth::wire {
@@ -47,9 +50,15 @@
   protocol::EndpointUpdate out;
   out.version = static_cast<std::uint64_t>(update.version);
   out.base = static_cast<std::uint64_t>(update.base);
-  for (const generated::ListedEndpoint& endpoint : update.changed)
-    out.changed.push_back(EndpointFromWire(endpoint));
   out.removed = update.removed;
+  for (const generated::ListedEndpoint& endpoint : update.changed) {
+    protocol::ListedEndpoint read = EndpointFromWire(endpoint);
+    // Leaders of other builds may list endpoints that can't be used.
+    if (protocol::IsUsable(read))
+      out.changed.push_back(std::move(read));
+    else
+      out.removed.push_back(read.id);
+  }
   return out;
 }
 
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -1,5 +1,7 @@
+#include <limits>
 #include <rapidcheck.h>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -83,6 +85,38 @@
   CheckRoundTrip(protocol::FinishReply{"a"});
 }
 
+// Guards against endpoints of a leader of another build that can't be used.
+TEST_CASE("Listed endpoints that can't be used are received as removed") {
+  protocol::HeartbeatReply reply;
+  reply.endpoints.version = 2;
+  reply.endpoints.base = 1;
+  reply.endpoints.removed = {"gone"};
+  const auto add = [&](const std::string& id, auto change) {
+    protocol::ListedEndpoint endpoint = MakeFullListedEndpoint();
+    endpoint.id = id;
+    change(endpoint);
+    reply.endpoints.changed.push_back(endpoint);
+  };
+  add("good", [](auto& /*endpoint*/) {});
+  add("port", [](auto& endpoint) { endpoint.address = "127.0.0.2:99999"; });
+  add("port-0", [](auto& endpoint) { endpoint.address = "127.0.0.2:0"; });
+  add("slots", [](auto& endpoint) { endpoint.slots = -1; });
+  add("many-slots", [](auto& endpoint) { endpoint.slots = 2'147'483'647; });
+  add("cold", [](auto& endpoint) {
+    endpoint.cold_for_ms = std::numeric_limits<std::int64_t>::max();
+  });
+  add("a\r\nb: c", [](auto& /*endpoint*/) {});
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(Envelope(reply)));
+  REQUIRE(decoded);
+  const auto& endpoints =
+      std::get<protocol::HeartbeatReply>(*decoded).endpoints;
+  REQUIRE(endpoints.changed.size() == 1);
+  CHECK(endpoints.changed[0].id == "good");
+  CHECK(endpoints.removed == std::vector<std::string>{"gone", "port", "port-0",
+                                                      "slots", "many-slots",
+                                                      "cold", "a\r\nb: c"});
+}
+
 TEST_CASE("Commands are unchanged by encoding and decoding") {
   protocol::ChangeSettings change;
   change.operator_name = "alice";
