--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -1,12 +1,14 @@
 #include "core/http/event_connection.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <sys/socket.h>
 
 #include "core/common/process_clock.h"
 #include "core/http/address.h"
@@ -57,6 +59,7 @@
 void EventConnection::StartExchange(CallId id, const ClientCall& call) {
   call_id_ = id;
   limits_ = call.limits;
+  keeps_connection_ = call.keeps_connection;
   deadline_ = MonotonicNow() + call.limits.timeout;
   is_head_request_ = call.request.method == "HEAD";
   request_sent_ = false;
@@ -70,6 +73,8 @@
     return;
   }
   phase_ = Phase::kRunning;
+  asio::error_code ignored;
+  socket_.cancel(ignored);
   SetTimer(limits_.timeout);
   Send();
   Read();
@@ -78,10 +83,31 @@
 void EventConnection::BecomeIdle(Time now) {
   phase_ = Phase::kIdle;
   idle_since_ = now;
-  Read();
+  WatchIdle();
   SetTimer(reusable_until_ - now);
 }
 
+bool EventConnection::HasInput() {
+  char byte = 0;
+  const ssize_t size = ::recv(socket_.native_handle(), &byte, sizeof(byte),
+                              MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+// Waits for input without reading it, so that HasInput() sees it.
+void EventConnection::WatchIdle() {
+  socket_.async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), id = call_id_](asio::error_code error) {
+        const bool still_idle =
+            self->phase_ == Phase::kIdle && self->call_id_ == id;
+        if (error == asio::error::operation_aborted || !still_idle)
+          return;
+        self->Close();
+        self->client_.RemoveIdle(self.get());
+      });
+}
+
 void EventConnection::Close() {
   if (phase_ == Phase::kClosed)
     return;
@@ -170,22 +196,12 @@
 }
 
 void EventConnection::OnRead(asio::error_code error, std::size_t size) {
-  if (phase_ == Phase::kIdle) {
-    Close();
-    client_.RemoveIdle(this);
-    return;
-  }
   if (phase_ != Phase::kRunning)
     return;
   if (error) {
-    const bool end_of_stream = error == asio::error::eof;
-    if (end_of_stream)
-      parser_->FeedEndOfStream();
-    if (parser_->state() == ParseState::kDone)
-      Finish(ExchangeEnd::kAnswered);
-    else
-      Finish(parser_->started() ? ExchangeEnd::kIncomplete
-                                : ExchangeEnd::kLost);
+    // A response that ends with its connection can't be told from one that was
+    // cut off, also if its head has lost the length.
+    Finish(parser_->started() ? ExchangeEnd::kIncomplete : ExchangeEnd::kLost);
     return;
   }
   std::size_t offset = 0;
@@ -266,6 +282,8 @@
     result.reusable = parser_->keep_alive() && parser_->is_framed() &&
                       request_sent_ && !has_excess_input_;
     result.response = parser_->TakeResponse();
+    if (keeps_connection_)
+      result.reusable = result.reusable && keeps_connection_(result.response);
     reusable_until_ =
         MonotonicNow() + ServerIdleTimeout(result.response.headers);
   }
--- a/source/core/http/event_connection.h
+++ b/source/core/http/event_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,10 @@
   /// the stream, makes it unusable.
   void BecomeIdle(Time now);
 
+  /// Returns true if an idle connection has bytes to read or has ended, so that
+  /// it can't carry another exchange.
+  bool HasInput();
+
   void Close();
 
   /// Ends the exchange, because the responses take too much memory.
@@ -45,6 +50,7 @@
   void Connect();
   bool BindSource();
   void Send();
+  void WatchIdle();
   void Read();
   void OnRead(asio::error_code error, std::size_t size);
   void HandleParseState();
@@ -63,6 +69,7 @@
   Phase phase_ = Phase::kNew;
   CallId call_id_ = 0;
   ExchangeLimits limits_;
+  std::function<bool(const Response&)> keeps_connection_;
   Time deadline_{};
   Time idle_since_{};
   Time reusable_until_{};
