Quarantine: Keep requests that crash endpoints away from the others

Cause: every entry judges endpoints by what requests did to them, and nothing judges requests by what they did to endpoints. A request whose endpoint crashed is retried, and its resends are sent, like any other. Class of fault: a request that fails by itself is taken for a failure of what ran it.

Change: an attempt whose connection is lost counts against its request, identified by host, caller, method, target and body. Entries report crashes with their heartbeats; the leader joins them by the incarnation of the endpoint, records suspects in the replicated log and sends them to all entries. After two crashes a request isn't retried, after three it is refused at once as not run. Only crashes that followed one another count, so that endpoints which end together accuse no request; an answer clears a request at once. Without a leader an entry's own crashes decide.

Mixed builds: a replica of an older build stops at a command of unknown type. The command therefore also holds an empty list of slice owners, which such a replica applies without effect. The new fields of heartbeats are optional.

--- a/source/core/common/error_kind.h
+++ b/source/core/common/error_kind.h
@@ -25,6 +25,7 @@
   kDeadlineExceeded,
   kOverloaded,
   kNoEndpoint,
+  kRequestQuarantined,
   kEndpointFailed,
   kAnswerIncomplete,
   kNotReady,
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -133,13 +133,14 @@
   registry_.Expire(clock.now);
   if (!HasLeaderLease(clock.now))
     return;
-  ResetListsForTerm();
+  ResetListsForTerm(clock);
   if (clock.now >= next_push_) {
     next_push_ = clock.now + kPushInterval;
     RebalanceSlices(clock.now);
     AllocateRateShares(clock.now);
-    PushLists(clock.now);
+    PushLists(clock);
     RecordSliceOwners(clock);
+    RecordSuspects(clock);
   }
 }
 
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -19,6 +19,7 @@
 #include "core/control/entry_registry.h"
 #include "core/control/rate_share_allocator.h"
 #include "core/control/slice_assignment.h"
+#include "core/quarantine/suspect_registry.h"
 
 namespace jacinth::control {
 
@@ -87,14 +88,19 @@
     std::string attempt;
   };
   struct PendingOwners {};
-  using PendingProposal =
-      std::variant<PendingChange, PendingClaim, PendingFinish, PendingOwners>;
+  struct PendingSuspects {};
+  using PendingProposal = std::variant<PendingChange,
+                                       PendingClaim,
+                                       PendingFinish,
+                                       PendingOwners,
+                                       PendingSuspects>;
 
   /// Versions of the lists that were last sent to an entry.
   struct ListVersions {
     std::uint64_t endpoints = 0;
     std::uint64_t slices = 0;
     std::uint64_t rate_shares = 0;
+    std::uint64_t suspects = 0;
   };
 
   /// A message that must not be sent before the write `after` is synced.
@@ -147,8 +153,8 @@
 
   // Endpoint list, slice owners and rate limits.
   void On(const EndpointsListed& event, ClockReading clock);
-  void PushLists(Time now);
-  void ResetListsForTerm();
+  void PushLists(ClockReading clock);
+  void ResetListsForTerm(ClockReading clock);
   void RetainListedLimits(Time now);
   void AllocateRateShares(Time now);
   protocol::RateShareUpdate RateSharesFor(const std::string& entry,
@@ -157,6 +163,10 @@
   void RebalanceSlices(Time now);
   std::map<std::string, SliceEndpoint> SliceEndpoints(Time now) const;
   void RecordSliceOwners(ClockReading clock);
+  void OnCrashReports(const protocol::Heartbeat& heartbeat, ClockReading clock);
+  void RecordSuspects(ClockReading clock);
+  protocol::SuspectUpdate SuspectsFor(std::uint64_t held_version,
+                                      ClockReading clock) const;
   bool IsFailureDomainDrained(const std::string& region,
                               const std::string& domain) const;
 
@@ -186,6 +196,7 @@
   EndpointCatalog catalog_;
   SliceAssignment slices_;
   RateShareAllocator rate_shares_;
+  quarantine::SuspectRegistry suspects_;
   /// By entry instance. If a message is lost, the versions in the entry's next
   /// heartbeat replace these.
   std::map<std::string, ListVersions> sent_versions_;
@@ -204,7 +215,7 @@
   Time next_push_{};
   Time next_owner_record_{};
   Time last_rebalance_{};
-  /// Term for which `slices_` and `rate_shares_` were reset.
+  /// Term for which `slices_`, `rate_shares_` and `suspects_` were reset.
   std::uint64_t lists_term_ = 0;
   // State at the time of the last log record about it.
   std::string logged_leader_;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -20,7 +20,7 @@
     SendToEntry(from, reply);
     return;
   }
-  ResetListsForTerm();
+  ResetListsForTerm(clock);
   registry_.OnHeartbeat(heartbeat.status, clock.now);
   reply.leader = true;
   reply.revision = state_.revision();
@@ -41,8 +41,10 @@
   AllocateRateShares(clock.now);
   reply.rate_shares =
       RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
+  OnCrashReports(heartbeat, clock);
+  reply.suspects = SuspectsFor(heartbeat.suspects_version, clock);
   sent_versions_[from] = {catalog_.version(), slices_.version(),
-                          reply.rate_shares.version};
+                          reply.rate_shares.version, reply.suspects.version};
   SendToEntry(from, std::move(reply));
 }
 
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -18,21 +18,25 @@
 void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
   if (!HasLeaderLease(clock.now) || registry_term_ != replica_->term())
     return;
-  ResetListsForTerm();
+  ResetListsForTerm(clock);
   catalog_.ApplyListing(event.endpoints, clock.now);
   slices_.RetainOwners(SliceEndpoints(clock.now));
   RetainListedLimits(clock.now);
-  PushLists(clock.now);
+  PushLists(clock);
 }
 
 // Requires the leader lease, which guarantees that all owners recorded by
 // earlier leaders have been applied.
-void ControlNode::ResetListsForTerm() {
+void ControlNode::ResetListsForTerm(ClockReading clock) {
   if (lists_term_ == registry_term_)
     return;
   lists_term_ = registry_term_;
   slices_.Reset(lists_term_, state_.SliceOwners());
   rate_shares_.Reset(lists_term_);
+  std::vector<protocol::SuspectRequest> recorded;
+  for (const auto& [fingerprint, request] : state_.suspects())
+    recorded.push_back(request);
+  suspects_.Reset(recorded, clock);
 }
 
 // Forgets the limits of endpoints that have gone or restarted, and the demand
@@ -125,23 +129,27 @@
     ProposeCommand(PendingOwners{}, std::move(record), clock);
 }
 
-void ControlNode::PushLists(Time now) {
+void ControlNode::PushLists(ClockReading clock) {
+  const Time now = clock.now;
   for (const protocol::EntryStatus& entry : registry_.Statuses()) {
     ListVersions& sent = sent_versions_[entry.id];
     protocol::HeartbeatReply reply;
     reply.endpoints = catalog_.UpdateFor(sent.endpoints, now);
     reply.slices = slices_.UpdateFor(sent.slices);
     reply.rate_shares = RateSharesFor(entry.id, sent.rate_shares, now);
+    reply.suspects = SuspectsFor(sent.suspects, clock);
+    const bool has_suspects = !reply.suspects.unchanged;
     const bool has_rate_shares =
         reply.rate_shares.version != 0 && !reply.rate_shares.unchanged;
     if (reply.endpoints.version == 0 && reply.slices.version == 0 &&
-        !has_rate_shares)
+        !has_rate_shares && !has_suspects)
       continue;
     reply.leader = true;
     reply.leader_hint = LeaderInstance();
     // If this message is lost, the versions in the entry's next heartbeat
     // replace these.
-    sent = {catalog_.version(), slices_.version(), reply.rate_shares.version};
+    sent = {catalog_.version(), slices_.version(), reply.rate_shares.version,
+            reply.suspects.version};
     SendToEntry(entry.id, std::move(reply));
   }
 }
--- a/source/core/control/control_state.cc
+++ b/source/core/control/control_state.cc
@@ -26,6 +26,8 @@
 constexpr std::size_t kMaxRecentChanges = 256;
 /// Number of accepted changes that are kept in the audit trail.
 constexpr std::size_t kMaxAuditRecords = 10'000;
+/// Number of suspect requests that are kept; those that expire first go first.
+constexpr std::size_t kMaxSuspects = 1'024;
 
 std::string BranchList(const ChangeSettings& change) {
   std::string text;
@@ -44,6 +46,7 @@
   // decrease.
   log_time_ = std::max(log_time_, command.wall_ms);
   ledger_.Prune(log_time_, Retention());
+  PruneSuspects();
   if (const auto* change = std::get_if<ChangeSettings>(&command.body))
     return ApplyChange(*change, command.wall_ms);
   if (const auto* claim = std::get_if<ClaimRequest>(&command.body))
@@ -52,6 +55,11 @@
     ApplyOwners(*owners);
     return OwnersRecorded{};
   }
+  if (const auto* suspects =
+          std::get_if<protocol::RecordSuspects>(&command.body)) {
+    ApplySuspects(*suspects);
+    return SuspectsRecorded{};
+  }
   ledger_.Finish(std::get<FinishRequest>(command.body), log_time_);
   return FinishOutcome{};
 }
@@ -115,6 +123,31 @@
   }
 }
 
+void ControlState::ApplySuspects(const protocol::RecordSuspects& record) {
+  for (const protocol::SuspectRequest& request : record.requests) {
+    if (request.endpoints.empty())
+      suspects_.erase(request.fingerprint);
+    else
+      suspects_[request.fingerprint] = request;
+  }
+  while (suspects_.size() > kMaxSuspects) {
+    suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(),
+                                     [](const auto& left, const auto& right) {
+                                       return left.second.expires_ms <
+                                              right.second.expires_ms;
+                                     }));
+  }
+  ++suspect_changes_;
+}
+
+void ControlState::PruneSuspects() {
+  const auto removed = std::erase_if(suspects_, [&](const auto& item) {
+    return item.second.expires_ms <= log_time_;
+  });
+  if (removed != 0)
+    ++suspect_changes_;
+}
+
 bool ControlState::MeetsPrecondition(const ChangeSettings& change) const {
   if (change.version_step) {
     return change.version_step->base == operator_version_ &&
@@ -187,12 +220,16 @@
   for (const ResultKey& key : result_order_)
     snapshot.results.push_back(results_.at(key));
   snapshot.slice_owners = SliceOwners();
+  for (const auto& [fingerprint, request] : suspects_)
+    snapshot.suspects.push_back(request);
   snapshot.audit.assign(audit_.begin(), audit_.end());
   return wire::EncodeControlSnapshot(snapshot);
 }
 
 Result<void> ControlState::Load(const std::string& bytes) {
+  const std::uint32_t suspect_changes = suspect_changes_;
   *this = ControlState();
+  suspect_changes_ = suspect_changes + 1;
   if (bytes.empty())
     return {};
   auto snapshot = wire::DecodeControlSnapshot(bytes);
@@ -214,6 +251,7 @@
     result_order_.push_back(key);
   }
   ApplyOwners({std::move(snapshot->slice_owners)});
+  ApplySuspects({std::move(snapshot->suspects)});
   audit_.assign(snapshot->audit.begin(), snapshot->audit.end());
   return {};
 }
--- a/source/core/control/control_state.h
+++ b/source/core/control/control_state.h
@@ -37,9 +37,17 @@
   bool operator==(const OwnersRecorded&) const = default;
 };
 
+/// Result of recording suspect requests.
+struct SuspectsRecorded {
+  bool operator==(const SuspectsRecorded&) const = default;
+};
+
 /// Result of applying a command.
-using CommandResult =
-    std::variant<ChangeOutcome, ClaimResult, FinishOutcome, OwnersRecorded>;
+using CommandResult = std::variant<ChangeOutcome,
+                                   ClaimResult,
+                                   FinishOutcome,
+                                   OwnersRecorded,
+                                   SuspectsRecorded>;
 
 /// The replicated state machine. Deterministic: equal logs give equal states
 /// and results.
@@ -70,6 +78,13 @@
   /// Returns the slice owners as last recorded.
   std::vector<protocol::SliceOwner> SliceOwners() const;
 
+  /// Requests that crash endpoints, by fingerprint.
+  const std::map<std::uint64_t, protocol::SuspectRequest>& suspects() const {
+    return suspects_;
+  }
+  /// Number of changes to suspects() since this replica started.
+  std::uint32_t suspect_changes() const { return suspect_changes_; }
+
   /// Serializes the state for a snapshot.
   std::string Save() const;
 
@@ -85,6 +100,8 @@
                             WallMillis wall_ms);
   bool MeetsPrecondition(const protocol::ChangeSettings& change) const;
   void ApplyOwners(const protocol::RecordOwners& record);
+  void ApplySuspects(const protocol::RecordSuspects& record);
+  void PruneSuspects();
   void RecordChangedBranches(const protocol::ChangeSettings& change);
   void StoreResult(const protocol::ChangeSettings& change,
                    const ChangeOutcome& outcome);
@@ -99,6 +116,8 @@
   std::deque<ResultKey> result_order_;
   std::deque<protocol::AuditRecord> audit_;
   std::map<SliceKey, std::string> slice_owners_;
+  std::map<std::uint64_t, protocol::SuspectRequest> suspects_;
+  std::uint32_t suspect_changes_ = 0;
   /// Names of the branches that each of the latest revisions changed, oldest
   /// first.
   std::deque<std::vector<std::string>> recent_changes_;
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -108,6 +108,7 @@
   service_state.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load,
                                        now);
   TrackLinks(record, event, now);
+  UpdateQuarantine(record, service_state, event.end, now);
   if (event.rate_limit)
     OnRateLimitNotice(record, service_state, *event.rate_limit, now);
   RecordSliceUse(record, now);
@@ -242,6 +243,8 @@
                                 Time now) const {
   if (now >= record.deadline || record.attempts >= record.kind.max_attempts)
     return false;
+  if (quarantine_.Judge(record.suspect_id) != quarantine::Verdict::kClear)
+    return false;
   const Outcome outcome = forwarding::OutcomeOf(end);
   // A request that was answered with a failure has run, and is retried like
   // other failed attempts. An answer that was too large would be too large
--- a/source/core/entry/entry_logging.cc
+++ b/source/core/entry/entry_logging.cc
@@ -127,6 +127,8 @@
       actions_.log_records.push_back(std::move(log_record));
     }
   }
+  for (log::Record& log_record : quarantine_.TakeLogRecords())
+    actions_.log_records.push_back(std::move(log_record));
   const bool in_contact = session_.InContact(now);
   if (in_contact != std::exchange(was_in_contact_, in_contact)) {
     AddLogRecord(in_contact ? "control_regained" : "control_lost")
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -50,6 +50,7 @@
           std::get_if<protocol::HeartbeatReply>(&event.envelope)) {
     const bool changed = session_.OnReply(*reply, now);
     ApplyRateShares(*reply, now);
+    ApplySuspects(*reply, now);
     if (!changed)
       return;
     SpreadCallers();
@@ -68,6 +69,7 @@
 void EntryNode::On(const Tick& /*event*/, Time now) {
   if (auto heartbeat = session_.OnTick(now)) {
     heartbeat->rate_limits = TakeRateLimitReports(heartbeat->sequence, now);
+    AddQuarantineReports(*heartbeat, now);
     SendHeartbeat(*heartbeat, now);
   }
   MaybeListEndpoints(now);
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -21,6 +21,7 @@
 #include "core/entry/weighted_round_robin.h"
 #include "core/forwarding/demand_meter.h"
 #include "core/forwarding/link_monitor.h"
+#include "core/quarantine/request_quarantine.h"
 #include "core/settings/fleet_limits.h"
 
 namespace jacinth::entry {
@@ -128,6 +129,16 @@
   void ProbeLinks(Time now);
   void OnLinkStateChange(Time now);
 
+  // Requests that crash endpoints.
+  static std::uint64_t SuspectId(const RequestArrived& event);
+  std::optional<Error> CheckQuarantine(const RequestRecord& record) const;
+  void UpdateQuarantine(const RequestRecord& record,
+                        const ServiceState& service_state,
+                        forwarding::AttemptEnd end,
+                        Time now);
+  void AddQuarantineReports(protocol::Heartbeat& heartbeat, Time now);
+  void ApplySuspects(const protocol::HeartbeatReply& reply, Time now);
+
   // Relays to other entries.
   bool ShouldRelay(const RequestRecord& record, Time now) const;
   bool CanRelay(const RequestRecord& record, Time now) const;
@@ -214,6 +225,7 @@
   /// Requests that were admitted.
   forwarding::DemandMeter admitted_;
   forwarding::LinkMonitor links_;
+  quarantine::RequestQuarantine quarantine_;
   /// State that OnLinkStateChange() has acted on.
   forwarding::LinkState applied_links_ = forwarding::LinkState::kConnected;
   /// Versions of the session's state that are applied to `services_`.
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -67,6 +67,11 @@
     return;
   }
   RequestRecord record = std::move(*resolved);
+  record.suspect_id = SuspectId(event);
+  if (const auto error = CheckQuarantine(record)) {
+    refuse(*error, kMaxRetryAfter);
+    return;
+  }
   if (const auto error = CheckService(record, now)) {
     refuse(*error, RetryAfter(record));
     return;
@@ -264,6 +269,10 @@
              now);
       continue;
     }
+    if (const auto error = CheckQuarantine(record)) {
+      Refuse(*ticket, *error, now);
+      continue;
+    }
     if (TryAttempt(record, service_state, now))
       continue;
     // No endpoint with a free slot may serve the request. It is refused so that
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -24,6 +24,8 @@
 /// State of one admitted request.
 struct RequestRecord {
   RequestArrived arrival;
+  /// Identifies the request and its resends in the quarantine.
+  std::uint64_t suspect_id = 0;
   settings::KindSettings kind;
   /// Service that the request was assigned to; for a route, one of its shares.
   std::string service;
--- a/source/core/protocol/command.h
+++ b/source/core/protocol/command.h
@@ -10,6 +10,7 @@
 #include "core/common/time.h"
 #include "core/protocol/claim.h"
 #include "core/protocol/slice.h"
+#include "core/protocol/suspect_request.h"
 
 namespace jacinth::protocol {
 
@@ -58,13 +59,25 @@
   bool operator==(const RecordOwners&) const = default;
 };
 
+/// Records requests that crash endpoints, so that a new leader knows them.
+struct RecordSuspects {
+  std::vector<SuspectRequest> requests;
+
+  bool operator==(const RecordSuspects&) const = default;
+};
+
 /// A command to the replicated state machine.
 struct Command {
   /// Wall-clock time of the leader when it proposed the command.
   WallMillis wall_ms = 0;
   /// Identifies the proposal to the replica that waits for its result.
   std::uint64_t proposal = 0;
-  std::variant<ChangeSettings, ClaimRequest, FinishRequest, RecordOwners> body;
+  std::variant<ChangeSettings,
+               ClaimRequest,
+               FinishRequest,
+               RecordOwners,
+               RecordSuspects>
+      body;
 
   bool operator==(const Command&) const = default;
 };
--- a/source/core/protocol/control_snapshot.h
+++ b/source/core/protocol/control_snapshot.h
@@ -7,6 +7,7 @@
 #include "core/common/time.h"
 #include "core/protocol/claim.h"
 #include "core/protocol/slice.h"
+#include "core/protocol/suspect_request.h"
 
 namespace jacinth::protocol {
 
@@ -71,6 +72,7 @@
   std::vector<ChangeResult> results;
   std::vector<AuditRecord> audit;
   std::vector<SliceOwner> slice_owners;
+  std::vector<SuspectRequest> suspects;
 
   bool operator==(const ControlSnapshot&) const = default;
 };
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -9,6 +9,7 @@
 #include "core/protocol/entry_status.h"
 #include "core/protocol/rate_limit.h"
 #include "core/protocol/slice.h"
+#include "core/protocol/suspect_request.h"
 
 namespace jacinth::protocol {
 
@@ -29,6 +30,12 @@
   std::uint64_t rate_shares_version = 0;
   /// Rate limits that have changed or were not reported for a while.
   std::vector<RateLimitReport> rate_limits;
+  /// Crashes of endpoints that no leader has received yet.
+  std::vector<CrashReport> crashes;
+  /// Fingerprints of requests that were answered despite earlier crashes.
+  std::vector<std::uint64_t> acquitted;
+  /// Version of the suspect requests that the entry holds.
+  std::uint64_t suspects_version = 0;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -82,6 +89,8 @@
   /// The entry's shares of rate limits; its version is 0 if the sender doesn't
   /// know the limits.
   RateShareUpdate rate_shares;
+  /// Requests suspected of crashing endpoints.
+  SuspectUpdate suspects;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- /dev/null
+++ b/source/core/quarantine/request_quarantine.cc
@@ -0,0 +1,199 @@
+#include "core/quarantine/request_quarantine.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/quarantine/fingerprint.h"
+
+namespace jacinth::quarantine {
+namespace {
+
+/// Bounds on the memory of an entry.
+constexpr std::size_t kMaxRecords = 1'024;
+constexpr std::size_t kMaxReports = 1'024;
+constexpr std::size_t kMaxAcquittals = 256;
+/// Bounds on the size of a heartbeat.
+constexpr std::size_t kMaxReportsPerHeartbeat = 32;
+constexpr std::size_t kMaxAcquittalsPerHeartbeat = 32;
+/// Time after which a report is repeated if no leader has received it.
+constexpr Duration kRepeatAfter = 1s;
+constexpr Duration kExpiryInterval = 1s;
+/// Versions of lists from the leader hold its term in the upper 32 bits.
+constexpr unsigned kTermShift = 32;
+
+}  // namespace
+
+Verdict RequestQuarantine::Judge(std::uint64_t fingerprint) const {
+  return VerdictFor(CountCrashes(fingerprint));
+}
+
+std::size_t RequestQuarantine::CountCrashes(std::uint64_t fingerprint) const {
+  const auto found = records_.find(fingerprint);
+  return found == records_.end() ? 0 : found->second.Sequence().size();
+}
+
+void RequestQuarantine::OnLost(const LostAttempt& attempt, Time now) {
+  MakeRoom();
+  CrashHistory& history = records_[attempt.fingerprint];
+  const std::size_t before = history.Sequence().size();
+  const std::uint64_t endpoint =
+      EndpointHash(attempt.service, attempt.endpoint, attempt.started_ms);
+  if (!history.Add(endpoint, attempt.sent, now))
+    return;
+  if (reports_.size() >= kMaxReports)
+    reports_.pop_front();
+  reports_.push_back({attempt.fingerprint, endpoint, attempt.sent, now, {}});
+  has_news_ = true;
+  const std::size_t crashes = history.Sequence().size();
+  if (VerdictFor(crashes) == VerdictFor(before))
+    return;
+  LogVerdict(VerdictFor(crashes) == Verdict::kBlocked ? "request_blocked"
+                                                      : "request_suspected",
+             attempt.fingerprint, crashes);
+  log_records_.back()
+      .With("endpoint", attempt.endpoint)
+      .With("started_ms", attempt.started_ms);
+}
+
+void RequestQuarantine::OnAnswer(std::uint64_t fingerprint, Time now) {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end())
+    return;
+  const std::size_t crashes = found->second.Sequence().size();
+  if (VerdictFor(crashes) != Verdict::kClear)
+    LogVerdict("request_acquitted", fingerprint, crashes);
+  records_.erase(found);
+  std::erase_if(reports_, [&](const Report& report) {
+    return report.fingerprint == fingerprint;
+  });
+  if (acquittals_.size() < kMaxAcquittals)
+    acquittals_[fingerprint] = {now, {}};
+  has_news_ = true;
+}
+
+void RequestQuarantine::ApplyUpdate(const protocol::SuspectUpdate& update,
+                                    std::uint64_t sequence,
+                                    Time now) {
+  if (update.version == 0 || update.version < version_)
+    return;
+  const bool new_term = update.version >> kTermShift != version_ >> kTermShift;
+  for (Report& report : reports_) {
+    report.delivery.received &= !new_term;
+    report.delivery.received |=
+        sequence != 0 && report.delivery.sequence == sequence;
+  }
+  std::erase_if(acquittals_, [&](const auto& item) {
+    return sequence != 0 && item.second.delivery.sequence == sequence;
+  });
+  if (update.unchanged || update.version == version_)
+    return;
+  version_ = update.version;
+  std::set<std::uint64_t> listed;
+  for (const protocol::SuspectNotice& notice : update.requests) {
+    listed.insert(notice.fingerprint);
+    // This entry's acquittal has not reached the leader yet.
+    if (acquittals_.count(notice.fingerprint) != 0)
+      continue;
+    MakeRoom();
+    CrashHistory& history = records_[notice.fingerprint];
+    const std::size_t before = history.Sequence().size();
+    history.SetCounted(notice.endpoints, now,
+                       now + std::chrono::milliseconds(notice.left_ms));
+    const std::size_t crashes = history.Sequence().size();
+    if (VerdictFor(crashes) > VerdictFor(before))
+      LogVerdict("suspect_received", notice.fingerprint, crashes);
+  }
+  // A new leader may not know all suspects; see docs/design/quarantine.md.
+  if (new_term)
+    return;
+  std::erase_if(records_, [&](const auto& item) {
+    return item.second.counted_until() != Time::min() &&
+           listed.count(item.first) == 0;
+  });
+}
+
+std::vector<protocol::CrashReport> RequestQuarantine::TakeReports(
+    std::uint64_t sequence,
+    Time now) {
+  has_news_ = false;
+  std::vector<protocol::CrashReport> reports;
+  for (Report& report : reports_) {
+    if (reports.size() >= kMaxReportsPerHeartbeat)
+      break;
+    if (!TakeTurn(report.delivery, sequence, now))
+      continue;
+    reports.push_back({report.fingerprint, report.endpoint,
+                       ToMillis(now - report.sent),
+                       ToMillis(now - report.ended)});
+  }
+  return reports;
+}
+
+std::vector<std::uint64_t> RequestQuarantine::TakeAcquittals(
+    std::uint64_t sequence,
+    Time now) {
+  std::vector<std::uint64_t> fingerprints;
+  for (auto& [fingerprint, acquittal] : acquittals_) {
+    if (fingerprints.size() >= kMaxAcquittalsPerHeartbeat)
+      break;
+    if (TakeTurn(acquittal.delivery, sequence, now))
+      fingerprints.push_back(fingerprint);
+  }
+  return fingerprints;
+}
+
+// Returns true if the message is due, and marks it as sent.
+bool RequestQuarantine::TakeTurn(Delivery& delivery,
+                                 std::uint64_t sequence,
+                                 Time now) {
+  const bool waits =
+      delivery.sequence != 0 && now < delivery.sent + kRepeatAfter;
+  if (delivery.received || waits)
+    return false;
+  delivery.sequence = sequence;
+  delivery.sent = now;
+  return true;
+}
+
+void RequestQuarantine::Expire(Time now) {
+  if (now < next_expiry_)
+    return;
+  next_expiry_ = now + kExpiryInterval;
+  for (auto& [fingerprint, history] : records_) {
+    const std::size_t before = history.Sequence().size();
+    history.Expire(now);
+    const std::size_t after = history.Sequence().size();
+    if (VerdictFor(after) < VerdictFor(before))
+      LogVerdict("suspicion_expired", fingerprint, before);
+  }
+  std::erase_if(records_, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(reports_, [&](const Report& report) {
+    return now >= report.ended + CrashHistory::kMaxAge;
+  });
+  std::erase_if(acquittals_, [&](const auto& item) {
+    return now >= item.second.since + CrashHistory::kMaxAge;
+  });
+}
+
+// Removes a record with the fewest crashes if the limit is reached.
+void RequestQuarantine::MakeRoom() {
+  if (records_.size() < kMaxRecords)
+    return;
+  records_.erase(std::min_element(records_.begin(), records_.end(),
+                                  [](const auto& left, const auto& right) {
+                                    return left.second.Sequence().size() <
+                                           right.second.Sequence().size();
+                                  }));
+}
+
+void RequestQuarantine::LogVerdict(std::string_view event,
+                                   std::uint64_t fingerprint,
+                                   std::size_t crashes) {
+  log::Record& record = log_records_.emplace_back();
+  record.category = log::Category::kForwarding;
+  record.event = event;
+  record.With("fingerprint", FormatFingerprint(fingerprint))
+      .With("crashes", crashes);
+}
+
+}  // namespace jacinth::quarantine
--- a/source/core/wire/command_codec.cc
+++ b/source/core/wire/command_codec.cc
@@ -24,6 +24,15 @@
       owners.push_back(ToWire(owner));
     out.__set_owners(owners);
   }
+  void operator()(const protocol::RecordSuspects& body) const {
+    std::vector<generated::SuspectRequest> suspects;
+    for (const protocol::SuspectRequest& request : body.requests)
+      suspects.push_back(ToWire(request));
+    out.__set_suspects(suspects);
+    // A replica of a build without suspects stops at a command without a body
+    // that it knows. It takes this one for a record of no owners.
+    out.__set_owners({});
+  }
 };
 
 }  // namespace
@@ -55,6 +64,13 @@
     out.body = FromWire(in->claim);
     return out;
   }
+  if (in->__isset.suspects) {
+    protocol::RecordSuspects body;
+    for (const generated::SuspectRequest& request : in->suspects)
+      body.requests.push_back(FromWire(request));
+    out.body = std::move(body);
+    return out;
+  }
   if (in->__isset.owners) {
     protocol::RecordOwners body;
     for (const generated::SliceOwner& owner : in->owners)
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -71,6 +71,15 @@
 generated::RateShareUpdate ToWire(const protocol::RateShareUpdate& update);
 protocol::RateShareUpdate FromWire(const generated::RateShareUpdate& update);
 
+generated::CrashReport ToWire(const protocol::CrashReport& report);
+protocol::CrashReport FromWire(const generated::CrashReport& report);
+
+generated::SuspectRequest ToWire(const protocol::SuspectRequest& request);
+protocol::SuspectRequest FromWire(const generated::SuspectRequest& request);
+
+generated::SuspectUpdate ToWire(const protocol::SuspectUpdate& update);
+protocol::SuspectUpdate FromWire(const generated::SuspectUpdate& update);
+
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change);
 protocol::ChangeSettings FromWire(const generated::ChangeSettings& change);
 
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -62,6 +62,10 @@
       static_cast<std::int64_t>(heartbeat.rate_shares_version);
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     out.rate_limits.push_back(ToWire(report));
+  for (const protocol::CrashReport& report : heartbeat.crashes)
+    out.crashes.push_back(ToWire(report));
+  out.acquitted.assign(heartbeat.acquitted.begin(), heartbeat.acquitted.end());
+  out.suspects_version = static_cast<std::int64_t>(heartbeat.suspects_version);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -85,6 +89,10 @@
       static_cast<std::uint64_t>(heartbeat.rate_shares_version);
   for (const generated::RateLimitReport& report : heartbeat.rate_limits)
     out.rate_limits.push_back(FromWire(report));
+  for (const generated::CrashReport& report : heartbeat.crashes)
+    out.crashes.push_back(FromWire(report));
+  out.acquitted.assign(heartbeat.acquitted.begin(), heartbeat.acquitted.end());
+  out.suspects_version = static_cast<std::uint64_t>(heartbeat.suspects_version);
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -115,6 +123,8 @@
     out.__set_slices(ToWire(reply.slices));
   if (reply.rate_shares.version != 0)
     out.__set_rate_shares(ToWire(reply.rate_shares));
+  if (reply.suspects.version != 0)
+    out.__set_suspects(ToWire(reply.suspects));
   return out;
 }
 
@@ -142,6 +152,8 @@
     out.slices = FromWire(reply.slices);
   if (reply.__isset.rate_shares)
     out.rate_shares = FromWire(reply.rate_shares);
+  if (reply.__isset.suspects)
+    out.suspects = FromWire(reply.suspects);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -34,11 +34,22 @@
 struct RateShareUpdate {
   1: i64 version, 2: bool unchanged, 3: list<RateShare> shares
 }
+struct CrashReport {
+  1: i64 fingerprint, 2: i64 endpoint, 3: i64 sent_age_ms, 4: i64 ended_age_ms
+}
+struct SuspectNotice { 1: i64 fingerprint, 2: list<i64> endpoints, 3: i64 left_ms }
+struct SuspectUpdate {
+  1: i64 version, 2: bool unchanged, 3: list<SuspectNotice> requests
+}
+struct SuspectRequest {
+  1: i64 fingerprint, 2: list<i64> endpoints, 3: i64 expires_ms
+}
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
   4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims,
   7: list<SliceUse> uses, 8: i64 rate_shares_version,
-  9: list<RateLimitReport> rate_limits
+  9: list<RateLimitReport> rate_limits, 20: list<CrashReport> crashes,
+  21: list<i64> acquitted, 22: i64 suspects_version
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -59,7 +70,8 @@
   1: i64 sequence, 2: bool leader, 3: string leader_hint, 4: i64 revision,
   5: optional SettingsUpdate update, 6: optional MemberList members,
   7: optional EndpointUpdate endpoints, 8: list<string> replicas,
-  9: optional SliceUpdate slices, 10: optional RateShareUpdate rate_shares
+  9: optional SliceUpdate slices, 10: optional RateShareUpdate rate_shares,
+  20: optional SuspectUpdate suspects
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
@@ -105,7 +117,8 @@
 struct Command {
   1: i32 version, 2: i64 wall_ms, 3: i64 proposal,
   4: optional ChangeSettings change, 5: optional ClaimRequest claim,
-  6: optional FinishRequest finish, 7: optional list<SliceOwner> owners
+  6: optional FinishRequest finish, 7: optional list<SliceOwner> owners,
+  8: optional list<SuspectRequest> suspects
 }
 
 struct ClaimRecord {
@@ -123,7 +136,8 @@
   1: i32 version, 2: i64 revision, 3: string tree_text, 4: i64 log_time_ms,
   5: list<ClaimRecord> claims, 6: list<ChangeResult> results,
   7: list<AuditRecord> audit, 8: i64 forgotten_before_ms,
-  9: i64 operator_version, 10: list<SliceOwner> slice_owners
+  9: i64 operator_version, 10: list<SliceOwner> slice_owners,
+  11: list<SuspectRequest> suspects
 }
 
 // One synced write of a replica's log; see core/storage.
--- a/source/core/wire/state_codec.cc
+++ b/source/core/wire/state_codec.cc
@@ -71,6 +71,8 @@
     out.audit.push_back(ToWire(record));
   for (const auto& owner : state.slice_owners)
     out.slice_owners.push_back(ToWire(owner));
+  for (const auto& request : state.suspects)
+    out.suspects.push_back(ToWire(request));
   return Serialize(out);
 }
 
@@ -100,6 +102,8 @@
     out.audit.push_back(FromWire(record));
   for (const auto& owner : in->slice_owners)
     out.slice_owners.push_back(FromWire(owner));
+  for (const auto& request : in->suspects)
+    out.suspects.push_back(FromWire(request));
   return out;
 }
 
--- a/source/unit_tests/control/control_state_test.cc
+++ b/source/unit_tests/control/control_state_test.cc
@@ -146,4 +146,29 @@
   CHECK(copy.SliceOwners() == std::vector<protocol::SliceOwner>{{"s", 7, "a"}});
 }
 
+// Guards against forgetting at a restart which requests crash endpoints.
+TEST_CASE("Suspect requests are kept in snapshots until they expire") {
+  ControlState state;
+  state.Apply(
+      {1'000, 1,
+       protocol::RecordSuspects{{{7, {1, 2, 3}, 5'000}, {8, {1, 2}, 2'000}}}});
+  ControlState copy;
+  REQUIRE(copy.Load(state.Save()));
+  CHECK(copy.suspects() == state.suspects());
+  copy.Apply({2'000, 2, protocol::RecordSuspects{}});
+  CHECK(copy.suspects().size() == 1);
+  copy.Apply({3'000, 3, protocol::RecordSuspects{{{7, {}, 0}}}});
+  CHECK(copy.suspects().empty());
+}
+
+TEST_CASE("The number of suspect requests is bounded") {
+  ControlState state;
+  for (std::uint64_t i = 0; i < 3'000; ++i)
+    state.Apply({1'000, 1,
+                 protocol::RecordSuspects{
+                     {{i, {1, 2}, static_cast<WallMillis>(5'000 + i)}}}});
+  CHECK(state.suspects().size() == 1'024);
+  CHECK(state.suspects().count(2'999) == 1);
+}
+
 }  // namespace jacinth::control
--- /dev/null
+++ b/source/unit_tests/quarantine/request_quarantine_test.cc
@@ -0,0 +1,133 @@
+#include "core/quarantine/request_quarantine.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::quarantine {
+namespace {
+
+constexpr std::uint64_t kRequest = 7;
+constexpr std::uint64_t kTerm1 = std::uint64_t{1} << 32U;
+constexpr std::uint64_t kTerm2 = std::uint64_t{2} << 32U;
+
+/// Crashes `count` endpoints one after the other and returns the time after
+/// that.
+Time Crash(RequestQuarantine& quarantine, int count, Time now) {
+  for (int i = 0; i < count; ++i) {
+    const std::string endpoint =
+        "i-" + std::to_string(now.time_since_epoch().count());
+    quarantine.OnLost({kRequest, "s", endpoint, 1, now}, now + 100ms);
+    now += 200ms;
+  }
+  return now;
+}
+
+protocol::SuspectUpdate Update(std::uint64_t version) {
+  return {version, false, {{kRequest, {1, 2, 3}, 60'000}}};
+}
+
+}  // namespace
+
+// Guards against a request that crashes each endpoint that runs it while no
+// leader is in touch (docs/incidents/deadly.md).
+TEST_CASE("Without a leader, an entry's own crashes block a request") {
+  RequestQuarantine quarantine;
+  Time now{100s};
+  now = Crash(quarantine, 1, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+  now = Crash(quarantine, 1, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kSuspected);
+  Crash(quarantine, 1, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kBlocked);
+  CHECK(quarantine.Judge(kRequest + 1) == Verdict::kClear);
+}
+
+TEST_CASE("An answer clears a request at once, and the leader hears of it") {
+  RequestQuarantine quarantine;
+  Time now = Crash(quarantine, 2, Time{100s});
+  quarantine.OnAnswer(kRequest, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+  CHECK(quarantine.TakeReports(1, now).empty());
+  CHECK(quarantine.TakeAcquittals(1, now) ==
+        std::vector<std::uint64_t>{kRequest});
+  // The list that the leader sent before it heard of the answer.
+  quarantine.ApplyUpdate(Update(kTerm1 + 1), 0, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+}
+
+TEST_CASE("Suspects of the leader's list are blocked until they leave it") {
+  RequestQuarantine quarantine;
+  const Time now{100s};
+  quarantine.ApplyUpdate(Update(kTerm1 + 1), 0, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kBlocked);
+  quarantine.ApplyUpdate({kTerm1 + 1, true, {}}, 0, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kBlocked);
+  quarantine.ApplyUpdate({kTerm1 + 2, false, {}}, 0, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+}
+
+// Guards against forgetting a blocked request because a new leader was restored
+// from the snapshot of a build without suspects.
+TEST_CASE("A new leader's list does not clear what an earlier one blocked") {
+  RequestQuarantine quarantine;
+  const Time now{100s};
+  quarantine.ApplyUpdate(Update(kTerm1 + 1), 0, now);
+  quarantine.ApplyUpdate({kTerm2 + 1, false, {}}, 0, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kBlocked);
+  quarantine.Expire(now + 61s);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+  CHECK(quarantine.size() == 0);
+}
+
+// Guards against losing single crashes when the leader changes before the third
+// one.
+TEST_CASE("Reports are repeated until each leader has received them") {
+  RequestQuarantine quarantine;
+  Time now = Crash(quarantine, 2, Time{100s});
+  REQUIRE(quarantine.TakeReports(1, now).size() == 2);
+  CHECK(quarantine.TakeReports(2, now + 100ms).empty());
+  // No reply: repeated later.
+  now += 1s;
+  const auto reports = quarantine.TakeReports(3, now);
+  REQUIRE(reports.size() == 2);
+  CHECK(reports.front().ended_age_ms > 1'000);
+  quarantine.ApplyUpdate({kTerm1 + 1, false, {}}, 3, now);
+  now += 2s;
+  CHECK(quarantine.TakeReports(4, now).empty());
+  quarantine.ApplyUpdate({kTerm2 + 1, false, {}}, 0, now);
+  CHECK(quarantine.TakeReports(5, now).size() == 2);
+}
+
+// Guards against requests that are blamed for endpoints which end by themselves
+// (docs/incidents/deadly.md).
+TEST_CASE("Endpoints that end at the same time accuse no request") {
+  RequestQuarantine quarantine;
+  const Time now{100s};
+  for (std::uint64_t endpoint = 0; endpoint < 60; ++endpoint) {
+    for (std::uint64_t request = 0; request < 9; ++request) {
+      // Some requests are popular and run everywhere.
+      const std::uint64_t fingerprint =
+          request < 2 ? request : endpoint * 100 + request;
+      quarantine.OnLost({fingerprint, "s", "i-" + std::to_string(endpoint), 1,
+                         now - request * 100ms - 60ms},
+                        now + endpoint * 1ms);
+    }
+  }
+  for (std::uint64_t fingerprint = 0; fingerprint < 6'000; ++fingerprint)
+    REQUIRE(quarantine.Judge(fingerprint) == Verdict::kClear);
+}
+
+TEST_CASE("Memory and messages are bounded, and accused requests stay") {
+  RequestQuarantine quarantine;
+  Time now = Crash(quarantine, 3, Time{100s});
+  for (std::uint64_t request = 100; request < 10'100; ++request)
+    quarantine.OnLost({request, "s", "i", 1, now}, now);
+  CHECK(quarantine.size() <= 1'024);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kBlocked);
+  CHECK(quarantine.TakeReports(1, now).size() <= 32);
+  quarantine.Expire(now + CrashHistory::kMaxAge);
+  CHECK(quarantine.size() == 0);
+}
+
+}  // namespace jacinth::quarantine
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -63,7 +63,10 @@
       {{"s", 7, 1'500}},
       8,
       {{{"s", "i-1"}, 9, 2.5, true, 10, 1.25, 3.5},
-       {{"s", "i-2"}, 9, std::nullopt, false, -1, 0, std::nullopt}}});
+       {{"s", "i-2"}, 9, std::nullopt, false, -1, 0, std::nullopt}},
+      {{10, 11, 12, 13}},
+      {14},
+      15});
   CheckRoundTrip(protocol::HeartbeatReply{
       1,
       true,
@@ -74,7 +77,8 @@
       {6, 5, {MakeFullListedEndpoint()}, {"gone"}},
       {"c1", "c2"},
       {},
-      {7, true, {{{"s", "i-1"}, 9, 2.5, 1.5}}}});
+      {7, true, {{{"s", "i-1"}, 9, 2.5, 1.5}}},
+      {8, true, {{9, {10, 11}, 12}}}});
   CheckRoundTrip(protocol::ClaimRequest{"a", {"c", "k"}, 1, 2, "tp"});
   CheckRoundTrip(protocol::ClaimReply{
       "a", true, protocol::ClaimVerdict::kRan, {200, "t", "b", true}});
@@ -97,7 +101,10 @@
        {protocol::Command{1, 2, change},
         protocol::Command{3, 4,
                           protocol::ClaimRequest{"a", {"c", "k"}, 1, 2, ""}},
-        protocol::Command{5, 6, protocol::FinishRequest{}}}) {
+        protocol::Command{5, 6, protocol::FinishRequest{}},
+        protocol::Command{7, 8, protocol::RecordOwners{{{"s", 7, "a"}}}},
+        protocol::Command{9, 10, protocol::RecordSuspects{{{1, {2, 3}, 4}}}},
+        protocol::Command{11, 12, protocol::RecordSuspects{}}}) {
     const auto decoded = DecodeCommand(EncodeCommand(command));
     REQUIRE(decoded);
     CHECK(*decoded == command);
@@ -114,6 +121,7 @@
       {{"c", "k"}, "a", 1, protocol::ClaimState::kUnknown, 2, 3, {}}};
   state.results = {{"o", "k", 1, true, 2}};
   state.audit = {{1, 2, "o", "b"}};
+  state.suspects = {{1, {2, 3}, 4}};
   CHECK(*DecodeControlSnapshot(EncodeControlSnapshot(state)) == state);
   protocol::LogBatch batch;
   batch.hard_state = protocol::HardState{1, "v"};
