Quarantine: Bound the list of suspects and the leader's work for it

A power loss leaves as many single crashes at the leader as there were requests under way. The leader looked at all of them every 100 ms, and the list that it sends to every entry could hold 1,024 suspects. Now it looks at those with new crashes only, keeps 4,096 (and logs when it drops reports), and the log holds 256. An entry sends a heartbeat early for an acquittal only if the request was suspected.

Adds the test "A build without suspects takes their record for one of no owners"; without the empty list of owners in the command it fails (the command can't be decoded, which stops such a replica).

--- a/source/core/control/control_state.cc
+++ b/source/core/control/control_state.cc
@@ -27,7 +27,7 @@
 /// Number of accepted changes that are kept in the audit trail.
 constexpr std::size_t kMaxAuditRecords = 10'000;
 /// Number of suspect requests that are kept; those that expire first go first.
-constexpr std::size_t kMaxSuspects = 1'024;
+constexpr std::size_t kMaxSuspects = 256;
 
 std::string BranchList(const ChangeSettings& change) {
   std::string text;
--- a/source/core/quarantine/request_quarantine.cc
+++ b/source/core/quarantine/request_quarantine.cc
@@ -60,15 +60,19 @@
   if (found == records_.end())
     return;
   const std::size_t crashes = found->second.Sequence().size();
-  if (VerdictFor(crashes) != Verdict::kClear)
+  const bool suspected = VerdictFor(crashes) != Verdict::kClear;
+  if (suspected)
     LogVerdict("request_acquitted", fingerprint, crashes);
   records_.erase(found);
   std::erase_if(reports_, [&](const Report& report) {
     return report.fingerprint == fingerprint;
   });
+  // Those suspected make room for themselves; the others expire at the leader.
+  if (suspected && acquittals_.size() >= kMaxAcquittals)
+    acquittals_.erase(acquittals_.begin());
   if (acquittals_.size() < kMaxAcquittals)
     acquittals_[fingerprint] = {now, {}};
-  has_news_ = true;
+  has_news_ |= suspected;
 }
 
 void RequestQuarantine::ApplyUpdate(const protocol::SuspectUpdate& update,
--- a/source/core/quarantine/suspect_registry.cc
+++ b/source/core/quarantine/suspect_registry.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /// Bound on the memory of a leader.
-constexpr std::size_t kMaxSuspects = 16'384;
+constexpr std::size_t kMaxSuspects = 4'096;
 /// Bound on the size of one command.
 constexpr std::size_t kMaxPerCommand = 128;
 /// Time for which the log holds a suspected and a blocked request.
@@ -20,6 +20,7 @@
     const std::vector<protocol::SuspectRequest>& recorded,
     ClockReading clock) {
   suspects_.clear();
+  changed_.clear();
   withdrawn_.clear();
   for (const protocol::SuspectRequest& request : recorded) {
     const std::int64_t left_ms = request.expires_ms - clock.wall_ms;
@@ -34,13 +35,18 @@
 
 void SuspectRegistry::OnReport(const protocol::CrashReport& report, Time now) {
   const auto found = suspects_.find(report.fingerprint);
-  if (found == suspects_.end() && suspects_.size() >= kMaxSuspects)
+  if (found == suspects_.end() && suspects_.size() >= kMaxSuspects) {
+    if (!std::exchange(logged_full_, true))
+      LogVerdict("crash_reports_dropped", report.fingerprint, 1);
     return;
+  }
   CrashHistory& history = suspects_[report.fingerprint].history;
   const std::size_t before = history.Sequence().size();
   const bool added = history.Add(
       report.endpoint, now - std::chrono::milliseconds(report.sent_age_ms),
       now - std::chrono::milliseconds(report.ended_age_ms));
+  if (added)
+    changed_.insert(report.fingerprint);
   const std::size_t crashes = history.Sequence().size();
   if (added && VerdictFor(crashes) != VerdictFor(before)) {
     LogVerdict(VerdictFor(crashes) == Verdict::kBlocked
@@ -66,6 +72,7 @@
   if (now < next_expiry_)
     return;
   next_expiry_ = now + kExpiryInterval;
+  logged_full_ = false;
   for (auto& [fingerprint, suspect] : suspects_)
     suspect.history.Expire(now);
   std::erase_if(suspects_,
@@ -77,9 +84,12 @@
   std::vector<protocol::SuspectRequest> requests;
   for (const std::uint64_t fingerprint : std::exchange(withdrawn_, {}))
     requests.push_back({fingerprint, {}, 0});
-  for (auto& [fingerprint, suspect] : suspects_) {
-    if (requests.size() >= kMaxPerCommand)
-      break;
+  while (!changed_.empty() && requests.size() < kMaxPerCommand) {
+    const auto found =
+        suspects_.find(changed_.extract(changed_.begin()).value());
+    if (found == suspects_.end())
+      continue;
+    auto& [fingerprint, suspect] = *found;
     std::vector<std::uint64_t> endpoints = suspect.history.Sequence();
     const bool is_new = endpoints.size() >= kCrashesToSuspect &&
                         endpoints.size() > suspect.recorded &&
--- a/source/core/quarantine/suspect_registry.h
+++ b/source/core/quarantine/suspect_registry.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -52,9 +53,12 @@
                   std::size_t crashes);
 
   std::map<std::uint64_t, Suspect> suspects_;
+  /// Requests with new crashes since the last TakeUnrecorded().
+  std::set<std::uint64_t> changed_;
   /// Requests whose suspicion in the log must be withdrawn.
   std::vector<std::uint64_t> withdrawn_;
   Time next_expiry_{};
+  bool logged_full_ = false;
   std::vector<log::Record> log_records_;
 };
 
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -5,7 +5,9 @@
 
 #include "core/wire/command_codec.h"
 #include "core/wire/envelope_codec.h"
+#include "core/wire/generated/jacinth_types.h"
 #include "core/wire/state_codec.h"
+#include "core/wire/thrift_buffer.h"
 
 namespace jacinth::wire {
 namespace {
@@ -111,6 +113,20 @@
   }
 }
 
+// Guards against stopping the replicas of a build without suspect requests,
+// which run beside this one during an upgrade (docs/incidents/deadly.md).
+TEST_CASE("A build without suspects takes their record for one of no owners") {
+  const protocol::Command command{9, 10,
+                                  protocol::RecordSuspects{{{1, {2, 3}, 4}}}};
+  auto read = Deserialize<generated::Command>(EncodeCommand(command));
+  REQUIRE(read);
+  // Such a build skips the field when it reads the command.
+  read->__isset.suspects = false;
+  const auto decoded = DecodeCommand(Serialize(*read));
+  REQUIRE(decoded);
+  CHECK(decoded->body == decltype(command.body)(protocol::RecordOwners{}));
+}
+
 TEST_CASE("Stored records are unchanged by encoding and decoding") {
   protocol::ControlSnapshot state;
   state.revision = 1;
