HTTP: Take answers that end with their connection for whole again

It took every answer without a length for incomplete, so that whole answers of endpoints that end the body with the connection were replaced by a failure; the users' rules allow them ("may have no length and end with its connection; one that is reset on the way isn't complete").

--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -199,9 +199,14 @@
   if (phase_ != Phase::kRunning)
     return;
   if (error) {
-    // A response that ends with its connection can't be told from one that was
-    // cut off, also if its head has lost the length.
-    Finish(parser_->started() ? ExchangeEnd::kIncomplete : ExchangeEnd::kLost);
+    const bool end_of_stream = error == asio::error::eof;
+    if (end_of_stream)
+      parser_->FeedEndOfStream();
+    if (parser_->state() == ParseState::kDone)
+      Finish(ExchangeEnd::kAnswered);
+    else
+      Finish(parser_->started() ? ExchangeEnd::kIncomplete
+                                : ExchangeEnd::kLost);
     return;
   }
   std::size_t offset = 0;
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -68,6 +68,7 @@
       8,
       {{{"s", "i-1"}, 9, 2.5, true, 10, 1.25, 3.5},
        {{"s", "i-2"}, 9, std::nullopt, false, -1, 0, std::nullopt}},
+      protocol::SettingsPosition{16, 17, 18, 19},
       {{10, 11, 12, 13}},
       {14},
       15});
@@ -82,6 +83,7 @@
       {"c1", "c2"},
       {},
       {7, true, {{{"s", "i-1"}, 9, 2.5, 1.5}}},
+      {{1, 2, 3, 4}, 5, "piece"},
       {8, true, {{9, {10, 11}, 12}}}});
   CheckRoundTrip(protocol::ClaimRequest{"a", {"c", "k"}, 1, 2, "tp"});
   CheckRoundTrip(protocol::ClaimReply{
