Forwarding: Heed what endpoints say of themselves

What callers saw: requests that reached an endpoint after it had said in its answers that it leaves, or that it wants nothing for some seconds.

Cause: nothing read `Server-Leaving`, or `Retry-After` of an answer 503.

Change: the adapters read both from every answer to the attempt, whatever its status, and from health answers. `forwarding::EndpointMemory` keeps what was said by process (address and start time), also while lists omit the endpoint or lag behind; it ends with a process that certainly started later. An endpoint without a start time returns with a healthy answer to a probe that started afterwards. `forwarding::WaitGate` lets nothing through during a wait and a few requests, then more, in the two seconds after it. Neither endpoint gets an attempt, a retry or (waits) a probe. Requests that all endpoints keep out are refused at once as not run, with the end of the wait as the shortest return time. A refusal with a wait is no failure, and the owner of a slice keeps it for a wait of up to 5 s. Malformed headers, also those that occur twice, change nothing and are logged once in 10 s for an endpoint. The native interface has `Jacinth-Leaving`.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -106,6 +107,8 @@
   /// True if the probe tells whether this entry's links work, and says nothing
   /// about the endpoint.
   bool tests_links = false;
+  /// Start time of the endpoint in Unix milliseconds; 0 if it is unknown.
+  std::int64_t started_ms = 0;
 };
 
 /// Actions to be carried out by the host of an entry node after an event.
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -10,6 +10,10 @@
 using forwarding::AttemptEnd;
 using protocol::RecordedAnswer;
 
+/// Longest wait asked by the owner of a slice for which it keeps the slice. In
+/// a longer one, its objects are loaded elsewhere.
+constexpr Duration kShortWait = 5s;
+
 Error ErrorForAttemptEnd(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kAnswerTooLarge:
@@ -72,6 +76,7 @@
   if (endpoint_criteria.slice_hash)
     ClaimSlice(record, service_state, *endpoint, now);
   record.endpoint = *endpoint;
+  record.process = service_state.endpoints.ProcessOf(*endpoint);
   record.attempt_started = now;
   record.excluded_endpoints.insert(*endpoint);
   ++record.attempts;
@@ -105,6 +110,8 @@
     return;
   RequestRecord& record = found->second;
   ServiceState& service_state = services_.at(record.service);
+  service_state.endpoints.OnNotices(record.endpoint, record.process,
+                                    event.notices, now);
   service_state.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load,
                                        now);
   TrackLinks(record, event, now);
@@ -201,8 +208,12 @@
   const std::uint32_t slice =
       forwarding::SliceMap::SliceOf(record.arrival.object);
   const std::string& owner = slices.OwnerOf(record.service, slice);
-  const bool usable =
-      !owner.empty() && service_state.endpoints.CanReceiveRequests(owner);
+  const Duration wait = service_state.endpoints.RemainingWait(owner, now);
+  // An owner that asks for a short wait keeps the objects that it has loaded.
+  if (wait > Duration{0} && wait <= kShortWait && owner != endpoint)
+    return;
+  const bool usable = !owner.empty() && wait == Duration{0} &&
+                      service_state.endpoints.CanReceiveRequests(owner);
   // If the owner has no capacity, the request makes another endpoint load the
   // object, so the slice is claimed for that endpoint.
   slices.RecordSend(record.service, slice, endpoint, usable);
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -10,6 +10,8 @@
 #include "core/admission/admission_queue.h"
 #include "core/common/time.h"
 #include "core/forwarding/attempt.h"
+#include "core/forwarding/endpoint_notices.h"
+#include "core/forwarding/endpoint_process.h"
 #include "core/forwarding/endpoint_table.h"
 #include "core/forwarding/link_monitor.h"
 #include "core/forwarding/load_report.h"
@@ -79,6 +81,9 @@
   /// Empty if the attempt ended without an answer of this endpoint to this
   /// request, or if the limit in it is malformed.
   std::optional<forwarding::RateLimitNotice> rate_limit;
+  /// What else the answer says about the endpoint; empty without an answer of
+  /// this endpoint to this request.
+  forwarding::EndpointNotices notices;
 };
 
 /// A relay to another entry ended.
@@ -115,6 +120,10 @@
   forwarding::LinkProbeEnd link_end = forwarding::LinkProbeEnd::kNoResponse;
   /// True for a probe of this entry's links; see StartProbe.
   bool tests_links = false;
+  /// Process that was probed.
+  forwarding::EndpointProcess process;
+  /// What the answer says about the endpoint.
+  forwarding::EndpointNotices notices;
 };
 
 /// A planned stop was requested, in which requests in flight are completed.
--- a/source/core/entry/entry_links.cc
+++ b/source/core/entry/entry_links.cc
@@ -47,7 +47,8 @@
   for (const auto& [name, service_state] : services_) {
     for (const settings::EndpointSettings& endpoint :
          service_state.settings.endpoints) {
-      if (!endpoint.drained)
+      if (!endpoint.drained &&
+          service_state.endpoints.AcceptsProbes(endpoint.name, now))
         candidates.push_back({name, endpoint.name, endpoint.failure_domain});
     }
   }
@@ -59,10 +60,10 @@
     const ServiceState& service_state = services_.at(candidate.service);
     const settings::EndpointSettings* endpoint =
         service_state.endpoints.Find(candidate.endpoint);
-    actions_.probes.push_back({candidate.service, candidate.endpoint,
-                               endpoint->address,
-                               service_state.settings.health_path,
-                               endpoint->incarnation, /*tests_links=*/true});
+    actions_.probes.push_back(
+        {candidate.service, candidate.endpoint, endpoint->address,
+         service_state.settings.health_path, endpoint->incarnation,
+         /*tests_links=*/true, endpoint->started_ms});
   }
 }
 
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -76,9 +76,10 @@
     for (std::string& endpoint : service_state.endpoints.DueProbes(now)) {
       const settings::EndpointSettings* descriptor =
           service_state.endpoints.Find(endpoint);
-      actions_.probes.push_back({name, std::move(endpoint), descriptor->address,
-                                 service_state.settings.health_path,
-                                 descriptor->incarnation});
+      actions_.probes.push_back(
+          {name, std::move(endpoint), descriptor->address,
+           service_state.settings.health_path, descriptor->incarnation,
+           /*tests_links=*/false, descriptor->started_ms});
     }
     RefuseUnservable(service_state, now);
     DispatchRequests(service_state, now);
@@ -88,12 +89,16 @@
 }
 
 void EntryNode::On(const ProbeEnded& event, Time now) {
+  const auto service_state = services_.find(event.service);
+  if (service_state != services_.end()) {
+    service_state->second.endpoints.OnNotices(event.endpoint, event.process,
+                                              event.notices, now);
+  }
   if (event.tests_links) {
     links_.OnProbeEnd(event.link_end, now);
     OnLinkStateChange(now);
     return;
   }
-  const auto service_state = services_.find(event.service);
   if (service_state == services_.end())
     return;
   service_state->second.endpoints.OnProbeEnd(event.endpoint, event.end, now);
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -11,10 +11,14 @@
 /// Divisor of the remaining time that gives the longest wait asked of a refused
 /// caller, which leaves it time for the request and one more attempt.
 constexpr int kLongestReturnDivisor = 3;
+/// Longest wait of the endpoints that a refused caller is told.
+constexpr Duration kMaxWaitStated = 30s;
 
 Error RateLimitError(const std::string& service) {
   return {ErrorKind::kOverloaded,
-          "the rate limits of the endpoints of " + service + " are used up"};
+          "the endpoints of " + service +
+              " take no request in time: their rate limits are used up, or "
+              "they asked to wait"};
 }
 
 }  // namespace
@@ -126,14 +130,20 @@
 }
 
 // Returns the time after which a refused caller may retry. The callers of a
-// service with rate limits return one after the other, urgent ones first.
+// service whose endpoints have rate limits or asked to wait return one after
+// the other, urgent ones first.
 Duration EntryNode::ScheduleReturn(const RequestRecord& record, Time now) {
-  const Duration shortest = RetryAfter(record);
+  Duration shortest = RetryAfter(record);
   ServiceState& service_state = services_.at(record.service);
-  if (!service_state.endpoints.IsRateLimited())
+  if (!service_state.endpoints.IsRateLimited() &&
+      !service_state.endpoints.IsWaitAsked(now))
     return shortest;
-  return service_state.returns.Next(now, record.kind.rank,
-                                    service_state.sent.Rate(now), shortest,
+  double per_second = service_state.sent.Rate(now);
+  if (const auto block = service_state.endpoints.FindRateBlock(now)) {
+    per_second = std::max(per_second, block->per_second);
+    shortest = std::max(shortest, std::min(block->until - now, kMaxWaitStated));
+  }
+  return service_state.returns.Next(now, record.kind.rank, per_second, shortest,
                                     LongestReturn(record, now));
 }
 
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -5,6 +5,7 @@
 
 #include "core/common/time.h"
 #include "core/entry/entry_event.h"
+#include "core/forwarding/endpoint_process.h"
 #include "core/settings/kind_settings.h"
 
 namespace jacinth::entry {
@@ -37,6 +38,8 @@
   int attempts = 0;
   /// Endpoint of the attempt in progress; empty if there is none.
   std::string endpoint;
+  /// Process of that endpoint when the attempt started.
+  forwarding::EndpointProcess process;
   Time attempt_started{};
   /// Entry that the request is handed to; empty if there is none.
   std::string relay_entry;
--- a/source/core/forwarding/endpoint_choice.cc
+++ b/source/core/forwarding/endpoint_choice.cc
@@ -189,6 +189,9 @@
   if (!IsUsable(state) || now < state.refused_until ||
       !state.rate_limit.gate().Allows(now))
     return false;
+  const auto max_requests = state.wait.MaxRequests(state.settings.slots, now);
+  if (max_requests && state.load.own_requests() >= *max_requests)
+    return false;
   return state.load.has_report()
              ? state.load.TotalRequests(now) < CapacityOf(state)
              : state.load.own_requests() < static_cast<int>(CapacityOf(state));
--- a/source/core/forwarding/endpoint_rates.cc
+++ b/source/core/forwarding/endpoint_rates.cc
@@ -5,6 +5,13 @@
 #include "core/forwarding/endpoint_table.h"
 
 namespace jacinth::forwarding {
+namespace {
+
+/// Requests per second that a slot is assumed to take after a wait, as nothing
+/// recent is known.
+constexpr double kRequestsPerSlot = 1;
+
+}  // namespace
 
 bool EndpointTable::OnRateLimitNotice(const std::string& name,
                                       const RateLimitNotice& notice,
@@ -92,7 +99,8 @@
 bool EndpointTable::IsRateBlocked(const std::string& name, Time now) const {
   const auto found = endpoints_.find(name);
   return found != endpoints_.end() && IsUsable(found->second) &&
-         !found->second.rate_limit.gate().Allows(now);
+         (!found->second.rate_limit.gate().Allows(now) ||
+          found->second.wait.IsWaiting(now));
 }
 
 std::optional<RateBlock> EndpointTable::FindRateBlock(Time now) const {
@@ -101,12 +109,15 @@
     if (!IsUsable(state))
       continue;
     const RateGate& gate = state.rate_limit.gate();
-    if (gate.Allows(now))
+    if (gate.Allows(now) && !state.wait.IsWaiting(now))
       return std::nullopt;
     if (!block)
       block = RateBlock{Time::max(), 0};
-    block->until = std::min(block->until, gate.NextAllowed(now));
-    block->per_second += gate.per_second();
+    block->until = std::min(
+        block->until, std::max(gate.NextAllowed(now), state.wait.until()));
+    block->per_second += gate.is_limited()
+                             ? gate.per_second()
+                             : state.settings.slots * kRequestsPerSlot;
   }
   return block;
 }
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -67,6 +67,7 @@
       MarkCold(state, now);
     state.cold_until =
         std::max(state.cold_until, now + endpoint.remaining_warmup);
+    ApplyMemory(state);
   }
   has_endpoint_list_ |= !service.endpoints.empty();
   for (auto& [name, state] : endpoints_) {
@@ -78,6 +79,9 @@
     return listed_names.count(item.first) == 0 &&
            item.second.load.own_requests() == 0;
   });
+  memory_.Prune(
+      [&](const std::string& name) { return listed_names.count(name) != 0; },
+      now);
 }
 
 void EndpointTable::OnAttemptEnd(const std::string& name,
@@ -115,6 +119,9 @@
       OnFailure(state, soft_failure, now);
     return;
   }
+  // An endpoint that asks to wait is not failing.
+  if (end == AttemptEnd::kAmbiguousRefusal && state.wait.IsWaiting(now))
+    return;
   if (IsEndpointFailure(end) && end != AttemptEnd::kTimedOut) {
     OnFailure(state, AttemptEndName(end), now);
     return;
@@ -133,9 +140,10 @@
     Time now) {
   if (end == AttemptEnd::kAnsweredFailure)
     return AttemptEndName(end);
-  // An endpoint with a rate limit refuses despite idle slots.
+  // An endpoint with a rate limit, or that asks to wait, refuses despite idle
+  // slots.
   if (end == AttemptEnd::kRefused && load && load->HasIdleSlot() &&
-      !state.rate_limit.gate().is_limited())
+      !state.rate_limit.gate().is_limited() && !state.wait.IsWaiting(now))
     return "refused_while_idle";
   if (end != AttemptEnd::kTimedOut)
     return {};
@@ -150,14 +158,16 @@
   std::vector<std::string> due_probes;
   for (auto& [name, state] : endpoints_) {
     const bool probe_wanted =
-        probe_interval_ > Duration{0} ||
+        probe_interval_ > Duration{0} || state.leaving ||
         (state.ejected_until && now >= *state.ejected_until);
-    if (!probe_wanted || state.probing || now < state.probe_due)
+    if (!probe_wanted || state.probing || now < state.probe_due ||
+        !AcceptsProbes(state, now))
       continue;
     state.probing = true;
     state.probe_due =
         now + (probe_interval_ > Duration{0} ? probe_interval_
                                              : kEjectedProbeInterval);
+    state.probe_started = now;
     due_probes.push_back(name);
   }
   return due_probes;
@@ -175,6 +185,9 @@
     OnFailure(state, "probe_failed", now);
     return;
   }
+  if (end == ProbeEnd::kHealthy && state.leaving &&
+      memory_.LeavingSaid(name) < state.probe_started)
+    EndLeaving(state);
   if (end == ProbeEnd::kDraining && !state.draining)
     AddLogRecord("endpoint_draining", state);
   state.draining = end == ProbeEnd::kDraining;
@@ -220,8 +233,8 @@
 }
 
 bool EndpointTable::IsUsable(const EndpointState& state) const {
-  return !state.settings.drained && !state.draining && !state.misdirected &&
-         !state.ejected_until;
+  return !state.settings.drained && !state.draining && !state.leaving &&
+         !state.misdirected && !state.ejected_until;
 }
 
 void EndpointTable::MarkCold(EndpointState& state, Time now) const {
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -14,6 +14,9 @@
 #include "core/forwarding/attempt.h"
 #include "core/forwarding/endpoint_criteria.h"
 #include "core/forwarding/endpoint_load.h"
+#include "core/forwarding/endpoint_memory.h"
+#include "core/forwarding/endpoint_notices.h"
+#include "core/forwarding/endpoint_process.h"
 #include "core/forwarding/endpoint_rate_limit.h"
 #include "core/forwarding/rate_block.h"
 #include "core/forwarding/rate_limit_notice.h"
@@ -117,13 +120,30 @@
   /// `owner` is empty.
   void CountRefusedDemand(const std::string& owner, Time now);
 
+  /// Applies what an answer of the endpoint's process says about it, before
+  /// OnAttemptEnd() or OnProbeEnd() is called for that answer.
+  void OnNotices(const std::string& name,
+                 const EndpointProcess& process,
+                 const EndpointNotices& notices,
+                 Time now);
+  /// Returns the process of the name that is listed, or an empty one.
+  EndpointProcess ProcessOf(const std::string& name) const;
+  /// Returns true if the endpoint accepts health probes now: it has not asked
+  /// to wait and does not leave.
+  bool AcceptsProbes(const std::string& name, Time now) const;
+  /// Returns how much longer the endpoint wants no requests.
+  Duration RemainingWait(const std::string& name, Time now) const;
+  /// Returns true if any endpoint that could receive requests has asked to
+  /// wait, or has done so a moment ago.
+  bool IsWaitAsked(Time now) const;
+
   /// Returns true if any endpoint that can receive new requests has a limit.
   bool IsRateLimited() const;
-  /// Returns true if the endpoint can receive requests, but its rate limit
-  /// allows none now.
+  /// Returns true if the endpoint can receive requests, but its rate limit or
+  /// a wait allows none now.
   bool IsRateBlocked(const std::string& name, Time now) const;
-  /// Returns a value if the rate limit of every endpoint that can receive new
-  /// requests allows none now.
+  /// Returns a value if every endpoint that can receive new requests allows
+  /// none now, because of its rate limit or as it has asked to wait.
   std::optional<RateBlock> FindRateBlock(Time now) const;
 
   /// Returns the names of the endpoints whose probe is due, and marks them as
@@ -173,10 +193,14 @@
     bool misdirected = false;
     bool probing = false;
     Time probe_due{};
+    Time probe_started{};
     Time cold_until{};
     Time last_cold_request{};
     Time last_answer{};
     EndpointRateLimit rate_limit;
+    /// Copies of what `memory_` holds of the listed process.
+    bool leaving = false;
+    WaitGate wait;
   };
 
   bool IsUsable(const EndpointState& state) const;
@@ -197,6 +221,9 @@
   RegionSelector MakeRegionSelector() const;
   const std::string* ChooseByLoad(const EndpointCriteria& endpoint_criteria,
                                   Time now) const;
+  void ApplyMemory(EndpointState& state) const;
+  void EndLeaving(EndpointState& state);
+  bool AcceptsProbes(const EndpointState& state, Time now) const;
   void MarkCold(EndpointState& state, Time now) const;
   static std::string_view SoftFailureReason(
       const EndpointState& state,
@@ -211,6 +238,7 @@
   std::size_t EjectedCount() const;
 
   std::map<std::string, EndpointState> endpoints_;
+  EndpointMemory memory_;
   WarmupGate warmup_gate_;
   SenderSelection senders_;
   int probe_failures_ = 1;
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -294,6 +294,7 @@
     ended.answer_bytes = http::MessageSize(result.response);
   ended.load = attempt_result.load;
   ended.rate_limit = attempt_result.rate_limit;
+  ended.notices = attempt_result.notices;
   ended.answer.status = result.response.status;
   ended.answer.content_type = result.response.content_type;
   ended.answer.body_dropped =
@@ -383,9 +384,13 @@
   client_call.limits = {kProbeConnectTimeout, kProbeTimeout,
                         kMaxProbeBodyBytes};
   client_.Start(client_call, [this, probe](const http::ExchangeResult& end) {
-    Step(entry::ProbeEnded{probe.service, probe.endpoint,
+    Step(entry::ProbeEnded{probe.service,
+                           probe.endpoint,
                            adapter_.ClassifyProbe(probe, end),
-                           ToLinkProbeEnd(end), probe.tests_links});
+                           ToLinkProbeEnd(end),
+                           probe.tests_links,
+                           {probe.address, probe.started_ms},
+                           adapter_.ReadProbeNotices(probe, end)});
   });
 }
 
--- a/source/jacinthroute/interface_adapter.h
+++ b/source/jacinthroute/interface_adapter.h
@@ -11,6 +11,7 @@
 #include "core/entry/entry_actions.h"
 #include "core/entry/entry_event.h"
 #include "core/forwarding/attempt.h"
+#include "core/forwarding/endpoint_notices.h"
 #include "core/forwarding/load_report.h"
 #include "core/forwarding/rate_limit_notice.h"
 #include "core/http/connection.h"
@@ -50,6 +51,8 @@
   /// Empty if no answer to this attempt was received, or if the limit in it is
   /// malformed.
   std::optional<forwarding::RateLimitNotice> rate_limit;
+  /// What else the answer says about the endpoint.
+  forwarding::EndpointNotices notices;
 };
 
 /// One page of the platform's endpoint list.
@@ -118,6 +121,10 @@
   {
     adapter.ClassifyProbe(probe, result)
     } -> std::same_as<forwarding::ProbeEnd>;
+  // Reads what the answer to a health probe says about the endpoint.
+  {
+    adapter.ReadProbeNotices(probe, result)
+    } -> std::same_as<forwarding::EndpointNotices>;
   // Builds the request for a page of the endpoint list.
   { adapter.MakeEndpointListRequest(text) } -> std::same_as<http::Request>;
   // Parses a page of the endpoint list.
--- a/source/jacinthroute/native_adapter.cc
+++ b/source/jacinthroute/native_adapter.cc
@@ -11,6 +11,7 @@
 #include "core/http/status.h"
 #include "core/steering/lookup.h"
 #include "jacinthroute/attempt_end.h"
+#include "jacinthroute/notice_reader.h"
 
 namespace jacinth {
 namespace {
@@ -23,6 +24,8 @@
 using http::Response;
 
 constexpr std::string_view kServicesPrefix = "/v1/services/";
+/// Present with the value 1 on the answers of an endpoint that leaves.
+constexpr std::string_view kLeavingHeader = "Jacinth-Leaving";
 constexpr std::int64_t kMaxBudgetMs = 3'600'000;
 constexpr std::size_t kMaxIdempotencyKeyLength = 200;
 constexpr std::size_t kMaxCallerLength = 100;
@@ -237,13 +240,14 @@
     const entry::StartAttempt& /*attempt*/,
     const http::ExchangeResult& result) const {
   if (result.end != http::ExchangeEnd::kAnswered)
-    return {ToAttemptEnd(result.end), std::nullopt, std::nullopt};
+    return {ToAttemptEnd(result.end), std::nullopt, std::nullopt, {}};
   const bool refused =
       HeaderValue(result.response.headers, "Jacinth-Outcome") ==
       OutcomeName(Outcome::kNotRun);
   return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered, std::nullopt,
           forwarding::ParseRateLimitNotice(
-              HeaderValue(result.response.headers, "Jacinth-Rate-Limit"))};
+              HeaderValue(result.response.headers, "Jacinth-Rate-Limit")),
+          ReadNotices(result.response, kLeavingHeader)};
 }
 
 Response NativeAdapter::MakeForwardedResponse(
@@ -322,6 +326,14 @@
                                                    : ProbeEnd::kFailed;
 }
 
+forwarding::EndpointNotices NativeAdapter::ReadProbeNotices(
+    const entry::StartProbe& /*probe*/,
+    const http::ExchangeResult& result) const {
+  if (result.end != http::ExchangeEnd::kAnswered)
+    return {};
+  return ReadNotices(result.response, kLeavingHeader);
+}
+
 Request NativeAdapter::MakeEndpointListRequest(
     const std::string& /*page_token*/) const {
   return {};
--- a/source/jacinthroute/native_adapter.h
+++ b/source/jacinthroute/native_adapter.h
@@ -39,6 +39,9 @@
   http::Request MakeProbeRequest(const entry::StartProbe& probe) const;
   forwarding::ProbeEnd ClassifyProbe(const entry::StartProbe& probe,
                                      const http::ExchangeResult& result) const;
+  forwarding::EndpointNotices ReadProbeNotices(
+      const entry::StartProbe& probe,
+      const http::ExchangeResult& result) const;
 
   /// Not used: the endpoints of the native interface are set in the settings
   /// tree, so there is no endpoint list to read.
