Control: Let all entries act on a drain that one of them knows of

What callers saw: an endpoint that told one entry that it leaves got requests from the others until the platform's list showed it, and its slices stayed with it.

Cause: what an entry heard remained with that entry.

Change: entries report the endpoints that drain, by process, with the next heartbeat when one says so and every second while it is listed, so that a new leader learns of them. The leader marks the listed process as draining, pushes the list at once, and gives the endpoint's slices to others. The mark ends with the process, as a drain of the platform's list does. Endpoints of unknown start time stay a matter of the entry that heard them, as nobody could tell when another process has taken their place. Weighed: a list of its own in the reply to heartbeats. A mark in the endpoint list needs no new field there, so that entries of earlier builds act on it, too.

Leaders of earlier builds skip it, and each entry still keeps to what it heard.

With them control_test, entry_test, wire_test and forwarding_test pass.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -149,6 +149,8 @@
   void On(const EndpointsListed& event, ClockReading clock);
   void PushLists(Time now);
   void ResetListsForTerm();
+  bool ApplyDrainReports(const std::vector<protocol::DrainReport>& reports,
+                         Time now);
   void RetainListedLimits(Time now);
   void AllocateRateShares(Time now);
   protocol::RateShareUpdate RateSharesFor(const std::string& entry,
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -30,6 +30,7 @@
     reply.members = registry_.Members(clock.now);
     reply.replicas = ReplicaInstances();
   }
+  const bool new_drains = ApplyDrainReports(heartbeat.drains, clock.now);
   reply.endpoints = catalog_.UpdateFor(heartbeat.endpoints_version, clock.now);
   for (const protocol::SliceClaim& claim : heartbeat.claims)
     slices_.Claim(from, claim, clock.now);
@@ -44,6 +45,8 @@
   sent_versions_[from] = {catalog_.version(), slices_.version(),
                           reply.rate_shares.version};
   SendToEntry(from, std::move(reply));
+  if (new_drains)
+    PushLists(clock.now);
 }
 
 void ControlNode::OnClaim(const std::string& from,
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -25,6 +25,25 @@
   PushLists(clock.now);
 }
 
+// Lets all entries act on the drains that one of them knows of, and gives the
+// slices of these endpoints to others. Returns true if there are new ones.
+bool ControlNode::ApplyDrainReports(
+    const std::vector<protocol::DrainReport>& reports,
+    Time now) {
+  bool changed = false;
+  for (const protocol::DrainReport& report : reports) {
+    if (!catalog_.ApplyDrainReport(report))
+      continue;
+    changed = true;
+    LogEvent("endpoint_drained")
+        .With("endpoint", report.endpoint)
+        .With("started_ms", report.started_ms);
+  }
+  if (changed)
+    slices_.RetainOwners(SliceEndpoints(now));
+  return changed;
+}
+
 // Requires the leader lease, which guarantees that all owners recorded by
 // earlier leaders have been applied.
 void ControlNode::ResetListsForTerm() {
--- a/source/core/control/endpoint_catalog.cc
+++ b/source/core/control/endpoint_catalog.cc
@@ -57,6 +57,21 @@
   return changed;
 }
 
+bool EndpointCatalog::ApplyDrainReport(const protocol::DrainReport& report) {
+  const auto found = endpoints_.find(report.endpoint);
+  if (found == endpoints_.end() || report.started_ms == 0)
+    return false;
+  TrackedEndpoint& tracked = found->second;
+  const bool new_drain = tracked.endpoint.started_ms == report.started_ms &&
+                         tracked.endpoint.address == report.address &&
+                         !tracked.endpoint.draining;
+  if (!new_drain)
+    return false;
+  tracked.endpoint.draining = true;
+  tracked.changed = ++version_;
+  return true;
+}
+
 EndpointUpdate EndpointCatalog::UpdateFor(std::uint64_t version,
                                           Time now) const {
   EndpointUpdate update;
--- a/source/core/control/endpoint_catalog.h
+++ b/source/core/control/endpoint_catalog.h
@@ -27,6 +27,10 @@
   bool ApplyListing(const std::vector<protocol::ListedEndpoint>& list,
                     Time now);
 
+  /// Marks the listed process of an endpoint as draining if that is the one in
+  /// the report. Returns true if that is new.
+  bool ApplyDrainReport(const protocol::DrainReport& report);
+
   /// Version of the list; 0 before the first listing.
   std::uint64_t version() const { return version_; }
 
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -110,8 +110,7 @@
     return;
   RequestRecord& record = found->second;
   ServiceState& service_state = services_.at(record.service);
-  service_state.endpoints.OnNotices(record.endpoint, record.process,
-                                    event.notices, now);
+  OnNotices(service_state, record.endpoint, record.process, event.notices, now);
   service_state.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load,
                                        now);
   TrackLinks(record, event, now);
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -68,6 +68,7 @@
 void EntryNode::On(const Tick& /*event*/, Time now) {
   if (auto heartbeat = session_.OnTick(now)) {
     heartbeat->rate_limits = TakeRateLimitReports(heartbeat->sequence, now);
+    heartbeat->drains = TakeDrainReports(now);
     SendHeartbeat(*heartbeat, now);
   }
   MaybeListEndpoints(now);
@@ -91,8 +92,8 @@
 void EntryNode::On(const ProbeEnded& event, Time now) {
   const auto service_state = services_.find(event.service);
   if (service_state != services_.end()) {
-    service_state->second.endpoints.OnNotices(event.endpoint, event.process,
-                                              event.notices, now);
+    OnNotices(service_state->second, event.endpoint, event.process,
+              event.notices, now);
   }
   if (event.tests_links) {
     links_.OnProbeEnd(event.link_end, now);
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -112,6 +112,14 @@
   void RefuseWaitingBeyondRate(ServiceState& service_state, Time now);
   std::string OwnerFor(const RequestRecord& record) const;
 
+  // What endpoints say of themselves.
+  void OnNotices(ServiceState& service_state,
+                 const std::string& endpoint,
+                 const forwarding::EndpointProcess& process,
+                 const forwarding::EndpointNotices& notices,
+                 Time now);
+  std::vector<protocol::DrainReport> TakeDrainReports(Time now);
+
   // Bandwidth of this instance's network link.
   void CountArrival(const RequestArrived& event, Time now);
   void CountExpectedAnswer(RequestRecord& record,
@@ -222,6 +230,7 @@
   std::uint64_t members_version_ = 0;
   std::uint64_t rate_shares_version_ = 0;
   Time next_endpoint_list_{};
+  Time next_drain_reports_{};
   std::map<std::string, WeightedRoundRobin> round_robin_by_route_;
   std::shared_ptr<const steering::ClientMap> client_map_;
   std::map<std::string, ServiceState> services_;
--- a/source/core/forwarding/endpoint_signals.cc
+++ b/source/core/forwarding/endpoint_signals.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-void EndpointTable::OnNotices(const std::string& name,
+bool EndpointTable::OnNotices(const std::string& name,
                               const EndpointProcess& process,
                               const EndpointNotices& notices,
                               Time now) {
@@ -20,7 +20,7 @@
       notices.wait && memory_.SetWait(name, process, *notices.wait, now);
   const auto found = endpoints_.find(name);
   if (found == endpoints_.end())
-    return;
+    return left;
   EndpointState& state = found->second;
   ApplyMemory(state);
   if (left)
@@ -35,6 +35,12 @@
           .With("notice", NoticeKindName(kind));
     }
   }
+  return left;
+}
+
+bool EndpointTable::IsLeaving(const std::string& name) const {
+  const auto found = endpoints_.find(name);
+  return found != endpoints_.end() && found->second.leaving;
 }
 
 EndpointProcess EndpointTable::ProcessOf(const std::string& name) const {
--- a/source/core/forwarding/endpoint_table.h
+++ b/source/core/forwarding/endpoint_table.h
@@ -122,10 +122,13 @@
 
   /// Applies what an answer of the endpoint's process says about it, before
   /// OnAttemptEnd() or OnProbeEnd() is called for that answer.
-  void OnNotices(const std::string& name,
+  /// Returns true if the endpoint has not said before that it leaves.
+  bool OnNotices(const std::string& name,
                  const EndpointProcess& process,
                  const EndpointNotices& notices,
                  Time now);
+  /// Returns true if the listed process of the name has said that it leaves.
+  bool IsLeaving(const std::string& name) const;
   /// Returns the process of the name that is listed, or an empty one.
   EndpointProcess ProcessOf(const std::string& name) const;
   /// Returns true if the endpoint accepts health probes now: it has not asked
--- a/source/core/protocol/endpoint_list.h
+++ b/source/core/protocol/endpoint_list.h
@@ -28,6 +28,17 @@
   bool operator==(const ListedEndpoint&) const = default;
 };
 
+/// Tells the leader that a process of an endpoint must not receive new
+/// requests, whether the endpoint itself or an earlier list has said so.
+struct DrainReport {
+  std::string endpoint;
+  std::string address;
+  /// Start time in Unix milliseconds; never 0.
+  std::int64_t started_ms = 0;
+
+  bool operator==(const DrainReport&) const = default;
+};
+
 /// Changes that update an entry's endpoint list to `version`.
 struct EndpointUpdate {
   /// Term of the leader that created the list, in the upper 32 bits, and a
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -29,6 +29,9 @@
   std::uint64_t rate_shares_version = 0;
   /// Rate limits that have changed or were not reported for a while.
   std::vector<RateLimitReport> rate_limits;
+  /// Endpoints that drain, as far as the entry knows. Builds that don't know
+  /// the field leave it empty.
+  std::vector<DrainReport> drains;
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -53,6 +53,9 @@
 generated::EndpointUpdate ToWire(const protocol::EndpointUpdate& update);
 protocol::EndpointUpdate FromWire(const generated::EndpointUpdate& update);
 
+generated::DrainReport ToWire(const protocol::DrainReport& report);
+protocol::DrainReport FromWire(const generated::DrainReport& report);
+
 generated::SliceOwner ToWire(const protocol::SliceOwner& owner);
 protocol::SliceOwner FromWire(const generated::SliceOwner& owner);
 
--- a/source/core/wire/convert_endpoints.cc
+++ b/source/core/wire/convert_endpoints.cc
@@ -53,4 +53,16 @@
   return out;
 }
 
+generated::DrainReport ToWire(const protocol::DrainReport& report) {
+  generated::DrainReport out;
+  out.endpoint = report.endpoint;
+  out.address = report.address;
+  out.started_ms = report.started_ms;
+  return out;
+}
+
+protocol::DrainReport FromWire(const generated::DrainReport& report) {
+  return {report.endpoint, report.address, report.started_ms};
+}
+
 }  // namespace jacinth::wire
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -62,6 +62,11 @@
       static_cast<std::int64_t>(heartbeat.rate_shares_version);
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     out.rate_limits.push_back(ToWire(report));
+  std::vector<generated::DrainReport> drains;
+  for (const protocol::DrainReport& report : heartbeat.drains)
+    drains.push_back(ToWire(report));
+  if (!drains.empty())
+    out.__set_drains(drains);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -85,6 +90,10 @@
       static_cast<std::uint64_t>(heartbeat.rate_shares_version);
   for (const generated::RateLimitReport& report : heartbeat.rate_limits)
     out.rate_limits.push_back(FromWire(report));
+  if (heartbeat.__isset.drains) {
+    for (const generated::DrainReport& report : heartbeat.drains)
+      out.drains.push_back(FromWire(report));
+  }
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -34,11 +34,13 @@
 struct RateShareUpdate {
   1: i64 version, 2: bool unchanged, 3: list<RateShare> shares
 }
+struct DrainReport { 1: string endpoint, 2: string address, 3: i64 started_ms }
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
   4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims,
   7: list<SliceUse> uses, 8: i64 rate_shares_version,
-  9: list<RateLimitReport> rate_limits
+  9: list<RateLimitReport> rate_limits,
+  30: optional list<DrainReport> drains
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
--- a/source/unit_tests/entry/entry_notices_test.cc
+++ b/source/unit_tests/entry/entry_notices_test.cc
@@ -354,4 +354,53 @@
   CHECK(driver.attempts.back().endpoint == owner);
 }
 
+// Guards against what one entry hears remaining with it, and against a new
+// leader that does not learn of it.
+TEST_CASE_METHOD(Fixture,
+                 "An endpoint that leaves is reported with the next heartbeat, "
+                 "and again every second while it is listed") {
+  Send("o1");
+  const StartAttempt first = driver.attempts.front();
+  driver.TakeMessages<protocol::Heartbeat>();
+  End(first, AttemptEnd::kAnswered, kLeaving);
+  const auto reports_within = [&](Duration duration) {
+    driver.AdvanceTime(duration);
+    std::vector<protocol::DrainReport> reports;
+    std::uint64_t sequence = 0;
+    for (const auto& heartbeat : driver.TakeMessages<protocol::Heartbeat>()) {
+      // While the leader is unknown, a heartbeat goes to several instances.
+      if (std::exchange(sequence, heartbeat.sequence) != heartbeat.sequence)
+        reports.insert(reports.end(), heartbeat.drains.begin(),
+                       heartbeat.drains.end());
+    }
+    return reports;
+  };
+  const protocol::DrainReport expected{first.endpoint, first.address, 1'000};
+  CHECK(reports_within(60ms) == std::vector{expected});
+  CHECK(reports_within(800ms).empty());
+  CHECK(reports_within(400ms) == std::vector{expected});
+  SECTION("started again") {
+    List({MakeListed("a", 2'000), MakeListed("b", 2'000)});
+    CHECK(reports_within(2s).empty());
+  }
+  SECTION("listed as draining") {
+    protocol::ListedEndpoint other =
+        MakeListed(first.endpoint == "a" ? "b" : "a");
+    other.draining = true;
+    List({MakeListed(first.endpoint), other});
+    CHECK(reports_within(1100ms).size() == 2);
+  }
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "An endpoint of unknown start time that leaves is not "
+                 "reported") {
+  List({MakeListed("a", 0), MakeListed("b", 0)});
+  Send("o1");
+  End(driver.attempts.front(), AttemptEnd::kAnswered, kLeaving);
+  driver.AdvanceTime(2s);
+  for (const auto& heartbeat : driver.TakeMessages<protocol::Heartbeat>())
+    CHECK(heartbeat.drains.empty());
+}
+
 }  // namespace jacinth::entry
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -46,6 +46,14 @@
   CHECK(*decoded == envelope);
 }
 
+std::string FromHex(const std::string& hex) {
+  constexpr int kBase = 16;
+  std::string bytes;
+  for (std::size_t i = 0; i + 1 < hex.size(); i += 2)
+    bytes += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, kBase));
+  return bytes;
+}
+
 }  // namespace
 
 TEST_CASE("Messages of every type are unchanged by encoding and decoding") {
@@ -63,7 +71,8 @@
       {{"s", 7, 1'500}},
       8,
       {{{"s", "i-1"}, 9, 2.5, true, 10, 1.25, 3.5},
-       {{"s", "i-2"}, 9, std::nullopt, false, -1, 0, std::nullopt}}});
+       {{"s", "i-2"}, 9, std::nullopt, false, -1, 0, std::nullopt}},
+      {{"i-3", "127.0.0.1:3", 11}}});
   CheckRoundTrip(protocol::HeartbeatReply{
       1,
       true,
@@ -139,4 +148,30 @@
   CHECK(ok);
 }
 
+// Guards against messages that an entry or replica of an earlier build, which
+// runs beside this one during an upgrade, can't read. The bytes were written by
+// the build of commit 96d274e.
+TEST_CASE("Heartbeats of an earlier build are read and written as they were") {
+  const std::string stored = FromHex(
+      "15025c1c1802653116021804776573741806776573742d61180b3132372e302e302e313a"
+      "31160411110016061608160a160c191c1c180173150e18016100150400191c180173150e"
+      "16b817001610191c1801731803692d311612170000000000000440111614170000000000"
+      "00f43f170000000000000c40000000");
+  const protocol::Heartbeat heartbeat{
+      MakeFullEntryStatus(),
+      3,
+      4,
+      5,
+      6,
+      {{{"s", 7, "a"}, protocol::SliceClaimReason::kOwnerOverloaded}},
+      {{"s", 7, 1'500}},
+      8,
+      {{{"s", "i-1"}, 9, 2.5, true, 10, 1.25, 3.5}},
+      {}};
+  const auto decoded = DecodeEnvelope(stored);
+  REQUIRE(decoded);
+  CHECK(*decoded == Envelope(heartbeat));
+  CHECK(EncodeEnvelope(heartbeat) == stored);
+}
+
 }  // namespace jacinth::wire
