HTTP: Ignore a rate limit that occurs twice, and log malformed ones

Cause: the same as in the reading of waits: of two headers the first one counted, and a malformed limit was dropped in silence.

Change: the adapters read the limit like the other statements of endpoints.

--- a/source/core/forwarding/endpoint_notices.cc
+++ b/source/core/forwarding/endpoint_notices.cc
@@ -14,6 +14,7 @@
 constexpr std::array kNames = {
     NamedValue<NoticeKind>{NoticeKind::kLeaving, "leaving"},
     NamedValue<NoticeKind>{NoticeKind::kWait, "wait"},
+    NamedValue<NoticeKind>{NoticeKind::kRateLimit, "rate_limit"},
 };
 
 }  // namespace
--- a/source/core/forwarding/endpoint_notices.h
+++ b/source/core/forwarding/endpoint_notices.h
@@ -9,7 +9,7 @@
 namespace jacinth::forwarding {
 
 /// Statements about an endpoint that its answers may hold.
-enum class NoticeKind { kLeaving, kWait };
+enum class NoticeKind { kLeaving, kWait, kRateLimit };
 
 /// Returns the name of a statement in logs.
 std::string_view NoticeKindName(NoticeKind kind);
--- a/source/jacinthroute/native_adapter.cc
+++ b/source/jacinthroute/native_adapter.cc
@@ -244,10 +244,12 @@
   const bool refused =
       HeaderValue(result.response.headers, "Jacinth-Outcome") ==
       OutcomeName(Outcome::kNotRun);
-  return {refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered, std::nullopt,
-          forwarding::ParseRateLimitNotice(
-              HeaderValue(result.response.headers, "Jacinth-Rate-Limit")),
-          ReadNotices(result.response, kLeavingHeader)};
+  AttemptResult attempt_result{
+      refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered, std::nullopt,
+      std::nullopt, ReadNotices(result.response, kLeavingHeader)};
+  attempt_result.rate_limit = ReadRateLimit(
+      result.response, "Jacinth-Rate-Limit", attempt_result.notices);
+  return attempt_result;
 }
 
 Response NativeAdapter::MakeForwardedResponse(
--- a/source/jacinthroute/notice_reader.cc
+++ b/source/jacinthroute/notice_reader.cc
@@ -47,4 +47,12 @@
   return notices;
 }
 
+std::optional<forwarding::RateLimitNotice> ReadRateLimit(
+    const http::Response& response,
+    std::string_view limit_header,
+    forwarding::EndpointNotices& notices) {
+  return ReadNotice(response.headers, limit_header, NoticeKind::kRateLimit,
+                    forwarding::ParseRateLimitNotice, notices);
+}
+
 }  // namespace jacinth
--- a/source/jacinthroute/notice_reader.h
+++ b/source/jacinthroute/notice_reader.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 #include "core/forwarding/endpoint_notices.h"
+#include "core/forwarding/rate_limit_notice.h"
 #include "core/http/message.h"
 
 namespace jacinth {
@@ -14,4 +16,11 @@
 forwarding::EndpointNotices ReadNotices(const http::Response& response,
                                         std::string_view leaving_header);
 
+/// Reads the rate limit that an answer names. Returns nullopt, and adds it to
+/// the malformed statements of `notices`, if it is malformed or occurs twice.
+std::optional<forwarding::RateLimitNotice> ReadRateLimit(
+    const http::Response& response,
+    std::string_view limit_header,
+    forwarding::EndpointNotices& notices);
+
 }  // namespace jacinth
