--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -157,6 +157,8 @@
   void PushLists(ClockReading clock);
   void ResetListsForTerm(ClockReading clock);
   void ForgetDeparted(Time now);
+  bool ApplyDrainReports(const std::vector<protocol::DrainReport>& reports,
+                         Time now);
   void AllocateRateShares(Time now);
   protocol::RateShareUpdate RateSharesFor(const std::string& entry,
                                           std::uint64_t held_version,
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -40,6 +40,9 @@
   std::vector<std::uint64_t> acquitted;
   /// Version of the suspect requests that the entry holds.
   std::uint64_t suspects_version = 0;
+  /// Endpoints that drain, as far as the entry knows. Builds that don't know
+  /// the field leave it empty.
+  std::vector<DrainReport> drains;
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -68,6 +68,11 @@
     out.crashes.push_back(ToWire(report));
   out.acquitted.assign(heartbeat.acquitted.begin(), heartbeat.acquitted.end());
   out.suspects_version = static_cast<std::int64_t>(heartbeat.suspects_version);
+  std::vector<generated::DrainReport> drains;
+  for (const protocol::DrainReport& report : heartbeat.drains)
+    drains.push_back(ToWire(report));
+  if (!drains.empty())
+    out.__set_drains(drains);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -97,6 +102,10 @@
     out.crashes.push_back(FromWire(report));
   out.acquitted.assign(heartbeat.acquitted.begin(), heartbeat.acquitted.end());
   out.suspects_version = static_cast<std::uint64_t>(heartbeat.suspects_version);
+  if (heartbeat.__isset.drains) {
+    for (const generated::DrainReport& report : heartbeat.drains)
+      out.drains.push_back(FromWire(report));
+  }
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -52,13 +52,15 @@
 struct SuspectRequest {
   1: i64 fingerprint, 2: list<i64> endpoints, 3: i64 expires_ms
 }
+struct DrainReport { 1: string endpoint, 2: string address, 3: i64 started_ms }
 struct Heartbeat {
   1: EntryStatus status, 2: i64 members_version, 3: i64 sequence,
   4: i64 endpoints_version, 5: i64 slices_version, 6: list<SliceClaim> claims,
   7: list<SliceUse> uses, 8: i64 rate_shares_version,
   9: list<RateLimitReport> rate_limits,
   10: optional SettingsPosition settings_position,
-  20: list<CrashReport> crashes, 21: list<i64> acquitted, 22: i64 suspects_version
+  20: list<CrashReport> crashes, 21: list<i64> acquitted, 22: i64 suspects_version,
+  30: optional list<DrainReport> drains
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
