Platform tests: Do not take a library's start for handling signals

Cause: the soak sends a signal once the process status shows it as blocked or caught. libcrypto blocks all signals for a moment in its constructor, before main() (strace: rt_sigprocmask(SIG_SETMASK, ~[ILL TRAP BUS FPE SEGV ...]), then [], then the [HUP INT TERM] of main()). A status read in that moment counted as handling SIGHUP; the signal arrived after the moment and ended the process, which was found gone when the next signal was due. In 300 starts, 5 showed the full mask to a reader in a loop. No fault of the product: no program can handle a signal that comes before its main().

Change: a blocked signal counts only if not all signals are blocked.

--- a/source/unit_tests/support/child_process.cc
+++ b/source/unit_tests/support/child_process.cc
@@ -11,6 +11,21 @@
 #include <sys/wait.h>
 
 namespace jacinth::test {
+namespace {
+
+/// A signal that no program of the tests handles.
+constexpr int kUnhandledSignal = SIGUSR1;
+
+// Parses the set of signals in a line of /proc/PID/status.
+std::uint64_t ParseSignalSet(const std::string& line) {
+  return std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+}
+
+bool HasSignal(std::uint64_t signals, int signal) {
+  return (signals >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+}
+
+}  // namespace
 
 ChildProcess::ChildProcess(const std::string& program,
                            const std::vector<std::string>& arguments,
@@ -47,12 +62,18 @@
 
 bool ChildProcess::Handles(int signal) const {
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-  std::uint64_t handled = 0;
+  std::uint64_t blocked = 0;
+  std::uint64_t caught = 0;
   for (std::string line; std::getline(status, line);) {
-    if (line.starts_with("SigBlk:") || line.starts_with("SigCgt:"))
-      handled |= std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+    if (line.starts_with("SigBlk:"))
+      blocked = ParseSignalSet(line);
+    else if (line.starts_with("SigCgt:"))
+      caught = ParseSignalSet(line);
   }
-  return (handled >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+  // OpenSSL blocks all signals for a moment when it is loaded.
+  const bool blocks_all = HasSignal(blocked, kUnhandledSignal);
+  return HasSignal(caught, signal) ||
+         (HasSignal(blocked, signal) && !blocks_all);
 }
 
 void ChildProcess::Kill() {
--- a/source/unit_tests/support/child_process.h
+++ b/source/unit_tests/support/child_process.h
@@ -25,7 +25,8 @@
 
   /// Returns true if the process blocks or catches the signal, so that the
   /// signal's default action doesn't apply. A process that has just been
-  /// spawned does so once it has reached its main().
+  /// spawned does so once it has reached its main(). One that blocks all
+  /// signals may be a library that is being loaded, and doesn't count.
   bool Handles(int signal) const;
 
   /// Kills the process with SIGKILL and waits for it to exit.
