--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/entry/settings_receiver.h"
 #include "core/forwarding/slice_map.h"
 #include "core/protocol/heartbeat.h"
 #include "core/settings/fleet_settings.h"
@@ -84,6 +85,12 @@
   bool InContact(Time now) const { return now < contact_until_; }
   Time contact_until() const { return contact_until_; }
 
+  /// Returns true if a leader that was asked less than the control timeout ago
+  /// had no settings that are newer than the ones in force here.
+  bool HasNewestSettings(Time now) const {
+    return InContact(now) && self_.revision >= newest_revision_;
+  }
+
   /// Settings in force; null until the first ones have been received.
   const std::shared_ptr<const settings::FleetSettings>& fleet() const {
     return fleet_;
@@ -105,6 +112,7 @@
 
   std::optional<Time> FindSendTime(std::uint64_t sequence) const;
   bool ApplySettings(const protocol::SettingsUpdate& update);
+  bool ApplyPiece(const protocol::SettingsPiece& piece);
   bool ApplyEndpointUpdate(const protocol::EndpointUpdate& update, Time now);
   void AddContact(const std::string& instance);
   bool SetEndpoint(const protocol::ListedEndpoint& endpoint, Time now);
@@ -119,6 +127,9 @@
   Time contact_until_{};
   std::string leader_;
   Time last_leader_reply_{};
+  /// Newest revision that a leader has named.
+  std::uint64_t newest_revision_ = 0;
+  SettingsReceiver receiver_;
   settings::Tree tree_;
   std::shared_ptr<const settings::FleetSettings> fleet_;
   protocol::MemberList members_;
