--- a/source/core/control/settings_sender.cc
+++ b/source/core/control/settings_sender.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /// Largest piece, which takes a link of 2 Mbit/s for 65 ms.
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = 16UL * 1024;
 /// Time after which an unconfirmed piece is taken to be lost.
 constexpr Duration kResendPieceAfter = 1s;
 /// The same for a whole update, which can take seconds on a narrow link.
