--- a/source/unit_tests/http/kept_connection_test.cc
+++ b/source/unit_tests/http/kept_connection_test.cc
@@ -22,7 +22,8 @@
 
 const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
 const std::string kRefusal =
-    "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    "HTTP/1.1 503 Busy\r\nJacinth-Outcome: not-run\r\nContent-Length: "
+    "0\r\n\r\n";
 
 /// A client and a server whose connections the test reads and writes itself.
 struct Fixture {
