--- a/source/unit_tests/entry/settings_delivery_test.cc
+++ b/source/unit_tests/entry/settings_delivery_test.cc
@@ -138,8 +138,8 @@
     Execute(node_.Step(event, clock_));
   }
 
-  void Execute(ControlActions actions) {
-    for (auto& message : actions.messages) {
+  void Execute(const ControlActions& actions) {
+    for (const auto& message : actions.messages) {
       for (NarrowEntry& entry : entries_) {
         if (entry.driver->node.session().self().id == message.to_instance)
           entry.Deliver(message.envelope, clock_.now);
