Wire: Leave out crash reports that a heartbeat doesn't have

Older builds skip unknown fields, so that nothing broke, but each heartbeat grew by bytes that say nothing.

The fields are optional now, as the field for drains is.

--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -66,8 +66,11 @@
     out.__set_settings_position(ToWire(*heartbeat.settings_position));
   for (const protocol::CrashReport& report : heartbeat.crashes)
     out.crashes.push_back(ToWire(report));
+  out.__isset.crashes = !out.crashes.empty();
   out.acquitted.assign(heartbeat.acquitted.begin(), heartbeat.acquitted.end());
+  out.__isset.acquitted = !out.acquitted.empty();
   out.suspects_version = static_cast<std::int64_t>(heartbeat.suspects_version);
+  out.__isset.suspects_version = out.suspects_version != 0;
   std::vector<generated::DrainReport> drains;
   for (const protocol::DrainReport& report : heartbeat.drains)
     drains.push_back(ToWire(report));
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -59,7 +59,8 @@
   7: list<SliceUse> uses, 8: i64 rate_shares_version,
   9: list<RateLimitReport> rate_limits,
   10: optional SettingsPosition settings_position,
-  20: list<CrashReport> crashes, 21: list<i64> acquitted, 22: i64 suspects_version,
+  20: optional list<CrashReport> crashes, 21: optional list<i64> acquitted,
+  22: optional i64 suspects_version,
   30: optional list<DrainReport> drains
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
