Wire: Let lists travel as changes and digests

Callers saw nothing of it yet: these are the fields that the next commits use. Cause: a new leader could not tell what an entry holds, as versions of lists contain its term, and a member list had no changes.

--- a/source/core/protocol/endpoint_list.h
+++ b/source/core/protocol/endpoint_list.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,10 @@
   std::uint64_t base = 0;
   std::vector<ListedEndpoint> changed;
   std::vector<std::string> removed;
+  /// Parts of the list (see TableDigest) in which the entry's list differed, if
+  /// `base` is 0: `changed` holds all endpoints in them, and in all other parts
+  /// the lists are the same. Empty if `changed` is the whole list.
+  std::optional<std::vector<int>> parts;
 
   bool operator==(const EndpointUpdate&) const = default;
 };
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -43,6 +43,13 @@
   /// Endpoints that drain, as far as the entry knows. Builds that don't know
   /// the field leave it empty.
   std::vector<DrainReport> drains;
+  /// True if the entry takes changes of the member list, and of the endpoints
+  /// and slice owners of another leader, instead of whole tables.
+  bool takes_changes = false;
+  /// TableDigest of the endpoints and of the slice owners that the entry holds,
+  /// if these are not from the current leader.
+  std::optional<std::string> endpoint_digest;
+  std::optional<std::string> slice_digest;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -66,7 +73,12 @@
   /// Term of the leader that created the list, in the upper 32 bits, and a
   /// counter in the lower ones.
   std::uint64_t version = 0;
+  /// All entries, ordered by id, or those that have changed since `base`.
   std::vector<EntryStatus> entries;
+  /// Version that the changes are based on; 0 if `entries` is the whole list.
+  std::uint64_t base = 0;
+  /// Ids of the entries removed since `base`.
+  std::vector<std::string> removed;
 
   bool operator==(const MemberList&) const = default;
 };
@@ -101,6 +113,9 @@
   SettingsPiece settings_piece;
   /// Requests suspected of crashing endpoints.
   SuspectUpdate suspects;
+  /// Term of the leader that sends the message; 0 if the sender does not lead
+  /// or is of a build that does not tell.
+  std::uint64_t term = 0;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/protocol/slice.h
+++ b/source/core/protocol/slice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,13 @@
   /// 0 if there is no update.
   std::uint64_t version = 0;
   std::vector<SliceOwner> changed;
+  /// Version that the changes are based on: an entry that holds an older one
+  /// lacks others. 0 if they apply to any version.
+  std::uint64_t base = 0;
+  /// Parts of the table (see TableDigest) in which the entry's table differed:
+  /// `changed` holds all owners in them, and in all other parts the tables are
+  /// the same. Empty if `changed` is not limited to parts.
+  std::optional<std::vector<int>> parts;
 
   bool operator==(const SliceUpdate&) const = default;
 };
--- a/source/core/wire/convert_endpoints.cc
+++ b/source/core/wire/convert_endpoints.cc
@@ -43,6 +43,8 @@
   for (const protocol::ListedEndpoint& endpoint : update.changed)
     out.changed.push_back(EndpointToWire(endpoint));
   out.removed = update.removed;
+  if (update.parts)
+    out.__set_parts({update.parts->begin(), update.parts->end()});
   return out;
 }
 
@@ -51,6 +53,8 @@
   out.version = static_cast<std::uint64_t>(update.version);
   out.base = static_cast<std::uint64_t>(update.base);
   out.removed = update.removed;
+  if (update.__isset.parts)
+    out.parts.emplace(update.parts.begin(), update.parts.end());
   for (const generated::ListedEndpoint& endpoint : update.changed) {
     protocol::ListedEndpoint read = EndpointFromWire(endpoint);
     // Leaders of other builds may list endpoints that can't be used.
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -34,6 +34,10 @@
   out.version = static_cast<std::int64_t>(members.version);
   for (const auto& entry : members.entries)
     out.entries.push_back(StatusToWire(entry));
+  if (members.base != 0) {
+    out.__set_base(static_cast<std::int64_t>(members.base));
+    out.__set_removed(members.removed);
+  }
   return out;
 }
 
@@ -42,6 +46,8 @@
   out.version = static_cast<std::uint64_t>(members.version);
   for (const auto& entry : members.entries)
     out.entries.push_back(StatusFromWire(entry));
+  out.base = static_cast<std::uint64_t>(members.base);
+  out.removed = members.removed;
   return out;
 }
 
@@ -76,6 +82,12 @@
     drains.push_back(ToWire(report));
   if (!drains.empty())
     out.__set_drains(drains);
+  if (heartbeat.takes_changes)
+    out.__set_takes_changes(true);
+  if (heartbeat.endpoint_digest)
+    out.__set_endpoint_digest(*heartbeat.endpoint_digest);
+  if (heartbeat.slice_digest)
+    out.__set_slice_digest(*heartbeat.slice_digest);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -109,6 +121,11 @@
     for (const generated::DrainReport& report : heartbeat.drains)
       out.drains.push_back(FromWire(report));
   }
+  out.takes_changes = heartbeat.takes_changes;
+  if (heartbeat.__isset.endpoint_digest)
+    out.endpoint_digest = heartbeat.endpoint_digest;
+  if (heartbeat.__isset.slice_digest)
+    out.slice_digest = heartbeat.slice_digest;
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -134,6 +151,8 @@
     out.__set_settings_piece(ToWire(reply.settings_piece));
   if (reply.suspects.version != 0)
     out.__set_suspects(ToWire(reply.suspects));
+  if (reply.term != 0)
+    out.__set_term(static_cast<std::int64_t>(reply.term));
   return out;
 }
 
@@ -158,6 +177,7 @@
     out.settings_piece = FromWire(reply.settings_piece);
   if (reply.__isset.suspects)
     out.suspects = FromWire(reply.suspects);
+  out.term = static_cast<std::uint64_t>(reply.term);
   return out;
 }
 
--- a/source/core/wire/convert_slices.cc
+++ b/source/core/wire/convert_slices.cc
@@ -48,6 +48,10 @@
   out.version = static_cast<std::int64_t>(update.version);
   for (const protocol::SliceOwner& owner : update.changed)
     out.changed.push_back(ToWire(owner));
+  if (update.base != 0)
+    out.__set_base(static_cast<std::int64_t>(update.base));
+  if (update.parts)
+    out.__set_parts({update.parts->begin(), update.parts->end()});
   return out;
 }
 
@@ -56,6 +60,9 @@
   out.version = static_cast<std::uint64_t>(update.version);
   for (const generated::SliceOwner& owner : update.changed)
     out.changed.push_back(FromWire(owner));
+  out.base = static_cast<std::uint64_t>(update.base);
+  if (update.__isset.parts)
+    out.parts.emplace(update.parts.begin(), update.parts.end());
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -20,7 +20,10 @@
 }
 struct SliceOwner { 1: string service_name, 2: i32 slice, 3: string endpoint }
 struct SliceClaim { 1: SliceOwner owner, 2: i32 reason }
-struct SliceUpdate { 1: i64 version, 2: list<SliceOwner> changed }
+struct SliceUpdate {
+  1: i64 version, 2: list<SliceOwner> changed, 3: optional i64 base,
+  4: optional list<i32> parts
+}
 struct SliceUse { 1: string service_name, 2: i32 slice, 3: i64 busy_ms }
 struct RateLimitReport {
   1: string service_name, 2: string endpoint, 3: i64 started_ms,
@@ -61,7 +64,9 @@
   10: optional SettingsPosition settings_position,
   20: optional list<CrashReport> crashes, 21: optional list<i64> acquitted,
   22: optional i64 suspects_version,
-  30: optional list<DrainReport> drains
+  30: optional list<DrainReport> drains,
+  40: optional bool takes_changes, 41: optional binary endpoint_digest,
+  42: optional binary slice_digest
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -75,16 +80,20 @@
 }
 struct EndpointUpdate {
   1: i64 version, 2: i64 base, 3: list<ListedEndpoint> changed,
-  4: list<string> removed
+  4: list<string> removed, 5: optional list<i32> parts
+}
+struct MemberList {
+  1: i64 version, 2: list<EntryStatus> entries, 3: optional i64 base,
+  4: optional list<string> removed
 }
-struct MemberList { 1: i64 version, 2: list<EntryStatus> entries }
 struct HeartbeatReply {
   1: i64 sequence, 2: bool leader, 3: string leader_hint, 4: i64 revision,
   5: optional SettingsUpdate update, 6: optional MemberList members,
   7: optional EndpointUpdate endpoints, 8: list<string> replicas,
   9: optional SliceUpdate slices, 10: optional RateShareUpdate rate_shares,
   11: optional SettingsPiece settings_piece,
-  20: optional SuspectUpdate suspects
+  20: optional SuspectUpdate suspects,
+  40: optional i64 term
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -80,20 +80,24 @@
       {{10, 11, 12, 13}},
       {14},
       15,
-      {{"i-3", "127.0.0.1:3", 11}}});
+      {{"i-3", "127.0.0.1:3", 11}},
+      true,
+      "endpoint digest",
+      ""});
   CheckRoundTrip(protocol::HeartbeatReply{
       1,
       true,
       "c1",
       2,
       {3, "text", 4, 2, {{"service/a", {{"ttl_ms", "5"}}}}},
-      {5, {MakeFullEntryStatus()}},
-      {6, 5, {MakeFullListedEndpoint()}, {"gone"}},
+      {5, {MakeFullEntryStatus()}, 4, {"e2"}},
+      {6, 5, {MakeFullListedEndpoint()}, {"gone"}, {{1, 2}}},
       {"c1", "c2"},
-      {},
+      {7, {{"s", 7, "a"}}, 6, std::vector<int>{}},
       {7, true, {{{"s", "i-1"}, 9, 2.5, 1.5}}},
       {{1, 2, 3, 4}, 5, "piece"},
-      {8, true, {{9, {10, 11}, 12}}}});
+      {8, true, {{9, {10, 11}, 12}}},
+      13});
   CheckRoundTrip(protocol::ClaimRequest{"a", {"c", "k"}, 1, 2, "tp"});
   CheckRoundTrip(protocol::ClaimReply{
       "a", true, protocol::ClaimVerdict::kRan, {200, "t", "b", true}});
