Control: Send changes of lists once, and tables one after the other

Change: SentVersion tracks what is under way to each entry; changes are looked up by version, encoded once for all entries that hold the same versions (Broadcast); whole tables wait in a queue that leaves time for the replicas; a new leader sends what differs from an entry's digest. Pushes come less often to a larger fleet.

--- a/source/core/control/control_actions.h
+++ b/source/core/control/control_actions.h
@@ -21,6 +21,12 @@
   protocol::Envelope envelope;
 };
 
+/// A message to several instances, which is encoded once.
+struct Broadcast {
+  std::vector<std::string> to_instances;
+  protocol::Envelope envelope;
+};
+
 /// Reply to a settings change that was accepted and committed.
 struct ChangeAccepted {
   std::uint64_t revision = 0;
@@ -52,6 +58,7 @@
 struct ControlActions {
   /// Messages to send. All writes that they depend on are synced.
   std::vector<OutgoingMessage> messages;
+  std::vector<Broadcast> broadcasts;
   std::vector<consensus::WriteRequest> writes;
   std::vector<AdminReply> replies;
   std::vector<ClaimTrace> claim_traces;
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -19,8 +19,11 @@
 /// Interval between the steps of admitting replicas, and the longest interval
 /// between two ticks.
 constexpr Duration kAdmissionInterval = 100ms;
-/// Interval at which changed lists are pushed to entries.
-constexpr Duration kPushInterval = 100ms;
+/// Shortest interval at which changed lists are pushed to entries.
+constexpr Duration kMinPushInterval = 100ms;
+/// Part of the interval for each entry, so that pushes to a large fleet leave
+/// the leader time for its replicas.
+constexpr Duration kPushIntervalPerEntry = 2ms;
 
 }  // namespace
 
@@ -59,6 +62,8 @@
   actions_.next_tick = clock.now + kAdmissionInterval;
   if (replica_)
     actions_.next_tick = std::min(actions_.next_tick, replica_->NextTickTime());
+  if (!table_queue_.empty())
+    actions_.next_tick = std::min(actions_.next_tick, next_table_);
   return std::exchange(actions_, {});
 }
 
@@ -134,8 +139,11 @@
   if (!HasLeaderLease(clock.now))
     return;
   ResetListsForTerm(clock);
+  ServeTableQueue(clock.now);
   if (clock.now >= next_push_) {
-    next_push_ = clock.now + kPushInterval;
+    next_push_ = clock.now +
+                 std::max(kMinPushInterval, static_cast<int>(registry_.size()) *
+                                                kPushIntervalPerEntry);
     RebalanceSlices(clock.now);
     AllocateRateShares(clock.now);
     PushLists(clock);
@@ -168,7 +176,9 @@
       registry_.Reset(registry_term_, clock.now);
       catalog_.Reset(registry_term_);
       settings_sender_.Reset();
-      sent_versions_.clear();
+      deliveries_.clear();
+      table_queue_.clear();
+      next_table_ = clock.now;
       pushed_revision_ = 0;
     }
     PushSettings(clock);
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -16,6 +16,7 @@
 #include "core/control/control_event.h"
 #include "core/control/control_state.h"
 #include "core/control/endpoint_catalog.h"
+#include "core/control/entry_delivery.h"
 #include "core/control/entry_registry.h"
 #include "core/control/rate_share_allocator.h"
 #include "core/control/settings_sender.h"
@@ -96,14 +97,6 @@
                                        PendingOwners,
                                        PendingSuspects>;
 
-  /// Versions of the lists that were last sent to an entry.
-  struct ListVersions {
-    std::uint64_t endpoints = 0;
-    std::uint64_t slices = 0;
-    std::uint64_t rate_shares = 0;
-    std::uint64_t suspects = 0;
-  };
-
   /// A message that must not be sent before the write `after` is synced.
   struct DeferredMessage {
     consensus::SyncId after;
@@ -155,6 +148,19 @@
   // Endpoint list, slice owners and rate limits.
   void On(const EndpointsListed& event, ClockReading clock);
   void PushLists(ClockReading clock);
+  protocol::HeartbeatReply MakeReply() const;
+  void AddMembers(EntryDelivery& delivery,
+                  const protocol::Heartbeat& heartbeat,
+                  protocol::HeartbeatReply& reply,
+                  Time now);
+  void AddChanges(EntryDelivery& delivery,
+                  protocol::HeartbeatReply& reply,
+                  Time now);
+  void QueueTables(const std::string& entry,
+                   EntryDelivery& delivery,
+                   const protocol::Heartbeat& heartbeat,
+                   Time now);
+  void ServeTableQueue(Time now);
   void ResetListsForTerm(ClockReading clock);
   void ForgetDeparted(Time now);
   bool ApplyDrainReports(const std::vector<protocol::DrainReport>& reports,
@@ -203,9 +209,12 @@
   SliceAssignment slices_;
   RateShareAllocator rate_shares_;
   quarantine::SuspectRegistry suspects_;
-  /// By entry instance. If a message is lost, the versions in the entry's next
-  /// heartbeat replace these.
-  std::map<std::string, ListVersions> sent_versions_;
+  /// By entry instance.
+  std::map<std::string, EntryDelivery> deliveries_;
+  /// Entries that wait for whole tables.
+  std::deque<std::string> table_queue_;
+  /// Time from which the next whole table may be sent.
+  Time next_table_{};
   /// Term for which `registry_` and `catalog_` were reset.
   std::uint64_t registry_term_ = 0;
   std::uint64_t last_proposal_ = 0;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -12,31 +12,29 @@
 void ControlNode::OnHeartbeat(const std::string& from,
                               const protocol::Heartbeat& heartbeat,
                               ClockReading clock) {
-  protocol::HeartbeatReply reply;
-  reply.sequence = heartbeat.sequence;
-  reply.leader_hint = LeaderInstance();
   if (!HasLeaderLease(clock.now)) {
+    protocol::HeartbeatReply reply;
+    reply.sequence = heartbeat.sequence;
+    reply.leader_hint = LeaderInstance();
     reply.replicas = ReplicaInstances();
     SendToEntry(from, reply);
     return;
   }
+  protocol::HeartbeatReply reply = MakeReply();
+  reply.sequence = heartbeat.sequence;
   ResetListsForTerm(clock);
   registry_.OnHeartbeat(heartbeat.status, clock.now);
-  reply.leader = true;
-  reply.revision = state_.revision();
   settings_sender_.OnHeartbeat(from, heartbeat);
   AddSettings(from, reply, clock.now);
-  if (registry_.Version(clock.now) != heartbeat.members_version) {
-    reply.members = registry_.Members(clock.now);
-    reply.replicas = ReplicaInstances();
-  }
+  EntryDelivery& delivery = deliveries_[from];
+  delivery.OnHeartbeat(heartbeat, clock.now);
+  AddMembers(delivery, heartbeat, reply, clock.now);
   const bool new_drains = ApplyDrainReports(heartbeat.drains, clock.now);
-  reply.endpoints = catalog_.UpdateFor(heartbeat.endpoints_version, clock.now);
   for (const protocol::SliceClaim& claim : heartbeat.claims)
     slices_.Claim(from, claim, clock.now);
   for (const protocol::SliceUse& use : heartbeat.uses)
     slices_.AddUse(use);
-  reply.slices = slices_.UpdateFor(heartbeat.slices_version);
+  AddChanges(delivery, reply, clock.now);
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     rate_shares_.OnReport(from, report, clock.now);
   AllocateRateShares(clock.now);
@@ -44,9 +42,11 @@
       RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
   OnCrashReports(heartbeat, clock);
   reply.suspects = SuspectsFor(heartbeat.suspects_version, clock);
-  sent_versions_[from] = {catalog_.version(), slices_.version(),
-                          reply.rate_shares.version, reply.suspects.version};
+  delivery.rate_shares = reply.rate_shares.version;
+  delivery.suspects = reply.suspects.version;
   SendToEntry(from, std::move(reply));
+  QueueTables(from, delivery, heartbeat, clock.now);
+  ServeTableQueue(clock.now);
   if (new_drains)
     PushLists(clock);
 }
@@ -141,10 +141,7 @@
   if (pushed_revision_ == state_.revision() || !HasLeaderLease(clock.now))
     return;
   pushed_revision_ = state_.revision();
-  protocol::HeartbeatReply reply;
-  reply.leader = true;
-  reply.leader_hint = LeaderInstance();
-  reply.revision = state_.revision();
+  const protocol::HeartbeatReply reply = MakeReply();
   for (const protocol::EntryStatus& entry : registry_.Statuses()) {
     // An entry takes its first settings only with the reply to a heartbeat.
     if (entry.revision == 0)
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -12,6 +12,15 @@
 /// Interval between rebalancings, over which the load of the slices is
 /// averaged. Longer than the duration of most requests.
 constexpr Duration kRebalanceInterval = 1s;
+/// Time after which an unconfirmed message is taken to be lost.
+constexpr Duration kResendAfter = 1s;
+/// The same for a whole table, which can take seconds on a narrow link.
+constexpr Duration kResendTableAfter = 3s;
+/// Time after a whole table, for each of its items, in which no other table is
+/// sent.
+constexpr Duration kTableItemTime = std::chrono::microseconds(4);
+/// Time without tables that is made up for at once.
+constexpr Duration kTableBurst = 20ms;
 
 }  // namespace
 
@@ -70,6 +79,9 @@
     entries.insert(entry.id);
   rate_shares_.RetainEntries(entries);
   settings_sender_.RetainEntries(entries);
+  std::erase_if(deliveries_, [&](const auto& item) {
+    return entries.count(item.first) == 0;
+  });
 }
 
 void ControlNode::AllocateRateShares(Time now) {
@@ -149,28 +161,150 @@
     ProposeCommand(PendingOwners{}, std::move(record), clock);
 }
 
+void ControlNode::AddMembers(EntryDelivery& delivery,
+                             const protocol::Heartbeat& heartbeat,
+                             protocol::HeartbeatReply& reply,
+                             Time now) {
+  const std::uint64_t current = registry_.Version(now);
+  const std::uint64_t base = delivery.members.Base(now);
+  if (current == 0 || base == current)
+    return;
+  reply.members = heartbeat.takes_changes ? registry_.ChangesSince(base, now)
+                                          : registry_.Members(now);
+  if (reply.members.base == 0)
+    reply.replicas = ReplicaInstances();
+  delivery.members.OnSent(current, kResendAfter, now);
+}
+
+void ControlNode::AddChanges(EntryDelivery& delivery,
+                             protocol::HeartbeatReply& reply,
+                             Time now) {
+  const std::uint64_t endpoints = delivery.endpoints.Base(now);
+  if (endpoints != catalog_.version() &&
+      catalog_.KeepsChangesSince(endpoints)) {
+    reply.endpoints = catalog_.UpdateFor(endpoints, now);
+    delivery.endpoints.OnSent(catalog_.version(), kResendAfter, now);
+  }
+  const std::uint64_t slices = delivery.slices.Base(now);
+  if (slices != slices_.version() && slices_.IsFromTerm(slices)) {
+    reply.slices = slices_.UpdateFor(slices);
+    delivery.slices.OnSent(slices_.version(), kResendAfter, now);
+  }
+}
+
+// Queues the entry if it holds lists whose changes the leader doesn't know,
+// such as those of another leader.
+void ControlNode::QueueTables(const std::string& entry,
+                              EntryDelivery& delivery,
+                              const protocol::Heartbeat& heartbeat,
+                              Time now) {
+  // Entries that take changes tell what they hold once they know the term.
+  const bool may_send_endpoints =
+      !heartbeat.takes_changes || heartbeat.endpoint_digest;
+  const bool may_send_slices =
+      !heartbeat.takes_changes || heartbeat.slice_digest;
+  const bool needs_endpoints =
+      catalog_.version() != 0 &&
+      !catalog_.KeepsChangesSince(delivery.endpoints.Base(now));
+  const bool needs_slices = !slices_.IsFromTerm(delivery.slices.Base(now));
+  delivery.wants_endpoints = needs_endpoints && may_send_endpoints;
+  delivery.wants_slices = needs_slices && may_send_slices;
+  if (!delivery.wants_endpoints && !delivery.wants_slices)
+    return;
+  delivery.sequence = heartbeat.sequence;
+  delivery.endpoint_digest = heartbeat.endpoint_digest;
+  delivery.slice_digest = heartbeat.slice_digest;
+  if (!std::exchange(delivery.is_queued, true))
+    table_queue_.push_back(entry);
+}
+
+// Sends whole tables, or what differs in them, to the entries that wait for
+// them: not to all at once, so that a fleet that starts anew leaves the leader
+// time for its replicas.
+void ControlNode::ServeTableQueue(Time now) {
+  while (!table_queue_.empty() && now >= next_table_) {
+    const std::string entry = std::move(table_queue_.front());
+    table_queue_.pop_front();
+    const auto found = deliveries_.find(entry);
+    if (found == deliveries_.end())
+      continue;
+    EntryDelivery& delivery = found->second;
+    delivery.is_queued = false;
+    protocol::HeartbeatReply reply = MakeReply();
+    reply.sequence = delivery.sequence;
+    if (std::exchange(delivery.wants_endpoints, false)) {
+      reply.endpoints =
+          delivery.endpoint_digest
+              ? catalog_.UpdateForDigest(*delivery.endpoint_digest, now)
+              : catalog_.UpdateFor(0, now);
+      delivery.endpoints.OnSent(catalog_.version(), kResendTableAfter, now);
+    }
+    if (std::exchange(delivery.wants_slices, false)) {
+      reply.slices = delivery.slice_digest
+                         ? slices_.UpdateForDigest(*delivery.slice_digest)
+                         : slices_.UpdateFor(0);
+      delivery.slices.OnSent(slices_.version(), kResendTableAfter, now);
+    }
+    const std::size_t items =
+        1 + reply.endpoints.changed.size() + reply.slices.changed.size();
+    next_table_ = std::max(next_table_, now - kTableBurst) +
+                  static_cast<int>(items) * kTableItemTime;
+    SendToEntry(entry, std::move(reply));
+  }
+}
+
+protocol::HeartbeatReply ControlNode::MakeReply() const {
+  protocol::HeartbeatReply reply;
+  reply.leader = true;
+  reply.leader_hint = LeaderInstance();
+  reply.revision = state_.revision();
+  reply.term = replica_->term();
+  return reply;
+}
+
+// Sends changed lists to the entries whose lists are from this term. Entries
+// that hold the same versions are sent the same message.
 void ControlNode::PushLists(ClockReading clock) {
   const Time now = clock.now;
-  for (const protocol::EntryStatus& entry : registry_.Statuses()) {
-    ListVersions& sent = sent_versions_[entry.id];
-    protocol::HeartbeatReply reply;
-    reply.endpoints = catalog_.UpdateFor(sent.endpoints, now);
-    reply.slices = slices_.UpdateFor(sent.slices);
-    reply.rate_shares = RateSharesFor(entry.id, sent.rate_shares, now);
-    reply.suspects = SuspectsFor(sent.suspects, clock);
-    const bool has_suspects = !reply.suspects.unchanged;
-    const bool has_rate_shares =
-        reply.rate_shares.version != 0 && !reply.rate_shares.unchanged;
+  struct Bases {
+    std::uint64_t endpoints = 0;
+    std::uint64_t slices = 0;
+    std::uint64_t suspects = 0;
+    auto operator<=>(const Bases&) const = default;
+  };
+  std::map<Bases, std::vector<std::string>> entries_by_bases;
+  for (auto& [entry, delivery] : deliveries_) {
+    protocol::RateShareUpdate shares =
+        RateSharesFor(entry, delivery.rate_shares, now);
+    if (shares.version != 0 && !shares.unchanged) {
+      delivery.rate_shares = shares.version;
+      protocol::HeartbeatReply reply = MakeReply();
+      reply.rate_shares = std::move(shares);
+      SendToEntry(entry, std::move(reply));
+    }
+    Bases bases{delivery.endpoints.Base(now), delivery.slices.Base(now),
+                delivery.suspects};
+    if (catalog_.KeepsChangesSince(bases.endpoints))
+      delivery.endpoints.OnSent(catalog_.version(), kResendAfter, now);
+    else
+      bases.endpoints = catalog_.version();
+    if (slices_.IsFromTerm(bases.slices))
+      delivery.slices.OnSent(slices_.version(), kResendAfter, now);
+    else
+      bases.slices = slices_.version();
+    entries_by_bases[bases].push_back(entry);
+  }
+  for (auto& [bases, entries] : entries_by_bases) {
+    protocol::HeartbeatReply reply = MakeReply();
+    reply.endpoints = catalog_.UpdateFor(bases.endpoints, now);
+    reply.slices = slices_.UpdateFor(bases.slices);
+    reply.suspects = SuspectsFor(bases.suspects, clock);
     if (reply.endpoints.version == 0 && reply.slices.version == 0 &&
-        !has_rate_shares && !has_suspects)
+        reply.suspects.unchanged)
       continue;
-    reply.leader = true;
-    reply.leader_hint = LeaderInstance();
-    // If this message is lost, the versions in the entry's next heartbeat
-    // replace these.
-    sent = {catalog_.version(), slices_.version(), reply.rate_shares.version,
-            reply.suspects.version};
-    SendToEntry(entry.id, std::move(reply));
+    for (const std::string& entry : entries)
+      deliveries_.at(entry).suspects = reply.suspects.version;
+    actions_.broadcasts.push_back({std::move(entries), std::move(reply)});
   }
 }
 
--- a/source/core/control/endpoint_catalog.cc
+++ b/source/core/control/endpoint_catalog.cc
@@ -26,6 +26,7 @@
 
 void EndpointCatalog::Reset(std::uint64_t term) {
   endpoints_.clear();
+  by_change_.clear();
   removed_.clear();
   first_version_ = (term << kTermShift) + 1;
   version_ = 0;
@@ -43,6 +44,7 @@
   std::erase_if(endpoints_, [&](const auto& item) {
     if (listed.count(item.first) != 0)
       return false;
+    by_change_.erase({item.second.changed, item.first});
     removed_.emplace_back(next, item.first);
     changed = true;
     return true;
@@ -68,7 +70,7 @@
   if (!new_drain)
     return false;
   tracked.endpoint.draining = true;
-  tracked.changed = ++version_;
+  SetChanged(tracked, ++version_);
   return true;
 }
 
@@ -78,14 +80,16 @@
   if (version_ == 0 || version == version_)
     return update;
   update.version = version_;
-  const bool incremental = version >= first_version_ && version < version_;
-  update.base = incremental ? version : 0;
-  for (const auto& [id, tracked] : endpoints_) {
-    if (!incremental || tracked.changed > version)
-      update.changed.push_back(ToListedEndpoint(tracked, now));
-  }
-  if (!incremental)
+  if (!KeepsChangesSince(version)) {
+    update.changed = Endpoints(now);
     return update;
+  }
+  update.base = version;
+  const auto first = by_change_.lower_bound({version + 1, ""});
+  for (auto change = first; change != by_change_.end(); ++change) {
+    update.changed.push_back(
+        ToListedEndpoint(endpoints_.at(change->second), now));
+  }
   for (const auto& [removal_version, id] : removed_) {
     if (removal_version > version && endpoints_.count(id) == 0)
       update.removed.push_back(id);
@@ -93,6 +97,31 @@
   return update;
 }
 
+EndpointUpdate EndpointCatalog::UpdateForDigest(const std::string& digest,
+                                                Time now) const {
+  EndpointUpdate update;
+  if (version_ == 0)
+    return update;
+  update.version = version_;
+  protocol::TableDigest own = protocol::MakeEndpointDigest();
+  for (const auto& [id, tracked] : endpoints_) {
+    own.Add(protocol::EndpointPart(id),
+            protocol::EndpointItemHash(tracked.endpoint));
+  }
+  const std::vector<int> parts = own.DifferingParts(digest);
+  if (parts.size() == own.parts()) {
+    update.changed = Endpoints(now);
+    return update;
+  }
+  for (const auto& [id, tracked] : endpoints_) {
+    const auto part = static_cast<int>(protocol::EndpointPart(id));
+    if (std::binary_search(parts.begin(), parts.end(), part))
+      update.changed.push_back(ToListedEndpoint(tracked, now));
+  }
+  update.parts = parts;
+  return update;
+}
+
 std::vector<ListedEndpoint> EndpointCatalog::Endpoints(Time now) const {
   std::vector<ListedEndpoint> all;
   for (const auto& [id, tracked] : endpoints_)
@@ -119,10 +148,17 @@
     return false;
   tracked.endpoint = std::move(next);
   tracked.cold_until = cold_until;
-  tracked.changed = version;
+  SetChanged(tracked, version);
   return true;
 }
 
+void EndpointCatalog::SetChanged(TrackedEndpoint& tracked,
+                                 std::uint64_t version) {
+  by_change_.erase({tracked.changed, tracked.endpoint.id});
+  tracked.changed = version;
+  by_change_.insert({version, tracked.endpoint.id});
+}
+
 ListedEndpoint EndpointCatalog::ToListedEndpoint(const TrackedEndpoint& tracked,
                                                  Time now) {
   ListedEndpoint endpoint = tracked.endpoint;
--- a/source/core/control/endpoint_catalog.h
+++ b/source/core/control/endpoint_catalog.h
@@ -3,12 +3,14 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "core/common/time.h"
 #include "core/protocol/endpoint_list.h"
+#include "core/protocol/table_digest.h"
 
 namespace jacinth::control {
 
@@ -39,6 +41,16 @@
   /// change.
   protocol::EndpointUpdate UpdateFor(std::uint64_t version, Time now) const;
 
+  /// Returns what an entry lacks whose list has `digest`, whichever leader it
+  /// is from.
+  protocol::EndpointUpdate UpdateForDigest(const std::string& digest,
+                                           Time now) const;
+
+  /// Returns true if UpdateFor can give the changes since `version`.
+  bool KeepsChangesSince(std::uint64_t version) const {
+    return version_ != 0 && version >= first_version_ && version <= version_;
+  }
+
   /// Returns all endpoints, with the warm-up time that remains at `now`.
   std::vector<protocol::ListedEndpoint> Endpoints(Time now) const;
 
@@ -55,6 +67,7 @@
   bool UpdateEndpoint(const protocol::ListedEndpoint& endpoint,
                       std::uint64_t version,
                       Time now);
+  void SetChanged(TrackedEndpoint& tracked, std::uint64_t version);
   static protocol::ListedEndpoint ToListedEndpoint(
       const TrackedEndpoint& tracked,
       Time now);
@@ -63,6 +76,8 @@
   std::uint64_t first_version_ = 0;
   std::uint64_t version_ = 0;
   std::map<std::string, TrackedEndpoint> endpoints_;
+  /// Ids of all endpoints by the version in which they last changed.
+  std::set<std::pair<std::uint64_t, std::string>> by_change_;
   /// Version of each removal and the id of the removed endpoint, oldest first.
   std::deque<std::pair<std::uint64_t, std::string>> removed_;
 };
--- /dev/null
+++ b/source/core/control/entry_delivery.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "core/control/sent_version.h"
+#include "core/protocol/heartbeat.h"
+
+namespace jacinth::control {
+
+/// What the leader has sent to one entry.
+struct EntryDelivery {
+  /// Records what a heartbeat confirms.
+  void OnHeartbeat(const protocol::Heartbeat& heartbeat, Time now) {
+    if (incarnation != heartbeat.status.incarnation) {
+      const bool was_queued = is_queued;
+      *this = {};
+      is_queued = was_queued;
+      incarnation = heartbeat.status.incarnation;
+    }
+    members.OnHeld(heartbeat.members_version, now);
+    endpoints.OnHeld(heartbeat.endpoints_version, now);
+    slices.OnHeld(heartbeat.slices_version, now);
+    rate_shares = heartbeat.rate_shares_version;
+    suspects = heartbeat.suspects_version;
+  }
+
+  std::uint64_t incarnation = 0;
+  SentVersion members;
+  SentVersion endpoints;
+  SentVersion slices;
+  /// Versions that were last sent. If that message is lost, the versions in the
+  /// entry's next heartbeat replace these.
+  std::uint64_t rate_shares = 0;
+  std::uint64_t suspects = 0;
+  /// True while the entry waits for whole tables.
+  bool is_queued = false;
+  bool wants_endpoints = false;
+  bool wants_slices = false;
+  /// Sequence number of the heartbeat that told what the entry holds.
+  std::uint64_t sequence = 0;
+  /// TableDigest of the lists that it holds; empty if it doesn't tell.
+  std::optional<std::string> endpoint_digest;
+  std::optional<std::string> slice_digest;
+};
+
+}  // namespace jacinth::control
--- a/source/core/control/entry_registry.h
+++ b/source/core/control/entry_registry.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/common/time.h"
@@ -32,6 +34,12 @@
   /// Returns the live entries with the list's version; none if that is 0.
   protocol::MemberList Members(Time now) const;
 
+  /// Returns the changes since `version`, or the whole list if they are no
+  /// longer kept. The list's version is 0 if there is no change.
+  protocol::MemberList ChangesSince(std::uint64_t version, Time now) const;
+
+  std::size_t size() const { return entries_.size(); }
+
   /// Returns the last status of every live entry.
   std::vector<protocol::EntryStatus> Statuses() const;
 
@@ -39,12 +47,18 @@
   struct EntryRecord {
     protocol::EntryStatus status;
     Time last_heartbeat;
+    /// Version in which the entry last changed.
+    std::uint64_t changed = 0;
   };
 
   Duration timeout_;
   Time term_start_{};
   std::uint64_t version_ = 0;
+  /// Oldest version from which ChangesSince() can give the changes.
+  std::uint64_t first_version_ = 0;
   std::map<std::string, EntryRecord> entries_;
+  /// Version of each removal and the id of the removed entry, oldest first.
+  std::deque<std::pair<std::uint64_t, std::string>> removed_;
 };
 
 }  // namespace jacinth::control
--- a/source/core/control/slice_assignment.cc
+++ b/source/core/control/slice_assignment.cc
@@ -1,5 +1,7 @@
 #include "core/control/slice_assignment.h"
 
+#include <algorithm>
+
 namespace jacinth::control {
 namespace {
 
@@ -29,12 +31,14 @@
                             const std::vector<SliceOwner>& recorded) {
   slices_.clear();
   unrecorded_.clear();
+  by_change_.clear();
+  digest_ = protocol::MakeSliceDigest();
   version_ = (term << kTermShift) + 1;
   for (const SliceOwner& owner : recorded) {
-    SliceState& state = slices_[{owner.service, owner.slice}];
-    state.endpoint = owner.endpoint;
-    state.changed = version_;
+    const Key key{owner.service, owner.slice};
+    SetOwner(key, slices_[key], owner.endpoint);
   }
+  unrecorded_.clear();
 }
 
 void SliceAssignment::Claim(const std::string& entry,
@@ -122,20 +126,54 @@
   if (version_ == 0 || version == version_)
     return update;
   update.version = version_;
-  const bool other_term = version >> kTermShift != version_ >> kTermShift;
+  const bool incremental = IsFromTerm(version);
+  update.base = incremental ? version : 0;
+  const auto first =
+      incremental ? by_change_.upper_bound(version) : by_change_.begin();
+  for (auto change = first; change != by_change_.end(); ++change) {
+    const Key& key = change->second;
+    update.changed.push_back({key.first, key.second, slices_.at(key).endpoint});
+  }
+  return update;
+}
+
+protocol::SliceUpdate SliceAssignment::UpdateForDigest(
+    const std::string& digest) const {
+  protocol::SliceUpdate update;
+  if (version_ == 0)
+    return update;
+  update.version = version_;
+  update.parts = digest_.DifferingParts(digest);
+  if (update.parts->empty())
+    return update;
   for (const auto& [key, state] : slices_) {
-    if (other_term || state.changed > version)
+    const auto part = static_cast<int>(protocol::SlicePart(key.second));
+    if (std::binary_search(update.parts->begin(), update.parts->end(), part))
       update.changed.push_back({key.first, key.second, state.endpoint});
   }
   return update;
 }
 
+bool SliceAssignment::IsFromTerm(std::uint64_t version) const {
+  return version >> kTermShift == version_ >> kTermShift;
+}
+
 void SliceAssignment::SetOwner(const Key& key,
                                SliceState& state,
                                const std::string& endpoint) {
+  const std::size_t part = protocol::SlicePart(key.second);
+  if (!state.endpoint.empty()) {
+    digest_.Remove(
+        part, protocol::SliceItemHash(key.first, key.second, state.endpoint));
+  }
+  if (!endpoint.empty()) {
+    digest_.Add(part, protocol::SliceItemHash(key.first, key.second, endpoint));
+  }
   unrecorded_.insert(key);
   state.endpoint = endpoint;
+  by_change_.erase(state.changed);
   state.changed = ++version_;
+  by_change_[state.changed] = key;
   state.displacement_claims.clear();
 }
 
--- a/source/core/control/slice_assignment.h
+++ b/source/core/control/slice_assignment.h
@@ -10,6 +10,7 @@
 #include "core/common/time.h"
 #include "core/control/slice_balancer.h"
 #include "core/protocol/slice.h"
+#include "core/protocol/table_digest.h"
 
 namespace jacinth::control {
 
@@ -58,6 +59,13 @@
   /// change.
   protocol::SliceUpdate UpdateFor(std::uint64_t version) const;
 
+  /// Returns what an entry lacks whose table has `digest`, whichever leader it
+  /// is from.
+  protocol::SliceUpdate UpdateForDigest(const std::string& digest) const;
+
+  /// Returns true if `version` is from the current term.
+  bool IsFromTerm(std::uint64_t version) const;
+
   std::uint64_t version() const { return version_; }
   std::size_t size() const { return slices_.size(); }
 
@@ -84,6 +92,10 @@
 
   std::uint64_t version_ = 0;
   std::map<Key, SliceState> slices_;
+  /// Slices by the version in which their owner last changed.
+  std::map<std::uint64_t, Key> by_change_;
+  /// Digest of the slices that have an owner.
+  protocol::TableDigest digest_ = protocol::MakeSliceDigest();
   std::set<Key> unrecorded_;
 };
 
--- a/source/core/net/link.cc
+++ b/source/core/net/link.cc
@@ -34,22 +34,26 @@
   ReadHeader();
 }
 
-void Link::Send(const protocol::Envelope& envelope) {
-  if (closed_)
-    return;
+Link::Frame Link::MakeFrame(const protocol::Envelope& envelope) {
   const std::string body = wire::EncodeEnvelope(envelope);
-  if (body.size() > kMaxFrameBytes ||
-      send_queue_bytes_ + body.size() > kMaxQueuedBytes) {
-    CloseWithReason("message or send queue exceeds its size limit");
-    return;
-  }
   std::string frame;
   frame.reserve(kHeaderSize + body.size());
   for (std::size_t i = kHeaderSize; i-- > 0;)
     frame.push_back(static_cast<char>(body.size() >> (i * kBitsPerByte)));
   frame += body;
-  send_queue_bytes_ += frame.size();
-  send_queue_.push_back(std::move(frame));
+  return std::make_shared<const std::string>(std::move(frame));
+}
+
+void Link::Send(const Frame& frame) {
+  if (closed_)
+    return;
+  if (frame->size() > kHeaderSize + kMaxFrameBytes ||
+      send_queue_bytes_ + frame->size() > kMaxQueuedBytes) {
+    CloseWithReason("message or send queue exceeds its size limit");
+    return;
+  }
+  send_queue_bytes_ += frame->size();
+  send_queue_.push_back(frame);
   if (send_queue_.size() == 1)
     WriteNext();
 }
@@ -112,7 +116,7 @@
 
 void Link::WriteNext() {
   asio::async_write(
-      socket_, asio::buffer(send_queue_.front()),
+      socket_, asio::buffer(*send_queue_.front()),
       [self = shared_from_this()](asio::error_code error, std::size_t) {
         if (self->closed_)
           return;
@@ -120,7 +124,7 @@
           self->CloseWithReason(error.message());
           return;
         }
-        self->send_queue_bytes_ -= self->send_queue_.front().size();
+        self->send_queue_bytes_ -= self->send_queue_.front()->size();
         self->send_queue_.pop_front();
         if (!self->send_queue_.empty())
           self->WriteNext();
--- a/source/core/net/link.h
+++ b/source/core/net/link.h
@@ -32,9 +32,15 @@
   /// Starts reading.
   void Start(Time now);
 
+  /// A message as it is written to a connection.
+  using Frame = std::shared_ptr<const std::string>;
+
+  static Frame MakeFrame(const protocol::Envelope& envelope);
+
   /// Queues a message. Closes the link if the message or the send queue exceeds
   /// its size limit.
-  void Send(const protocol::Envelope& envelope);
+  void Send(const protocol::Envelope& envelope) { Send(MakeFrame(envelope)); }
+  void Send(const Frame& frame);
 
   /// Closes the connection without calling the close handler.
   void Close();
@@ -63,7 +69,7 @@
   Time last_received_{};
   std::array<unsigned char, kHeaderSize> header_{};
   std::string body_;
-  std::deque<std::string> send_queue_;
+  std::deque<Frame> send_queue_;
   std::size_t send_queue_bytes_ = 0;
 };
 
--- a/source/core/net/link_hub.cc
+++ b/source/core/net/link_hub.cc
@@ -114,22 +114,41 @@
     });
     return;
   }
+  if (const auto link = FindLink(to))
+    link->Send(envelope);
+}
+
+void LinkHub::SendToAll(const std::vector<std::string>& instances,
+                        const protocol::Envelope& envelope) {
+  Link::Frame frame;
+  for (const std::string& to : instances) {
+    if (to == options_.self) {
+      Send(to, envelope);
+      continue;
+    }
+    const auto link = FindLink(to);
+    if (!link)
+      continue;
+    if (!frame)
+      frame = Link::MakeFrame(envelope);
+    link->Send(frame);
+  }
+}
+
+// The link is shared, because a failed Send() removes it from its map.
+std::shared_ptr<Link> LinkHub::FindLink(const std::string& to) {
   const auto peer = dialed_peers_.find(to);
-  if (peer != dialed_peers_.end())
+  if (peer != dialed_peers_.end()) {
     peer->second.last_used = MonotonicNow();
-  if (peer != dialed_peers_.end() && peer->second.handshake_done) {
-    peer->second.link->Send(envelope);
-    return;
-  }
-  const auto link = accepted_links_.find(to);
-  if (link != accepted_links_.end()) {
-    // Copied, because Send() erases the map entry if it fails.
-    const std::shared_ptr<Link> accepted = link->second;
-    accepted->Send(envelope);
-    return;
+    if (peer->second.handshake_done)
+      return peer->second.link;
   }
+  const auto accepted = accepted_links_.find(to);
+  if (accepted != accepted_links_.end())
+    return accepted->second;
   if (peer == dialed_peers_.end())
     DialOnDemand(to);
+  return nullptr;
 }
 
 void LinkHub::DialOnDemand(const std::string& instance) {
--- a/source/core/net/link_hub.h
+++ b/source/core/net/link_hub.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -50,6 +51,10 @@
   /// also starts to connect to it.
   void Send(const std::string& to, const protocol::Envelope& envelope);
 
+  /// As Send(), to several instances. The message is encoded only once.
+  void SendToAll(const std::vector<std::string>& instances,
+                 const protocol::Envelope& envelope);
+
  private:
   struct DialedPeer {
     std::string address;
@@ -70,6 +75,9 @@
   void OnAccepted(asio::ip::tcp::socket socket);
   void OnAcceptedMessage(const std::shared_ptr<Link>& link,
                          protocol::Envelope envelope);
+  /// Returns the established link to an instance. If there is none, starts to
+  /// connect to an instance that is identified by its address.
+  std::shared_ptr<Link> FindLink(const std::string& to);
   void Dial(const std::string& instance);
   void OnDialed(const std::string& instance, asio::ip::tcp::socket socket);
   void OnDialedMessage(const std::string& instance,
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -224,6 +224,8 @@
     writer_->Add(std::move(write));
   for (const control::OutgoingMessage& message : actions.messages)
     hub_.Send(message.to_instance, message.envelope);
+  for (const control::Broadcast& broadcast : actions.broadcasts)
+    hub_.SendToAll(broadcast.to_instances, broadcast.envelope);
   for (control::AdminReply& reply : actions.replies) {
     const auto handler = reply_handlers_.find(reply.ticket);
     if (handler == reply_handlers_.end())
--- a/source/unit_tests/control/control_membership_test.cc
+++ b/source/unit_tests/control/control_membership_test.cc
@@ -99,6 +99,35 @@
   }
 }
 
+// Pattern: the disks of control instances are full for some seconds, one after
+// the other. Guards against changes that are refused or not answered long after
+// all disks have room again.
+TEST_CASE("Changes are accepted after disks that were full in turn") {
+  constexpr ControlCluster::Layout kSevenMachines{7, 3, 5};
+  for (const ControlCluster::Layout& layout : {kFiveReplicas, kSevenMachines}) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      INFO("seed " << seed << ", machines " << layout.machines);
+      Group group(seed, layout);
+      REQUIRE(group.Change());
+      for (std::size_t i = 0; i < layout.machines; ++i) {
+        group.cluster.InjectEvent(i, StorageFailed{});
+        group.cluster.Run(3s);
+        CHECK(group.Change());
+        // The host reopens the data folder and starts the replica anew.
+        group.cluster.Crash(i);
+        group.cluster.Restart(i);
+        group.cluster.Run(500ms);
+      }
+      for (int i = 0; i < 5; ++i) {
+        CHECK(group.Change());
+        group.cluster.Run(1s);
+      }
+      CHECK(group.HasAcceptedChanges());
+      CHECK(group.Voters().size() == 5);
+    }
+  }
+}
+
 TEST_CASE("A group forms once a contact that was down at the start is up") {
   Group group(1, kFiveReplicas);
   group.cluster.Crash(1);
--- a/source/unit_tests/entry/settings_delivery_test.cc
+++ b/source/unit_tests/entry/settings_delivery_test.cc
@@ -1,28 +1,18 @@
-#include <deque>
-#include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
-#include "core/control/control_node.h"
-#include "core/wire/envelope_codec.h"
-#include "unit_tests/support/entry_driver.h"
+#include "core/common/hash.h"
+#include "unit_tests/support/narrow_fleet.h"
 
 namespace jacinth::entry {
 namespace {
 
-using control::ControlActions;
-using control::ControlNode;
 using test::EntryDriver;
+using test::NarrowEntry;
+using test::NarrowFleet;
 
-constexpr Duration kStep = 10ms;
-constexpr Duration kOneWay = 20ms;
-/// Link of an entry on the users' grown deployments, in bytes per second.
-constexpr double kLinkBytesPerSecond = 2e6 / 8;
-/// Part of the link that is left beside callers.
-constexpr double kFreeShare = 0.9;
 /// Time after the acknowledgement by which settings must be in force:
 /// `config_propagation_ms` of the users' deployments.
 constexpr Duration kPropagation = 2500ms;
@@ -45,139 +35,15 @@
           {"affinity", "true"}};
 }
 
-/// An entry behind a link that passes a limited number of bytes per second.
-struct NarrowEntry {
-  struct Delivery {
-    Time due;
-    protocol::Envelope envelope;
-  };
-
-  explicit NarrowEntry(int index) {
-    EntryOptions options = EntryDriver::DefaultOptions();
-    options.self.id = "e" + std::to_string(index);
-    options.heartbeat = 300ms;
-    options.control_timeout = 2s;
-    driver = std::make_unique<EntryDriver>(options);
-  }
-
-  void Deliver(const protocol::Envelope& envelope, Time now) {
-    const std::string bytes = wire::EncodeEnvelope(envelope);
-    received_bytes += bytes.size();
-    const std::chrono::duration<double> transfer(
-        static_cast<double>(bytes.size()) / kLinkBytesPerSecond / kFreeShare);
-    link_free = std::max(link_free, now) +
-                std::chrono::duration_cast<Duration>(transfer);
-    deliveries.push_back({link_free + kOneWay, *wire::DecodeEnvelope(bytes)});
-  }
-
-  std::unique_ptr<EntryDriver> driver;
-  std::deque<Delivery> deliveries;
-  std::size_t received_bytes = 0;
-  Time link_free{};
-};
-
-/// A control group of one replica, and entries with narrow links.
-class NarrowFleet {
- public:
-  explicit NarrowFleet(int entries)
-      : node_(*ControlNode::Create(Options(), {}, clock_)) {
-    for (int i = 0; i < entries; ++i) {
-      entries_.emplace_back(i);
-      entries_.back().driver->now = clock_.now;
-    }
-    Run(3s);
-  }
-
-  void Run(Duration duration) {
-    const Time end = clock_.now + duration;
-    while (clock_.now < end) {
-      clock_.now += kStep;
-      StepControl(control::Tick{});
-      for (NarrowEntry& entry : entries_)
-        StepEntry(entry);
-      DeliverHeartbeats();
-    }
-  }
-
-  void AddRoutes(int first, int count) {
-    control::ChangeRequested request;
-    request.operator_settings.branches = {"*"};
-    request.change.idempotency_key = std::to_string(first);
-    request.change.any_revision = true;
-    for (int i = first; i < first + count; ++i)
-      request.change.changes.push_back({RouteBranch(i), RouteValues(i)});
-    if (first == 0) {
-      request.change.changes.push_back(
-          {"service/s", {{"probe_interval_ms", "0"}}});
-    }
-    StepControl(request);
-  }
-
-  std::uint64_t revision() const { return node_.state().revision(); }
-  std::vector<NarrowEntry>& entries() { return entries_; }
-
- private:
-  struct SentHeartbeat {
-    Time due;
-    std::string from;
-    protocol::Envelope envelope;
-  };
-
-  static control::ControlOptions Options() {
-    control::ControlOptions options;
-    options.replica.id = "c1#1";
-    options.replica.election_timeout = 500ms;
-    options.replica.heartbeat = 120ms;
-    options.contacts = {"c1"};
-    options.entry_timeout = 1500ms;
-    options.snapshot_entries = 1'000'000;
-    return options;
-  }
-
-  void StepControl(const control::ControlEvent& event) {
-    Execute(node_.Step(event, clock_));
-  }
-
-  void Execute(const ControlActions& actions) {
-    for (const auto& message : actions.messages) {
-      for (NarrowEntry& entry : entries_) {
-        if (entry.driver->node.session().self().id == message.to_instance)
-          entry.Deliver(message.envelope, clock_.now);
-      }
-    }
-    for (const auto& write : actions.writes)
-      StepControl(control::WritesSynced{write.id});
-  }
-
-  void StepEntry(NarrowEntry& entry) {
-    EntryDriver& driver = *entry.driver;
-    driver.now = clock_.now;
-    driver.Step(Tick{});
-    while (!entry.deliveries.empty() &&
-           entry.deliveries.front().due <= clock_.now) {
-      const auto delivery = std::move(entry.deliveries.front());
-      entry.deliveries.pop_front();
-      driver.Step(MessageReceived{"c1", delivery.envelope});
-    }
-    for (auto& heartbeat : driver.TakeMessages<protocol::Heartbeat>()) {
-      heartbeats_.push_back(
-          {clock_.now + kOneWay, heartbeat.status.id, std::move(heartbeat)});
-    }
-  }
-
-  void DeliverHeartbeats() {
-    while (!heartbeats_.empty() && heartbeats_.front().due <= clock_.now) {
-      const SentHeartbeat heartbeat = std::move(heartbeats_.front());
-      heartbeats_.pop_front();
-      StepControl(control::MessageReceived{heartbeat.from, heartbeat.envelope});
-    }
-  }
-
-  ClockReading clock_{Time{1000s}, 1'000'000};
-  ControlNode node_;
-  std::vector<NarrowEntry> entries_;
-  std::deque<SentHeartbeat> heartbeats_;
-};
+void AddRoutes(NarrowFleet& fleet, int first, int count) {
+  std::vector<protocol::BranchChange> changes;
+  changes.reserve(static_cast<std::size_t>(count));
+  for (int i = first; i < first + count; ++i)
+    changes.push_back({RouteBranch(i), RouteValues(i)});
+  if (first == 0)
+    changes.push_back({"service/s", {{"probe_interval_ms", "0"}}});
+  fleet.Change(changes);
+}
 
 bool IsUnknownRoute(EntryDriver& driver, int route) {
   RequestArrived arrival;
@@ -196,18 +62,18 @@
 // was sent again with every heartbeat and filled the links of the entries.
 TEST_CASE("A large change is in force on entries with narrow links in time") {
   NarrowFleet fleet(8);
-  fleet.AddRoutes(0, 5);
+  AddRoutes(fleet, 0, 5);
   fleet.Run(2s);
   for (NarrowEntry& entry : fleet.entries())
     REQUIRE(entry.driver->node.session().self().revision == fleet.revision());
 
-  fleet.AddRoutes(5, kAddedRoutes);
+  AddRoutes(fleet, 5, kAddedRoutes);
   fleet.Run(200ms);
-  fleet.AddRoutes(kAddedRoutes + 5, 1);
+  AddRoutes(fleet, kAddedRoutes + 5, 1);
   Duration waited{0};
   while (waited < kPropagation) {
-    fleet.Run(kStep);
-    waited += kStep;
+    fleet.Run(NarrowFleet::kStep);
+    waited += NarrowFleet::kStep;
     for (NarrowEntry& entry : fleet.entries())
       REQUIRE(entry.driver->node.session().InContact(entry.driver->now));
   }
@@ -221,8 +87,8 @@
 // than settings may take.
 TEST_CASE("An entry that starts late receives large settings in time") {
   NarrowFleet fleet(1);
-  fleet.AddRoutes(0, 5);
-  fleet.AddRoutes(5, kAddedRoutes);
+  AddRoutes(fleet, 0, 5);
+  AddRoutes(fleet, 5, kAddedRoutes);
   fleet.Run(10s);
   NarrowEntry& entry = fleet.entries().front();
   const std::string id = entry.driver->node.session().self().id;
@@ -235,7 +101,7 @@
 // them unless they answer a heartbeat.
 TEST_CASE("Entries that wait for the first settings get them at once") {
   NarrowFleet fleet(8);
-  fleet.AddRoutes(0, 5);
+  AddRoutes(fleet, 0, 5);
   fleet.Run(500ms);
   for (NarrowEntry& entry : fleet.entries())
     CHECK(entry.driver->node.session().self().revision == fleet.revision());
@@ -246,7 +112,7 @@
 TEST_CASE(
     "An entry whose settings differ from the leader's gets the whole tree") {
   NarrowFleet fleet(1);
-  fleet.AddRoutes(0, 5);
+  AddRoutes(fleet, 0, 5);
   fleet.Run(1s);
   EntryDriver& driver = *fleet.entries().front().driver;
   protocol::HeartbeatReply reply;
@@ -262,8 +128,8 @@
   reply.update.checksum = Hash64(tree.ToIni());
   driver.Step(MessageReceived{"c1", reply});
   REQUIRE(driver.node.session().self().revision == fleet.revision() + 1);
-  fleet.AddRoutes(5, 1);
-  fleet.AddRoutes(6, 1);
+  AddRoutes(fleet, 5, 1);
+  AddRoutes(fleet, 6, 1);
   fleet.Run(1s);
   CHECK(driver.node.session().self().revision == fleet.revision());
   CHECK_FALSE(IsUnknownRoute(driver, 6));
--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -234,6 +234,12 @@
     network_.push_back({machine.instance, index, std::move(message.envelope),
                         now_ + RandomDelay(kMaxDelayMs)});
   }
+  for (const control::Broadcast& broadcast : actions.broadcasts) {
+    for (const std::string& entry : broadcast.to_instances) {
+      if (on_entry_message && !RandomChance(loss_percent))
+        on_entry_message(entry, broadcast.envelope);
+    }
+  }
   for (const control::AdminReply& reply : actions.replies) {
     if (on_admin_reply)
       on_admin_reply(reply);
--- /dev/null
+++ b/source/unit_tests/support/narrow_fleet.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/control/control_node.h"
+#include "unit_tests/support/entry_driver.h"
+
+namespace jacinth::test {
+
+/// An entry behind a link that passes a limited number of bytes per second.
+struct NarrowEntry {
+  struct Delivery {
+    Time due;
+    protocol::Envelope envelope;
+  };
+
+  explicit NarrowEntry(int index);
+
+  const entry::ControlSession& session() const {
+    return driver->node.session();
+  }
+  /// Receives a message of `bytes`.
+  void Deliver(const std::string& bytes, Time now);
+
+  std::unique_ptr<EntryDriver> driver;
+  std::deque<Delivery> deliveries;
+  std::size_t received_bytes = 0;
+  Time link_free{};
+};
+
+/// A control group of one replica, and entries with narrow links.
+class NarrowFleet {
+ public:
+  static constexpr Duration kStep = 10ms;
+
+  explicit NarrowFleet(int entries);
+
+  void Run(Duration duration);
+
+  /// Passes a change to the replica.
+  void Change(const std::vector<protocol::BranchChange>& changes);
+  /// Passes a listing to the replica, and again every 500 ms.
+  void ListEndpoints(std::vector<protocol::ListedEndpoint> endpoints);
+  /// Replaces the replica by one that starts from its log, as the leader of the
+  /// next term.
+  void ReplaceLeader();
+  /// Loses all messages to entries for a time.
+  void LoseMessages(bool lose) { loses_messages_ = lose; }
+
+  std::uint64_t revision() const { return node_->state().revision(); }
+  const control::ControlNode& node() const { return *node_; }
+  std::vector<NarrowEntry>& entries() { return entries_; }
+  /// Bytes of all messages to entries so far.
+  std::size_t sent_bytes() const { return sent_bytes_; }
+  /// Bytes that the replica encoded for them: less, if several entries are sent
+  /// the same message.
+  std::size_t encoded_bytes() const { return encoded_bytes_; }
+  /// Heartbeats that arrived so far.
+  std::size_t heartbeats() const { return heartbeat_count_; }
+
+ private:
+  struct SentHeartbeat {
+    Time due;
+    std::string from;
+    protocol::Envelope envelope;
+  };
+
+  static control::ControlOptions Options();
+  void StepControl(const control::ControlEvent& event);
+  void Execute(const control::ControlActions& actions);
+  void Send(const std::vector<std::string>& entries,
+            const protocol::Envelope& envelope);
+  void StepEntry(NarrowEntry& entry);
+  void DeliverHeartbeats();
+
+  ClockReading clock_{Time{1000s}, 1'000'000};
+  std::optional<control::ControlNode> node_;
+  /// What the replica has written.
+  consensus::ReplicaStart stored_;
+  std::vector<NarrowEntry> entries_;
+  std::map<std::string, std::size_t> entry_by_id_;
+  std::deque<SentHeartbeat> heartbeats_;
+  std::vector<protocol::ListedEndpoint> endpoints_;
+  Time next_listing_{};
+  int change_count_ = 0;
+  bool loses_messages_ = false;
+  std::size_t sent_bytes_ = 0;
+  std::size_t encoded_bytes_ = 0;
+  std::size_t heartbeat_count_ = 0;
+};
+
+}  // namespace jacinth::test
