Entry: Ask few contacts for the leader, and pace heartbeats by the fleet

Change: at most five contacts are asked, and a contact's hint is followed; intervals grow with the fleet; nothing is sent early while a heartbeat is unanswered; the list is read only with settings in force, after a wait for the leader's and at intervals that grow with the fleet. An entry that knows no endpoints isn't ready and announces itself as isolated.

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -6,6 +6,7 @@
 
 #include "core/common/hash.h"
 #include "core/log/log.h"
+#include "core/protocol/table_digest.h"
 #include "core/settings/tree_validation.h"
 
 namespace jacinth::entry {
@@ -22,9 +23,24 @@
 /// all contacts.
 constexpr int kMaxUnansweredHeartbeats = 3;
 constexpr std::size_t kMaxContacts = 32;
+/// Versions of lists hold the leader's term in the upper 32 bits.
+constexpr unsigned kTermShift = 32;
 /// Delay of the heartbeat that sends a slice claim, so that several claims
 /// share one heartbeat.
 constexpr Duration kClaimBatchDelay = 40ms;
+/// Parts of the interval between two heartbeats, and between two that send
+/// claims, for each member of the fleet. They bound the heartbeats that one
+/// leader gets.
+constexpr Duration kIntervalPerMember = 3ms;
+constexpr Duration kClaimIntervalPerMember = 1ms;
+/// Part of the control timeout that the interval between heartbeats never
+/// exceeds, so that several may be lost.
+constexpr int kMaxIntervalDivisor = 4;
+/// Number of contacts that are asked at once for the leader.
+constexpr std::size_t kMaxAskedContacts = 5;
+/// Minimum time between a heartbeat and the next one to a leader that a contact
+/// has named.
+constexpr Duration kHintDelay = 100ms;
 
 }  // namespace
 
@@ -42,7 +58,8 @@
   // be found quickly.
   next_heartbeat_ =
       now + (fleet_ == nullptr ? heartbeat_interval_ / kInitialHeartbeatDivisor
-                               : heartbeat_interval_);
+                               : HeartbeatInterval());
+  expedites_next_ = false;
   ++sequence_;
   sent_.push_back({sequence_, now});
   while (sent_.front().sent + timeout_ < now)
@@ -59,14 +76,37 @@
   heartbeat.uses = slices_.TakeUses();
   heartbeat.rate_shares_version = rate_shares_.version;
   heartbeat.settings_position = receiver_.position();
+  heartbeat.takes_changes = true;
+  AddDigests(heartbeat);
   return heartbeat;
 }
 
+// Tells what this instance holds of the lists that are not from the current
+// leader, which then sends only what differs.
+void ControlSession::AddDigests(Heartbeat& heartbeat) const {
+  const auto is_foreign = [this](std::uint64_t version) {
+    return version == 0 ||
+           (leader_term_ != 0 && version >> kTermShift != leader_term_);
+  };
+  if (is_foreign(endpoints_version_)) {
+    protocol::TableDigest digest = protocol::MakeEndpointDigest();
+    for (const auto& [id, endpoint] : endpoints_) {
+      digest.Add(protocol::EndpointPart(id),
+                 protocol::EndpointItemHash(endpoint));
+    }
+    heartbeat.endpoint_digest = digest.ToBytes();
+  }
+  if (is_foreign(slices_.version()))
+    heartbeat.slice_digest = slices_.Digest().ToBytes();
+}
+
 bool ControlSession::OnReply(const HeartbeatReply& reply, Time now) {
   for (const std::string& replica : reply.replicas)
     AddContact(replica);
-  if (!reply.leader)
+  if (!reply.leader) {
+    OnLeaderHint(reply.leader_hint, now);
     return false;
+  }
   const auto sent = FindSendTime(reply.sequence);
   const bool confirmed = sent && now < *sent + timeout_;
   if (!confirmed && fleet_ == nullptr)
@@ -77,26 +117,35 @@
   newest_revision_ = std::max(newest_revision_, reply.revision);
   if (confirmed) {
     leader_ = reply.leader_hint;
+    hinted_leader_.clear();
+    answered_sequence_ = std::max(answered_sequence_, reply.sequence);
+    if (expedites_next_)
+      ExpediteHeartbeat(now);
     last_leader_reply_ = now;
     if (endpoints_version_ != 0)
       endpoints_confirmed_at_ = now;
     const Time until = *sent + timeout_;
     changed |= until > contact_until_;
     contact_until_ = std::max(contact_until_, until);
+    if (reply.term > leader_term_) {
+      leader_term_ = reply.term;
+      // The lists that are held are from another leader.
+      ExpediteHeartbeat(now);
+    }
   }
   if (reply.update.revision > self_.revision)
     changed |= ApplySettings(reply.update);
   if (reply.settings_piece.position.revision > self_.revision)
     changed |= ApplyPiece(reply.settings_piece);
-  if (confirmed && reply.members.version != 0 &&
-      reply.members.version != members_.version) {
-    members_ = reply.members;
-    changed = true;
-  }
+  if (confirmed)
+    changed |= ApplyMembers(reply.members);
   slices_.ApplyUpdate(reply.slices);
   if (reply.rate_shares.version > rate_shares_.version)
     rate_shares_ = reply.rate_shares;
-  if (ApplyEndpointUpdate(reply.endpoints, now)) {
+  // What differs in parts of the list was found for the list of the heartbeat.
+  const bool was_replaced =
+      reply.endpoints.parts && reply.sequence <= list_replaced_after_;
+  if (!was_replaced && ApplyEndpointUpdate(reply.endpoints, now)) {
     endpoints_confirmed_at_ = now;
     changed = true;
   }
@@ -104,13 +153,88 @@
 }
 
 void ControlSession::ExpediteHeartbeat(Time now) {
-  next_heartbeat_ = std::min(next_heartbeat_, now + kClaimBatchDelay);
+  expedites_next_ = true;
+  // A leader that is slow to answer isn't asked more often.
+  const bool awaits_reply =
+      !sent_.empty() && sent_.back().sequence > answered_sequence_;
+  if (awaits_reply)
+    return;
+  const Duration interval =
+      std::max(kClaimBatchDelay, MemberCount() * kClaimIntervalPerMember);
+  const Time last_sent = sent_.empty() ? Time{} : sent_.back().sent;
+  next_heartbeat_ = std::min(
+      next_heartbeat_, std::max(now + kClaimBatchDelay, last_sent + interval));
+}
+
+Duration ControlSession::HeartbeatInterval() const {
+  return std::max(heartbeat_interval_,
+                  std::min(MemberCount() * kIntervalPerMember,
+                           timeout_ / kMaxIntervalDivisor));
+}
+
+int ControlSession::MemberCount() const {
+  return static_cast<int>(members_.entries.size());
+}
+
+void ControlSession::OnLeaderHint(const std::string& leader, Time now) {
+  if (leader.empty() || !IsSearching(now))
+    return;
+  hinted_leader_ = leader;
+  if (std::exchange(last_hint_, leader) == leader)
+    return;
+  const Time last_sent = sent_.empty() ? Time{} : sent_.back().sent;
+  next_heartbeat_ = std::min(next_heartbeat_, last_sent + kHintDelay);
+}
+
+std::vector<std::string> ControlSession::TakeAskedContacts() {
+  if (contacts_.size() <= kMaxAskedContacts)
+    return contacts_;
+  std::vector<std::string> asked;
+  if (!hinted_leader_.empty())
+    asked.push_back(std::exchange(hinted_leader_, ""));
+  // Entries begin at different contacts.
+  if (next_contact_ == 0)
+    next_contact_ = Hash64(self_.id);
+  while (asked.size() < kMaxAskedContacts) {
+    const std::string& contact = contacts_[next_contact_++ % contacts_.size()];
+    if (std::find(asked.begin(), asked.end(), contact) == asked.end())
+      asked.push_back(contact);
+  }
+  return asked;
+}
+
+bool ControlSession::ApplyMembers(const protocol::MemberList& update) {
+  if (update.version <= members_.version)
+    return false;
+  if (update.base == 0) {
+    members_ = update;
+    return true;
+  }
+  if (update.base != members_.version)
+    return false;
+  members_.version = update.version;
+  std::erase_if(members_.entries, [&](const protocol::EntryStatus& member) {
+    return std::find(update.removed.begin(), update.removed.end(), member.id) !=
+           update.removed.end();
+  });
+  for (const protocol::EntryStatus& member : update.entries) {
+    const auto found = std::lower_bound(
+        members_.entries.begin(), members_.entries.end(), member.id,
+        [](const protocol::EntryStatus& left, const std::string& id) {
+          return left.id < id;
+        });
+    if (found != members_.entries.end() && found->id == member.id)
+      *found = member;
+    else
+      members_.entries.insert(found, member);
+  }
+  return true;
 }
 
 bool ControlSession::IsSearching(Time now) const {
   return leader_.empty() ||
          now > last_leader_reply_ +
-                   kMaxUnansweredHeartbeats * heartbeat_interval_;
+                   kMaxUnansweredHeartbeats * HeartbeatInterval();
 }
 
 void ControlSession::SetContacts(std::vector<std::string> contacts) {
@@ -132,6 +256,7 @@
   endpoints_confirmed_at_ = now;
   // Version 0 makes the leader send a complete list with its next update.
   endpoints_version_ = 0;
+  list_replaced_after_ = sequence_;
   std::set<std::string> listed_ids;
   for (const protocol::ListedEndpoint& endpoint : list) {
     listed_ids.insert(endpoint.id);
@@ -139,14 +264,23 @@
       ++endpoint_changes_;
   }
   const std::size_t before = endpoints_.size();
-  RemoveUnlisted(listed_ids);
+  RemoveUnlisted(listed_ids, std::nullopt);
   if (endpoints_.size() != before)
     ++endpoint_changes_;
 }
 
-void ControlSession::RemoveUnlisted(const std::set<std::string>& listed_ids) {
+// Removes the endpoints that aren't listed, if `parts` is set only in these
+// parts of the list.
+void ControlSession::RemoveUnlisted(
+    const std::set<std::string>& listed_ids,
+    const std::optional<std::vector<int>>& parts) {
   const auto is_unlisted = [&](const auto& item) {
-    return listed_ids.count(item.first) == 0;
+    const bool in_parts =
+        !parts ||
+        std::find(parts->begin(), parts->end(),
+                  static_cast<int>(protocol::EndpointPart(item.first))) !=
+            parts->end();
+    return in_parts && listed_ids.count(item.first) == 0;
   };
   std::erase_if(endpoints_, is_unlisted);
   std::erase_if(cold_until_, is_unlisted);
@@ -188,7 +322,7 @@
     std::set<std::string> listed_ids;
     for (const protocol::ListedEndpoint& endpoint : update.changed)
       listed_ids.insert(endpoint.id);
-    RemoveUnlisted(listed_ids);
+    RemoveUnlisted(listed_ids, update.parts);
   }
   for (const protocol::ListedEndpoint& endpoint : update.changed)
     SetEndpoint(endpoint, now);
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -40,8 +40,10 @@
   /// the next one must go to all contacts.
   bool IsSearching(Time now) const;
 
-  /// Instances to which heartbeats are sent while the leader is unknown.
-  const std::vector<std::string>& contacts() const { return contacts_; }
+  /// Returns the instances to send a heartbeat to while the leader is unknown:
+  /// the one that another named as the leader, and some of the contacts, others
+  /// each time.
+  std::vector<std::string> TakeAskedContacts();
   void SetContacts(std::vector<std::string> contacts);
 
   /// Endpoints of the platform's list by id.
@@ -104,7 +106,8 @@
   const protocol::EntryStatus& self() const { return self_; }
   /// Instance id of the leader; empty if none is known.
   const std::string& leader() const { return leader_; }
-  Duration heartbeat_interval() const { return heartbeat_interval_; }
+  /// Interval between heartbeats, which grows with the fleet.
+  Duration HeartbeatInterval() const;
 
  private:
   struct SentHeartbeat {
@@ -116,19 +119,30 @@
   bool ApplySettings(const protocol::SettingsUpdate& update);
   bool ApplyPiece(const protocol::SettingsPiece& piece);
   bool ApplyEndpointUpdate(const protocol::EndpointUpdate& update, Time now);
+  void OnLeaderHint(const std::string& leader, Time now);
+  int MemberCount() const;
   void AddContact(const std::string& instance);
   bool SetEndpoint(const protocol::ListedEndpoint& endpoint, Time now);
-  void RemoveUnlisted(const std::set<std::string>& listed_ids);
+  void RemoveUnlisted(const std::set<std::string>& listed_ids,
+                      const std::optional<std::vector<int>>& parts);
+  bool ApplyMembers(const protocol::MemberList& update);
+  void AddDigests(protocol::Heartbeat& heartbeat) const;
 
   protocol::EntryStatus self_;
   Duration heartbeat_interval_;
   Duration timeout_;
   Time next_heartbeat_{};
   std::uint64_t sequence_ = 0;
+  /// Last heartbeat that a leader has answered.
+  std::uint64_t answered_sequence_ = 0;
+  /// True if the next heartbeat is due as soon as the last one is answered.
+  bool expedites_next_ = false;
   std::deque<SentHeartbeat> sent_;
   Time contact_until_{};
   std::string leader_;
   Time last_leader_reply_{};
+  /// Highest term of a leader that has answered; 0 if none has told its term.
+  std::uint64_t leader_term_ = 0;
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision_ = 0;
   SettingsReceiver receiver_;
@@ -138,12 +152,19 @@
   std::shared_ptr<const settings::FleetSettings> fleet_;
   protocol::MemberList members_;
   std::vector<std::string> contacts_;
+  /// Leader that a contact has named and that hasn't been asked yet.
+  std::string hinted_leader_;
+  std::string last_hint_;
+  std::size_t next_contact_ = 0;
   std::map<std::string, protocol::ListedEndpoint> endpoints_;
   /// End of the warm-up of each endpoint that was listed as cold.
   std::map<std::string, Time> cold_until_;
   forwarding::SliceMap slices_;
   protocol::RateShareUpdate rate_shares_;
   std::uint64_t endpoints_version_ = 0;
+  /// Sequence number of the last heartbeat before the list was read from the
+  /// platform.
+  std::uint64_t list_replaced_after_ = 0;
   std::uint64_t endpoint_changes_ = 0;
   Time endpoints_confirmed_at_{};
 };
--- a/source/core/entry/entry_links.cc
+++ b/source/core/entry/entry_links.cc
@@ -82,8 +82,6 @@
   // The failures were those of the links.
   for (auto& [name, service_state] : services_)
     service_state.endpoints.ForgiveFailures();
-  session_.SetIsolated(lost);
-  PublishSnapshot();
   if (!lost)
     return;
   RelayWaitingRequests(now);
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -18,6 +18,10 @@
 constexpr Duration kMaxEndpointListAge = 1500ms;
 /// Minimum time between two reads of the list.
 constexpr Duration kMinEndpointListInterval = 1s;
+/// Number of entries that may read the list as often as that. With more, the
+/// interval grows, as the list is longer too and all share its limit of calls.
+constexpr std::size_t kMaxFrequentListReaders = 16;
+constexpr Duration kListIntervalPerEntry = 100ms;
 /// Minimum number of entries that a limit is divided among, as the member list
 /// may be incomplete.
 constexpr std::size_t kMinAssumedEntries = 8;
@@ -38,6 +42,7 @@
 
 EntryActions EntryNode::Step(const EntryEvent& event, Time now) {
   std::visit([&](const auto& body) { On(body, now); }, event);
+  AnnounceIsolation();
   LogStateChanges(now);
   for (protocol::Envelope& message : claim_client_.CollectDueMessages(now))
     actions_.messages.push_back({session_.leader(), std::move(message)});
@@ -135,7 +140,7 @@
     actions_.messages.push_back({session_.leader(), heartbeat});
     return;
   }
-  for (const std::string& contact : session_.contacts())
+  for (const std::string& contact : session_.TakeAskedContacts())
     actions_.messages.push_back({contact, heartbeat});
 }
 
@@ -144,19 +149,51 @@
 void EntryNode::MaybeListEndpoints(Time now) {
   if (!options_.can_list_endpoints || now < next_endpoint_list_)
     return;
+  const std::size_t members = session_.members().size();
+  const Duration interval =
+      kMinEndpointListInterval +
+      static_cast<int>(members - std::min(members, kMaxFrequentListReaders)) *
+          kListIntervalPerEntry;
   const std::uint64_t hash =
       Hash64(options_.self.id,
              static_cast<std::uint64_t>(now.time_since_epoch().count()));
-  const auto max_jitter =
-      static_cast<std::uint64_t>(kMinEndpointListInterval.count());
-  next_endpoint_list_ = now + kMinEndpointListInterval +
-                        Duration(static_cast<std::int64_t>(hash % max_jitter));
-  // An entry that has just started reads the list at once, as a leader may have
-  // to be elected first.
+  const auto jitter = Duration(static_cast<std::int64_t>(
+      hash % static_cast<std::uint64_t>(interval.count())));
+  // Without settings, no request can be served, and the leader that sends the
+  // first ones sends the list as well.
   const bool is_fresh =
-      session_.endpoints_confirmed_at() != Time{} &&
-      now < session_.endpoints_confirmed_at() + kMaxEndpointListAge;
-  actions_.list_endpoints = !is_fresh;
+      session_.fleet() == nullptr ||
+      (!AwaitsEndpoints() &&
+       now < session_.endpoints_confirmed_at() + kMaxEndpointListAge);
+  if (is_fresh) {
+    endpoint_list_due_.reset();
+    next_endpoint_list_ = now + kMinEndpointListInterval;
+    return;
+  }
+  if (!endpoint_list_due_) {
+    // A leader that has just been elected has to read the list first.
+    const Duration wait = AwaitsEndpoints() ? kMaxEndpointListAge : Duration{0};
+    endpoint_list_due_ = now + wait + jitter;
+  }
+  if (now < *endpoint_list_due_)
+    return;
+  endpoint_list_due_ = now + interval + jitter;
+  actions_.list_endpoints = true;
+}
+
+bool EntryNode::AwaitsEndpoints() const {
+  return options_.can_list_endpoints &&
+         session_.endpoints_confirmed_at() == Time{};
+}
+
+// Keeps callers away from an instance that can't forward their requests.
+void EntryNode::AnnounceIsolation() {
+  const bool isolated =
+      links_.state() == forwarding::LinkState::kLost || AwaitsEndpoints();
+  if (isolated == session_.self().isolated)
+    return;
+  session_.SetIsolated(isolated);
+  PublishSnapshot();
 }
 
 void EntryNode::ApplyFleetSettings(Time now) {
@@ -271,6 +308,7 @@
   snapshot->self = session_.self();
   snapshot->contact_until = session_.contact_until();
   snapshot->is_outdated = session_.IsOutdated();
+  snapshot->awaits_endpoints = AwaitsEndpoints();
   actions_.snapshot = std::move(snapshot);
 }
 
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -84,6 +84,9 @@
   void On(const ContactsChanged& event, Time now);
   void SendHeartbeat(const protocol::Heartbeat& heartbeat, Time now);
   void MaybeListEndpoints(Time now);
+  /// Returns true until the first endpoint list is known.
+  bool AwaitsEndpoints() const;
+  void AnnounceIsolation();
   void ApplyFleetSettings(Time now);
   settings::ServiceSettings BuildServiceSettings(
       const settings::ServiceSettings& service,
@@ -242,6 +245,9 @@
   std::uint64_t members_version_ = 0;
   std::uint64_t rate_shares_version_ = 0;
   Time next_endpoint_list_{};
+  /// Time of the next read of the endpoint list from the platform; empty while
+  /// the control role provides an up-to-date list.
+  std::optional<Time> endpoint_list_due_;
   Time next_drain_reports_{};
   std::map<std::string, WeightedRoundRobin> round_robin_by_route_;
   std::shared_ptr<const steering::ClientMap> client_map_;
--- a/source/core/forwarding/slice_map.cc
+++ b/source/core/forwarding/slice_map.cc
@@ -1,5 +1,6 @@
 #include "core/forwarding/slice_map.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/common/hash.h"
@@ -23,9 +24,12 @@
 }
 
 void SliceMap::ApplyUpdate(const protocol::SliceUpdate& update) {
-  if (update.version == 0 || update.version < version_)
+  if (update.version == 0 || update.version < version_ ||
+      update.base > version_)
     return;
   version_ = update.version;
+  if (update.parts)
+    ConfirmOtherParts(*update.parts);
   for (const protocol::SliceOwner& owner : update.changed) {
     OwnerRecord& record = owners_[{owner.service, owner.slice}];
     SetOwner(record, owner.endpoint);
@@ -34,6 +38,26 @@
   }
 }
 
+// Outside of `parts`, the leader of this version has the same owners.
+void SliceMap::ConfirmOtherParts(const std::vector<int>& parts) {
+  for (auto& [key, record] : owners_) {
+    const auto part = static_cast<int>(protocol::SlicePart(key.second));
+    if (std::find(parts.begin(), parts.end(), part) == parts.end())
+      record.term = version_ >> kTermShift;
+  }
+}
+
+protocol::TableDigest SliceMap::Digest() const {
+  protocol::TableDigest digest = protocol::MakeSliceDigest();
+  for (const auto& [key, record] : owners_) {
+    if (record.endpoint.empty())
+      continue;
+    digest.Add(protocol::SlicePart(key.second),
+               protocol::SliceItemHash(key.first, key.second, record.endpoint));
+  }
+  return digest;
+}
+
 const std::string& SliceMap::OwnerOf(const std::string& service,
                                      std::uint32_t slice) const {
   static const std::string kNone;
--- a/source/core/forwarding/slice_map.h
+++ b/source/core/forwarding/slice_map.h
@@ -9,6 +9,7 @@
 
 #include "core/common/time.h"
 #include "core/protocol/slice.h"
+#include "core/protocol/table_digest.h"
 
 namespace jacinth::forwarding {
 
@@ -24,9 +25,13 @@
   /// Returns the slice of an object.
   static std::uint32_t SliceOf(std::string_view object);
 
-  /// Applies an update from the leader. Updates of older versions are ignored.
+  /// Applies an update from the leader. Ignores updates of older versions, and
+  /// those that are based on changes which have not arrived.
   void ApplyUpdate(const protocol::SliceUpdate& update);
 
+  /// Returns the digest of all owners that are held.
+  protocol::TableDigest Digest() const;
+
   /// Returns the owner of a slice; empty if none is known.
   const std::string& OwnerOf(const std::string& service,
                              std::uint32_t slice) const;
@@ -69,6 +74,7 @@
     std::uint64_t term = 0;
   };
 
+  void ConfirmOtherParts(const std::vector<int>& parts);
   void SetOwner(OwnerRecord& record, const std::string& endpoint);
 
   std::uint64_t version_ = 0;
--- a/source/core/steering/steering_snapshot.h
+++ b/source/core/steering/steering_snapshot.h
@@ -26,6 +26,8 @@
   Time contact_until{};
   /// True if the control role has newer settings than `fleet`.
   bool is_outdated = false;
+  /// True if this instance knows no endpoints yet, and so can't serve callers.
+  bool awaits_endpoints = false;
 };
 
 }  // namespace jacinth::steering
