Consensus: Repeat requests for votes that aren't answered

Cause: a candidate's first requests only open the links that they would need, so they are lost, and the next ones came with the next election timeout. Ruled out: the disks, whose syncs take 5 ms. Change: requests are repeated at the interval of heartbeats.

--- a/source/core/consensus/replica.cc
+++ b/source/core/consensus/replica.cc
@@ -70,8 +70,11 @@
     LeaderTick(now);
     return;
   }
-  if (now < election_due_)
+  if (now < election_due_) {
+    if (IsCandidate() && now >= vote_requests_due_)
+      RequestVotes(now);
     return;
+  }
   if (!IsVoter()) {
     ResetElectionTimer(now);
     return;
@@ -110,7 +113,10 @@
 }
 
 Time Replica::NextTickTime() const {
-  return role_ == ReplicaRole::kLeader ? heartbeat_due_ : election_due_;
+  if (role_ == ReplicaRole::kLeader)
+    return heartbeat_due_;
+  return IsCandidate() ? std::min(election_due_, vote_requests_due_)
+                       : election_due_;
 }
 
 bool Replica::HoldsLease(Time now) const {
--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -137,6 +137,8 @@
   // replica_election.cc
   void StartPreVote(Time now);
   void StartElection(bool transfer, Time now);
+  void RequestVotes(Time now);
+  bool IsCandidate() const;
   void OnVoteRequest(const protocol::PeerMessage& message, Time now);
   void OnVoteReply(const protocol::PeerMessage& message, Time now);
   void CountVotes(Time now);
@@ -184,6 +186,8 @@
   std::string leader_;
   Time last_leader_contact_{};
   Time election_due_{};
+  /// Time at which a candidate repeats its requests for votes.
+  Time vote_requests_due_{};
   std::uint64_t election_timer_resets_ = 0;
 
   std::set<std::string> votes_;
--- a/source/core/consensus/replica_election.cc
+++ b/source/core/consensus/replica_election.cc
@@ -10,15 +10,7 @@
   leader_.clear();
   votes_ = {options_.id};
   ResetElectionTimer(now);
-  for (const std::string& voter : configuration_.voters) {
-    if (voter == options_.id)
-      continue;
-    PeerMessage message = MakeMessage(PeerMessageKind::kPreVote, voter);
-    message.term = hard_state_.term + 1;
-    message.index = log_.last_index();
-    message.log_term = log_.last_term();
-    Send(std::move(message), /*wait_for_sync=*/false);
-  }
+  RequestVotes(now);
   CountVotes(now);
 }
 
@@ -32,17 +24,34 @@
   ResetElectionTimer(now);
   QueueWrite();
   self_vote_write_ = last_write_;
+  RequestVotes(now);
+}
+
+// Asks the voters that haven't granted their vote yet. The requests are
+// repeated, as those to voters without an established link are lost.
+void Replica::RequestVotes(Time now) {
+  vote_requests_due_ = now + options_.heartbeat;
+  const bool pre_vote = role_ == ReplicaRole::kPreCandidate;
   for (const std::string& voter : configuration_.voters) {
-    if (voter == options_.id)
+    if (voter == options_.id || votes_.count(voter) != 0)
       continue;
-    PeerMessage message = MakeMessage(PeerMessageKind::kVote, voter);
+    PeerMessage message = MakeMessage(
+        pre_vote ? PeerMessageKind::kPreVote : PeerMessageKind::kVote, voter);
+    if (pre_vote)
+      message.term = hard_state_.term + 1;
+    else
+      message.transfer = transfer_election_;
     message.index = log_.last_index();
     message.log_term = log_.last_term();
-    message.transfer = transfer;
-    Send(std::move(message), /*wait_for_sync=*/true);
+    Send(std::move(message), /*wait_for_sync=*/!pre_vote);
   }
 }
 
+bool Replica::IsCandidate() const {
+  return role_ == ReplicaRole::kPreCandidate ||
+         role_ == ReplicaRole::kCandidate;
+}
+
 bool Replica::HasRecentLeaderContact(Time now) const {
   return now < last_leader_contact_ + options_.election_timeout;
 }
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -120,6 +120,39 @@
   CHECK(reply->after_sync == actions.writes[0].id);
 }
 
+// Pattern: all replicas have lost power and start again. Guards against an
+// election that waits for the next election timeout, as the first requests go
+// to instances to which there is no link yet.
+TEST_CASE("A candidate repeats requests for votes that aren't answered") {
+  Replica replica(Options("a#1"), GroupStart(), kStart);
+  const auto asked = [&](PeerMessageKind kind, Time now) {
+    replica.OnTick(now);
+    const ReplicaActions actions = replica.TakeActions();
+    SyncAll(replica, actions, now);
+    std::vector<std::string> voters;
+    for (const DeferredPeerMessage& message : actions.messages) {
+      if (message.message.kind == kind)
+        voters.push_back(message.message.to);
+    }
+    return voters;
+  };
+  const std::vector<std::string> others = {"b#1", "c#1"};
+  CHECK(asked(PeerMessageKind::kPreVote, kLater) == others);
+  CHECK(asked(PeerMessageKind::kPreVote, kLater + 10ms).empty());
+  CHECK(replica.NextTickTime() == kLater + 20ms);
+  CHECK(asked(PeerMessageKind::kPreVote, kLater + 20ms) == others);
+  PeerMessage pre_vote =
+      Message(PeerMessageKind::kPreVoteReply, "b#1", "a#1", 2);
+  pre_vote.granted = true;
+  replica.OnMessage(pre_vote, kLater + 30ms);
+  const ReplicaActions actions = replica.TakeActions();
+  SyncAll(replica, actions, kLater + 30ms);
+  REQUIRE(replica.role() == ReplicaRole::kCandidate);
+  REQUIRE(FindMessage(actions, PeerMessageKind::kVote) != nullptr);
+  CHECK(asked(PeerMessageKind::kVote, kLater + 50ms) == others);
+  CHECK(replica.term() == 2);
+}
+
 TEST_CASE("A replica votes once per term, even across a restart") {
   ReplicaStart start = GroupStart();
   start.hard_state = {2, "b#1"};
