Discovery: Read a long list by failure domain, and at once as a leader

Cause: each page names the next one, so that 18 to 26 pages took about a second, and a new leader waited for its timer. Change: pages of the failure domains are read at the same time if the list has more pages than there are domains; a list of few pages is read as a whole, with fewer calls. A leader reads as soon as its term's lists begin.

--- a/source/core/control/control_actions.h
+++ b/source/core/control/control_actions.h
@@ -64,6 +64,9 @@
   std::vector<ClaimTrace> claim_traces;
   /// Log records of decisions and state changes.
   std::vector<log::Record> log_records;
+  /// True if the platform's endpoint list must be read now, not only at its
+  /// next regular reading.
+  bool list_endpoints = false;
   /// Latest time at which the next Tick must be delivered.
   Time next_tick{};
   /// True once a stopping node no longer leads, or its stop deadline has
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t kMaxAdminBodyBytes = 4UL << 20U;
 constexpr std::size_t kMaxOperatorConnections = 256;
 /// Maximum number of idle connections to the server of the endpoint list.
-constexpr std::size_t kMaxIdleConnections = 2;
+constexpr std::size_t kMaxIdleConnections = 32;
 /// Interval between attempts to reopen the data folder after a failed write.
 constexpr Duration kReopenInterval = 500ms;
 /// Time of silence after which another replica can replace a voter: longer than
@@ -26,6 +26,14 @@
 /// replaced.
 constexpr Duration kReplaceAfter = 2500ms;
 
+std::vector<std::string> FailureDomains(
+    const settings::InstanceSettings& settings) {
+  std::vector<std::string> domains;
+  for (const auto& [domain, region] : settings.failure_domain_regions)
+    domains.push_back(domain);
+  return domains;
+}
+
 }  // namespace
 
 ControlHost::ControlHost(asio::io_context& context,
@@ -44,6 +52,7 @@
       client_(context, kMaxIdleConnections),
       endpoint_lister_(client_,
                        settings.discovery_address,
+                       FailureDomains(settings),
                        components.endpoint_list.make_request,
                        components.endpoint_list.parse_page),
       endpoint_list_timer_(context),
@@ -250,6 +259,8 @@
   }
   for (const log::Record& record : actions.log_records)
     log::Write(record);
+  if (actions.list_endpoints && !settings_.discovery_address.empty())
+    RefreshEndpointList();
   timer_.Schedule(actions.next_tick);
   if (actions.stopped && on_stopped_)
     std::exchange(on_stopped_, nullptr)();
--- a/source/jacinthroute/endpoint_lister.cc
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -17,60 +17,89 @@
 
 EndpointLister::EndpointLister(http::EventClient& client,
                                std::string address,
+                               std::vector<std::string> failure_domains,
                                MakeRequest make_request,
                                ParsePage parse_page)
     : client_(client),
       address_(std::move(address)),
+      failure_domains_(std::move(failure_domains)),
       make_request_(std::move(make_request)),
-      parse_page_(std::move(parse_page)) {}
+      parse_page_(std::move(parse_page)),
+      reads_by_domain_(!failure_domains_.empty()) {}
 
 void EndpointLister::Start(DoneHandler on_done) {
-  if (reading_ || address_.empty())
+  if (open_requests_ != 0 || address_.empty())
     return;
-  reading_ = true;
   requested_pages_ = 0;
   skipped_endpoints_ = 0;
+  failure_.clear();
   endpoints_.clear();
   on_done_ = std::move(on_done);
-  RequestPage("");
+  if (!reads_by_domain_) {
+    RequestPage("", "");
+    return;
+  }
+  for (const std::string& failure_domain : failure_domains_)
+    RequestPage(failure_domain, "");
 }
 
-void EndpointLister::RequestPage(const std::string& page_token) {
+void EndpointLister::RequestPage(const std::string& failure_domain,
+                                 const std::string& page_token) {
+  ++open_requests_;
   ++requested_pages_;
   http::ClientCall call;
   call.address = address_;
-  call.request = make_request_(page_token);
+  call.request = make_request_(failure_domain, page_token);
   call.limits = kPageLimits;
   call.max_idle = kMaxIdleTime;
   client_.Start(call,
-                [this](const http::ExchangeResult& result) { OnPage(result); });
+                [this, failure_domain](const http::ExchangeResult& result) {
+                  OnPage(failure_domain, result);
+                });
 }
 
-void EndpointLister::OnPage(const http::ExchangeResult& result) {
-  if (result.end != http::ExchangeEnd::kAnswered) {
-    OnFailure("no complete answer");
-    return;
+void EndpointLister::OnPage(const std::string& failure_domain,
+                            const http::ExchangeResult& result) {
+  --open_requests_;
+  if (failure_.empty()) {
+    if (const auto added = AddPage(failure_domain, result); !added)
+      failure_ = added.error().detail;
   }
+  if (open_requests_ == 0)
+    OnReadEnd();
+}
+
+Result<void> EndpointLister::AddPage(const std::string& failure_domain,
+                                     const http::ExchangeResult& result) {
+  if (result.end != http::ExchangeEnd::kAnswered)
+    return Fail(ErrorKind::kNoEndpoint, "no complete answer");
   if (result.response.status != http::kStatusOk) {
-    OnFailure("unexpected status " + std::to_string(result.response.status));
-    return;
+    return Fail(ErrorKind::kNoEndpoint,
+                "unexpected status " + std::to_string(result.response.status));
   }
   auto page = parse_page_(result.response);
-  if (!page) {
-    OnFailure(page.error().detail);
-    return;
-  }
+  if (!page)
+    return tl::unexpected(page.error());
   for (protocol::ListedEndpoint& endpoint : page->endpoints)
     endpoints_.push_back(std::move(endpoint));
   skipped_endpoints_ += page->skipped_endpoints;
-  if (!page->next_page_token.empty()) {
-    if (requested_pages_ < kMaxPages)
-      RequestPage(page->next_page_token);
-    else
-      OnFailure("the list has no end");
+  if (page->next_page_token.empty())
+    return {};
+  if (requested_pages_ >= kMaxPages)
+    return Fail(ErrorKind::kCorruptData, "the list has no end");
+  RequestPage(failure_domain, page->next_page_token);
+  return {};
+}
+
+void EndpointLister::OnReadEnd() {
+  if (!failure_.empty()) {
+    if (!std::exchange(last_read_failed_, true)) {
+      log::Warning(log::Category::kEntry,
+                   "Failed to read the endpoint list at " + address_ + ": " +
+                       failure_ + ".");
+    }
     return;
   }
-  reading_ = false;
   if (std::exchange(last_skipped_endpoints_, skipped_endpoints_) <
       skipped_endpoints_) {
     log::Warning(log::Category::kEntry,
@@ -80,15 +109,9 @@
   }
   if (std::exchange(last_read_failed_, false))
     log::Info(log::Category::kEntry, "The endpoint list can be read again.");
+  const auto domains = static_cast<int>(failure_domains_.size());
+  reads_by_domain_ = domains != 0 && requested_pages_ > domains;
   on_done_(std::move(endpoints_));
 }
 
-void EndpointLister::OnFailure(const std::string& reason) {
-  reading_ = false;
-  if (std::exchange(last_read_failed_, true))
-    return;
-  log::Warning(log::Category::kEntry, "Failed to read the endpoint list at " +
-                                          address_ + ": " + reason + ".");
-}
-
 }  // namespace jacinth
--- a/source/jacinthroute/endpoint_lister.h
+++ b/source/jacinthroute/endpoint_lister.h
@@ -12,16 +12,23 @@
 namespace jacinth {
 
 /// Reads the platform's endpoint list page by page.
+///
+/// A list of more pages than there are failure domains is read by failure
+/// domain, all at the same time, as each page names the next one and a list of
+/// hundreds of endpoints would take seconds to read.
 class EndpointLister {
  public:
   using MakeRequest =
-      std::function<http::Request(const std::string& page_token)>;
+      std::function<http::Request(const std::string& failure_domain,
+                                  const std::string& page_token)>;
   using ParsePage = std::function<Result<EndpointPage>(const http::Response&)>;
   using DoneHandler =
       std::function<void(std::vector<protocol::ListedEndpoint>)>;
 
+  /// Without `failure_domains`, the list is always read as a whole.
   EndpointLister(http::EventClient& client,
                  std::string address,
+                 std::vector<std::string> failure_domains,
                  MakeRequest make_request,
                  ParsePage parse_page);
 
@@ -30,18 +37,29 @@
   void Start(DoneHandler on_done);
 
  private:
-  void RequestPage(const std::string& page_token);
-  void OnPage(const http::ExchangeResult& result);
-  void OnFailure(const std::string& reason);
+  void RequestPage(const std::string& failure_domain,
+                   const std::string& page_token);
+  void OnPage(const std::string& failure_domain,
+              const http::ExchangeResult& result);
+  // Adds a page, and requests the next one if there is one. Returns why the
+  // list can't be read.
+  Result<void> AddPage(const std::string& failure_domain,
+                       const http::ExchangeResult& result);
+  void OnReadEnd();
 
   http::EventClient& client_;
   std::string address_;
+  std::vector<std::string> failure_domains_;
   MakeRequest make_request_;
   ParsePage parse_page_;
   DoneHandler on_done_;
-  bool reading_ = false;
-  bool last_read_failed_ = false;
+  bool reads_by_domain_;
+  /// Requests whose answers are awaited.
+  int open_requests_ = 0;
   int requested_pages_ = 0;
+  /// Why the current read has failed; empty if it hasn't.
+  std::string failure_;
+  bool last_read_failed_ = false;
   std::size_t skipped_endpoints_ = 0;
   std::size_t last_skipped_endpoints_ = 0;
   std::vector<protocol::ListedEndpoint> endpoints_;
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -36,8 +36,10 @@
       endpoint_lister_(
           client_,
           settings.discovery_address,
-          [this](const std::string& page_token) {
-            return adapter_.MakeEndpointListRequest(page_token);
+          /*failure_domains=*/{},
+          [this](const std::string& failure_domain,
+                 const std::string& page_token) {
+            return adapter_.MakeEndpointListRequest(failure_domain, page_token);
           },
           [this](const http::Response& response) {
             return adapter_.ParseEndpointListPage(response);
--- a/source/jacinthroute/interface_adapter.h
+++ b/source/jacinthroute/interface_adapter.h
@@ -132,8 +132,11 @@
   {
     adapter.ReadProbeNotices(probe, result)
     } -> std::same_as<forwarding::EndpointNotices>;
-  // Builds the request for a page of the endpoint list.
-  { adapter.MakeEndpointListRequest(text) } -> std::same_as<http::Request>;
+  // Builds the request for a page of the endpoint list, of one failure domain
+  // or, if its name is empty, of all.
+  {
+    adapter.MakeEndpointListRequest(text, text)
+    } -> std::same_as<http::Request>;
   // Parses a page of the endpoint list.
   {
     adapter.ParseEndpointListPage(result.response)
--- a/source/jacinthroute/interface_components.h
+++ b/source/jacinthroute/interface_components.h
@@ -18,7 +18,9 @@
 
 /// Builds the requests for the platform's endpoint list and parses its pages.
 struct EndpointListCodec {
-  std::function<http::Request(const std::string& page_token)> make_request;
+  std::function<http::Request(const std::string& failure_domain,
+                              const std::string& page_token)>
+      make_request;
   std::function<Result<EndpointPage>(const http::Response&)> parse_page;
 };
 
--- a/source/jacinthroute/native_adapter.cc
+++ b/source/jacinthroute/native_adapter.cc
@@ -348,6 +348,7 @@
 }
 
 Request NativeAdapter::MakeEndpointListRequest(
+    const std::string& /*failure_domain*/,
     const std::string& /*page_token*/) const {
   return {};
 }
--- a/source/jacinthroute/native_adapter.h
+++ b/source/jacinthroute/native_adapter.h
@@ -47,7 +47,8 @@
 
   /// Not used: the endpoints of the native interface are set in the settings
   /// tree, so there is no endpoint list to read.
-  http::Request MakeEndpointListRequest(const std::string& page_token) const;
+  http::Request MakeEndpointListRequest(const std::string& failure_domain,
+                                        const std::string& page_token) const;
   Result<EndpointPage> ParseEndpointListPage(
       const http::Response& response) const;
 };
