Wire: Pack large messages for those that take them

Callers waited while an entry's link of 2 Mbit/s was filled with tables, and control traffic made most of the bytes between regions. Change: messages from 512 bytes on are compressed for instances that say so in their first message; others get them as before. A broadcast is encoded once for each form.

--- a/source/core/net/link.cc
+++ b/source/core/net/link.cc
@@ -34,8 +34,9 @@
   ReadHeader();
 }
 
-Link::Frame Link::MakeFrame(const protocol::Envelope& envelope) {
-  const std::string body = wire::EncodeEnvelope(envelope);
+Link::Frame Link::MakeFrame(const protocol::Envelope& envelope, bool packed) {
+  const std::string body = packed ? wire::EncodePackedEnvelope(envelope)
+                                  : wire::EncodeEnvelope(envelope);
   std::string frame;
   frame.reserve(kHeaderSize + body.size());
   for (std::size_t i = kHeaderSize; i-- > 0;)
--- a/source/core/net/link.h
+++ b/source/core/net/link.h
@@ -35,11 +35,15 @@
   /// A message as it is written to a connection.
   using Frame = std::shared_ptr<const std::string>;
 
-  static Frame MakeFrame(const protocol::Envelope& envelope);
+  /// Encodes a message, if `packed` in a form for remote instances that take
+  /// packed messages.
+  static Frame MakeFrame(const protocol::Envelope& envelope, bool packed);
 
   /// Queues a message. Closes the link if the message or the send queue exceeds
   /// its size limit.
-  void Send(const protocol::Envelope& envelope) { Send(MakeFrame(envelope)); }
+  void Send(const protocol::Envelope& envelope) {
+    Send(MakeFrame(envelope, takes_packed));
+  }
   void Send(const Frame& frame);
 
   /// Closes the connection without calling the close handler.
@@ -52,6 +56,8 @@
   std::string instance;
   /// On the accepting side, the nonce that the remote instance must sign.
   std::string nonce;
+  /// True if the remote instance has said that it takes packed messages.
+  bool takes_packed = false;
 
  private:
   static constexpr std::size_t kHeaderSize = 4;
--- a/source/core/net/link_hub.cc
+++ b/source/core/net/link_hub.cc
@@ -120,7 +120,7 @@
 
 void LinkHub::SendToAll(const std::vector<std::string>& instances,
                         const protocol::Envelope& envelope) {
-  Link::Frame frame;
+  std::map<bool, Link::Frame> frames;
   for (const std::string& to : instances) {
     if (to == options_.self) {
       Send(to, envelope);
@@ -129,8 +129,9 @@
     const auto link = FindLink(to);
     if (!link)
       continue;
+    Link::Frame& frame = frames[link->takes_packed];
     if (!frame)
-      frame = Link::MakeFrame(envelope);
+      frame = Link::MakeFrame(envelope, link->takes_packed);
     link->Send(frame);
   }
 }
@@ -192,7 +193,7 @@
   link->nonce = MakeNonce();
   unauthenticated_links_[link.get()] = link;
   link->Start(MonotonicNow());
-  link->Send(protocol::Challenge{link->nonce});
+  link->Send(protocol::Challenge{link->nonce, /*takes_packed=*/true});
 }
 
 void LinkHub::OnAcceptedMessage(const std::shared_ptr<Link>& link,
@@ -213,6 +214,7 @@
       return;
     }
     link->instance = hello->instance;
+    link->takes_packed = hello->takes_packed;
     std::shared_ptr<Link>& accepted = accepted_links_[hello->instance];
     if (accepted)
       accepted->Close();
@@ -277,9 +279,11 @@
                               const std::shared_ptr<Link>& link,
                               protocol::Envelope envelope) {
   if (const auto* challenge = std::get_if<protocol::Challenge>(&envelope)) {
+    link->takes_packed = challenge->takes_packed;
     link->Send(protocol::Hello{
         options_.self,
-        HmacSha256Hex(options_.secret, challenge->nonce + options_.self)});
+        HmacSha256Hex(options_.secret, challenge->nonce + options_.self),
+        /*takes_packed=*/true});
     const auto found = dialed_peers_.find(instance);
     if (found == dialed_peers_.end() || found->second.link != link)
       return;
--- a/source/core/protocol/envelope.h
+++ b/source/core/protocol/envelope.h
@@ -13,6 +13,8 @@
 /// must include in its MAC.
 struct Challenge {
   std::string nonce;
+  /// True if the sender takes packed messages.
+  bool takes_packed = false;
 
   bool operator==(const Challenge&) const = default;
 };
@@ -22,6 +24,8 @@
 struct Hello {
   std::string instance;
   std::string mac;
+  /// True if the sender takes packed messages.
+  bool takes_packed = false;
 
   bool operator==(const Hello&) const = default;
 };
--- a/source/core/wire/envelope_codec.cc
+++ b/source/core/wire/envelope_codec.cc
@@ -1,23 +1,31 @@
 #include "core/wire/envelope_codec.h"
 
+#include "core/wire/compression.h"
 #include "core/wire/convert.h"
 #include "core/wire/thrift_buffer.h"
 
 namespace jacinth::wire {
 namespace {
 
+/// Size from which messages are packed; smaller ones would hardly get shorter.
+constexpr std::size_t kMinPackedBytes = 512;
+
 struct EnvelopeWriter {
   generated::Envelope& out;
 
   void operator()(const protocol::Challenge& message) const {
     generated::Challenge challenge;
     challenge.nonce = message.nonce;
+    if (message.takes_packed)
+      challenge.__set_takes_packed(true);
     out.__set_challenge(challenge);
   }
   void operator()(const protocol::Hello& message) const {
     generated::Hello hello;
     hello.instance = message.instance;
     hello.mac = message.mac;
+    if (message.takes_packed)
+      hello.__set_takes_packed(true);
     out.__set_hello(hello);
   }
   void operator()(const protocol::Ping& message) const {
@@ -66,8 +74,30 @@
   return Serialize(out);
 }
 
+std::string EncodePackedEnvelope(const protocol::Envelope& envelope) {
+  std::string bytes = EncodeEnvelope(envelope);
+  if (bytes.size() < kMinPackedBytes)
+    return bytes;
+  generated::PackedEnvelope packed;
+  packed.unpacked_bytes = static_cast<std::int64_t>(bytes.size());
+  packed.compressed = Compress(bytes);
+  if (packed.compressed.size() >= bytes.size())
+    return bytes;
+  generated::Envelope out;
+  out.version = kWireVersion;
+  out.__set_packed(packed);
+  return Serialize(out);
+}
+
 Result<protocol::Envelope> DecodeEnvelope(std::string_view bytes) {
-  const auto in = Deserialize<generated::Envelope>(bytes);
+  auto in = Deserialize<generated::Envelope>(bytes);
+  if (in && in->version == kWireVersion && in->__isset.packed) {
+    const auto unpacked =
+        Decompress(in->packed.compressed, in->packed.unpacked_bytes);
+    if (!unpacked)
+      return tl::unexpected(unpacked.error());
+    in = Deserialize<generated::Envelope>(*unpacked);
+  }
   if (!in)
     return tl::unexpected(in.error());
   if (in->version != kWireVersion)
@@ -81,10 +111,11 @@
   if (is_set.finish)
     return ToEnvelope(FromWire(in->finish));
   if (is_set.challenge)
-    return protocol::Envelope(protocol::Challenge{in->challenge.nonce});
-  if (is_set.hello)
     return protocol::Envelope(
-        protocol::Hello{in->hello.instance, in->hello.mac});
+        protocol::Challenge{in->challenge.nonce, in->challenge.takes_packed});
+  if (is_set.hello)
+    return protocol::Envelope(protocol::Hello{in->hello.instance, in->hello.mac,
+                                              in->hello.takes_packed});
   if (is_set.ping)
     return protocol::Envelope(protocol::Ping{in->ping.reply});
   if (is_set.heartbeat)
--- a/source/core/wire/envelope_codec.h
+++ b/source/core/wire/envelope_codec.h
@@ -11,8 +11,11 @@
 /// Encodes a message to be sent on a link.
 std::string EncodeEnvelope(const protocol::Envelope& envelope);
 
-/// Decodes a message. Returns kCorruptData if the bytes do not contain a
-/// message of a known type and a supported version.
+/// As EncodeEnvelope(), for a receiver that takes packed messages.
+std::string EncodePackedEnvelope(const protocol::Envelope& envelope);
+
+/// Decodes a message, packed or not. Returns kCorruptData if the bytes do not
+/// contain a message of a known type and a supported version.
 Result<protocol::Envelope> DecodeEnvelope(std::string_view bytes);
 
 }  // namespace jacinth::wire
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -112,10 +112,14 @@
 }
 struct FinishReply { 1: string attempt }
 
-struct Challenge { 1: string nonce }
-struct Hello { 1: string instance, 2: string mac }
+struct Challenge { 1: string nonce, 2: optional bool takes_packed }
+struct Hello {
+  1: string instance, 2: string mac, 3: optional bool takes_packed
+}
 struct Ping { 1: bool reply }
 
+// An Envelope, serialized and compressed by zlib.
+struct PackedEnvelope { 1: i64 unpacked_bytes, 2: binary compressed }
 struct Envelope {
   1: i32 version,
   2: optional Challenge challenge,
@@ -127,7 +131,8 @@
   8: optional ClaimRequest claim,
   9: optional ClaimReply claim_reply,
   10: optional FinishRequest finish,
-  11: optional FinishReply finish_reply
+  11: optional FinishReply finish_reply,
+  12: optional PackedEnvelope packed
 }
 
 struct VersionStep { 1: i64 base_version, 2: i64 next_version }
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/wire/command_codec.h"
+#include "core/wire/compression.h"
 #include "core/wire/envelope_codec.h"
 #include "core/wire/generated/jacinth_types.h"
 #include "core/wire/state_codec.h"
@@ -61,8 +62,8 @@
 }  // namespace
 
 TEST_CASE("Messages of every type are unchanged by encoding and decoding") {
-  CheckRoundTrip(protocol::Challenge{"nonce"});
-  CheckRoundTrip(protocol::Hello{"e1", "mac"});
+  CheckRoundTrip(protocol::Challenge{"nonce", true});
+  CheckRoundTrip(protocol::Hello{"e1", "mac", true});
   CheckRoundTrip(protocol::Ping{true});
   CheckRoundTrip(MakeFullPeerMessage());
   CheckRoundTrip(protocol::Heartbeat{
@@ -106,6 +107,43 @@
   CheckRoundTrip(protocol::FinishReply{"a"});
 }
 
+// Guards against tables that take a narrow link for a second.
+TEST_CASE("A large table is packed to less than half of its size") {
+  protocol::HeartbeatReply reply;
+  reply.slices.version = 1;
+  for (std::uint32_t i = 0; i < 4'000; ++i) {
+    reply.slices.changed.push_back(
+        {"service-" + std::to_string(i % 4), i,
+         "i-" + std::to_string((i * 7'919ULL) % 900 * 1'000'003)});
+  }
+  const Envelope envelope(reply);
+  const std::string packed = EncodePackedEnvelope(envelope);
+  CHECK(packed.size() < EncodeEnvelope(envelope).size() / 2);
+  const auto decoded = DecodeEnvelope(packed);
+  REQUIRE(decoded);
+  CHECK(*decoded == envelope);
+  std::string damaged = packed;
+  damaged[damaged.size() / 2] ^= 1;
+  CHECK_FALSE(DecodeEnvelope(damaged));
+  CHECK_FALSE(DecodeEnvelope(packed.substr(0, packed.size() / 2)));
+}
+
+TEST_CASE("Small messages aren't packed, and packed ones hold no packed ones") {
+  const Envelope small(protocol::Ping{true});
+  CHECK(EncodePackedEnvelope(small) == EncodeEnvelope(small));
+  generated::Envelope nested;
+  nested.version = kWireVersion;
+  for (int i = 0; i < 2; ++i) {
+    const std::string bytes =
+        i == 0 ? EncodeEnvelope(small) : Serialize(nested);
+    generated::PackedEnvelope packed;
+    packed.unpacked_bytes = static_cast<std::int64_t>(bytes.size());
+    packed.compressed = Compress(bytes);
+    nested.__set_packed(packed);
+  }
+  CHECK_FALSE(DecodeEnvelope(Serialize(nested)));
+}
+
 // Guards against endpoints of a leader of another build that can't be used.
 TEST_CASE("Listed endpoints that can't be used are received as removed") {
   protocol::HeartbeatReply reply;
