Control, entry: Start a whole fleet at once

Entries that had settings read the platform's list themselves after 1.5 s. Change: entries that hold nothing are sent the same table, encoded once, the endpoints before the owners of slices; callers of an instance that has just started come back when it should be ready, spread over a second, and those of one that stops at once, as another takes them; an entry waits 3 s for its first list.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -161,6 +161,9 @@
                    const protocol::Heartbeat& heartbeat,
                    Time now);
   void ServeTableQueue(Time now);
+  std::size_t SendTables(const EntryDelivery& lacking,
+                         const std::vector<std::string>& entries,
+                         Time now);
   void ResetListsForTerm(ClockReading clock);
   void ForgetDeparted(Time now);
   bool ApplyDrainReports(const std::vector<protocol::DrainReport>& reports,
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "core/control/control_node.h"
@@ -16,9 +17,12 @@
 constexpr Duration kResendAfter = 1s;
 /// The same for a whole table, which can take seconds on a narrow link.
 constexpr Duration kResendTableAfter = 3s;
-/// Time after a whole table, for each of its items, in which no other table is
-/// sent.
+/// Time after a whole table, for each of its items and for each of them that is
+/// sent to an entry, in which no other table is sent.
 constexpr Duration kTableItemTime = std::chrono::microseconds(4);
+constexpr Duration kSentItemTime = std::chrono::microseconds(1);
+/// Number of entries that a table is sent to at once.
+constexpr std::size_t kMaxTableReceivers = 32;
 /// Time without tables that is made up for at once.
 constexpr Duration kTableBurst = 20ms;
 
@@ -59,6 +63,7 @@
   if (lists_term_ == registry_term_)
     return;
   lists_term_ = registry_term_;
+  actions_.list_endpoints = true;
   slices_.Reset(lists_term_, state_.SliceOwners());
   rate_shares_.Reset(lists_term_);
   std::vector<protocol::SuspectRequest> recorded;
@@ -212,8 +217,8 @@
   if (!delivery.wants_endpoints && !delivery.wants_slices)
     return;
   delivery.sequence = heartbeat.sequence;
-  delivery.endpoint_digest = heartbeat.endpoint_digest;
-  delivery.slice_digest = heartbeat.slice_digest;
+  delivery.endpoint_digest = heartbeat.endpoint_digest.value_or("");
+  delivery.slice_digest = heartbeat.slice_digest.value_or("");
   if (!std::exchange(delivery.is_queued, true))
     table_queue_.push_back(entry);
 }
@@ -223,34 +228,69 @@
 // time for its replicas.
 void ControlNode::ServeTableQueue(Time now) {
   while (!table_queue_.empty() && now >= next_table_) {
-    const std::string entry = std::move(table_queue_.front());
+    const std::string first = std::move(table_queue_.front());
     table_queue_.pop_front();
-    const auto found = deliveries_.find(entry);
+    const auto found = deliveries_.find(first);
     if (found == deliveries_.end())
       continue;
-    EntryDelivery& delivery = found->second;
+    const EntryDelivery lacking = found->second;
+    std::vector<std::string> entries = {first};
+    if (lacking.HoldsNothing()) {
+      std::erase_if(table_queue_, [&](const std::string& entry) {
+        const auto other = deliveries_.find(entry);
+        const bool is_same =
+            other != deliveries_.end() && other->second.HoldsNothing() &&
+            other->second.wants_endpoints == lacking.wants_endpoints &&
+            other->second.wants_slices == lacking.wants_slices;
+        if (!is_same || entries.size() >= kMaxTableReceivers)
+          return false;
+        entries.push_back(entry);
+        return true;
+      });
+    }
+    const std::size_t items = SendTables(lacking, entries, now);
+    const auto receivers = static_cast<int>(entries.size());
+    next_table_ =
+        std::max(next_table_, now - kTableBurst) +
+        static_cast<int>(items) * (kTableItemTime + receivers * kSentItemTime);
+  }
+}
+
+// Sends the tables that `lacking` wants to the entries, the endpoints first:
+// with them, requests can be served. Returns the number of items.
+std::size_t ControlNode::SendTables(const EntryDelivery& lacking,
+                                    const std::vector<std::string>& entries,
+                                    Time now) {
+  std::size_t items = 1;
+  for (const std::string& entry : entries) {
+    EntryDelivery& delivery = deliveries_.at(entry);
     delivery.is_queued = false;
-    protocol::HeartbeatReply reply = MakeReply();
-    reply.sequence = delivery.sequence;
-    if (std::exchange(delivery.wants_endpoints, false)) {
-      reply.endpoints =
-          delivery.endpoint_digest
-              ? catalog_.UpdateForDigest(*delivery.endpoint_digest, now)
-              : catalog_.UpdateFor(0, now);
+    delivery.wants_endpoints = false;
+    delivery.wants_slices = false;
+    if (lacking.wants_endpoints)
       delivery.endpoints.OnSent(catalog_.version(), kResendTableAfter, now);
-    }
-    if (std::exchange(delivery.wants_slices, false)) {
-      reply.slices = delivery.slice_digest
-                         ? slices_.UpdateForDigest(*delivery.slice_digest)
-                         : slices_.UpdateFor(0);
+    if (lacking.wants_slices)
       delivery.slices.OnSent(slices_.version(), kResendTableAfter, now);
-    }
-    const std::size_t items =
-        1 + reply.endpoints.changed.size() + reply.slices.changed.size();
-    next_table_ = std::max(next_table_, now - kTableBurst) +
-                  static_cast<int>(items) * kTableItemTime;
-    SendToEntry(entry, std::move(reply));
   }
+  protocol::HeartbeatReply reply = MakeReply();
+  reply.sequence = entries.size() == 1 ? lacking.sequence : 0;
+  if (lacking.wants_endpoints) {
+    reply.endpoints =
+        lacking.HoldsNothing()
+            ? catalog_.UpdateFor(0, now)
+            : catalog_.UpdateForDigest(lacking.endpoint_digest, now);
+    items += reply.endpoints.changed.size();
+    actions_.broadcasts.push_back({entries, reply});
+  }
+  if (lacking.wants_slices) {
+    reply.endpoints = {};
+    reply.slices = lacking.HoldsNothing()
+                       ? slices_.UpdateFor(0)
+                       : slices_.UpdateForDigest(lacking.slice_digest);
+    items += reply.slices.changed.size();
+    actions_.broadcasts.push_back({entries, std::move(reply)});
+  }
+  return items;
 }
 
 protocol::HeartbeatReply ControlNode::MakeReply() const {
@@ -266,12 +306,7 @@
 // that hold the same versions are sent the same message.
 void ControlNode::PushLists(ClockReading clock) {
   const Time now = clock.now;
-  struct Bases {
-    std::uint64_t endpoints = 0;
-    std::uint64_t slices = 0;
-    std::uint64_t suspects = 0;
-    auto operator<=>(const Bases&) const = default;
-  };
+  using Bases = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>;
   std::map<Bases, std::vector<std::string>> entries_by_bases;
   for (auto& [entry, delivery] : deliveries_) {
     protocol::RateShareUpdate shares =
@@ -282,23 +317,24 @@
       reply.rate_shares = std::move(shares);
       SendToEntry(entry, std::move(reply));
     }
-    Bases bases{delivery.endpoints.Base(now), delivery.slices.Base(now),
-                delivery.suspects};
-    if (catalog_.KeepsChangesSince(bases.endpoints))
+    std::uint64_t endpoints = delivery.endpoints.Base(now);
+    std::uint64_t slices = delivery.slices.Base(now);
+    if (catalog_.KeepsChangesSince(endpoints))
       delivery.endpoints.OnSent(catalog_.version(), kResendAfter, now);
     else
-      bases.endpoints = catalog_.version();
-    if (slices_.IsFromTerm(bases.slices))
+      endpoints = catalog_.version();
+    if (slices_.IsFromTerm(slices))
       delivery.slices.OnSent(slices_.version(), kResendAfter, now);
     else
-      bases.slices = slices_.version();
-    entries_by_bases[bases].push_back(entry);
+      slices = slices_.version();
+    entries_by_bases[{endpoints, slices, delivery.suspects}].push_back(entry);
   }
   for (auto& [bases, entries] : entries_by_bases) {
+    const auto& [endpoints, slices, suspects] = bases;
     protocol::HeartbeatReply reply = MakeReply();
-    reply.endpoints = catalog_.UpdateFor(bases.endpoints, now);
-    reply.slices = slices_.UpdateFor(bases.slices);
-    reply.suspects = SuspectsFor(bases.suspects, clock);
+    reply.endpoints = catalog_.UpdateFor(endpoints, now);
+    reply.slices = slices_.UpdateFor(slices);
+    reply.suspects = SuspectsFor(suspects, clock);
     if (reply.endpoints.version == 0 && reply.slices.version == 0 &&
         reply.suspects.unchanged)
       continue;
--- a/source/core/control/entry_delivery.h
+++ b/source/core/control/entry_delivery.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
 #include "core/control/sent_version.h"
@@ -40,9 +39,15 @@
   bool wants_slices = false;
   /// Sequence number of the heartbeat that told what the entry holds.
   std::uint64_t sequence = 0;
-  /// TableDigest of the lists that it holds; empty if it doesn't tell.
-  std::optional<std::string> endpoint_digest;
-  std::optional<std::string> slice_digest;
+  /// TableDigest of the lists that it holds; empty if it holds none or doesn't
+  /// tell.
+  std::string endpoint_digest;
+  std::string slice_digest;
+
+  /// Returns true if the entry needs the lists as a whole.
+  bool HoldsNothing() const {
+    return endpoint_digest.empty() && slice_digest.empty();
+  }
 };
 
 }  // namespace jacinth::control
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -16,6 +16,9 @@
 /// Age of the control role's endpoint list after which an entry reads the list
 /// from the platform.
 constexpr Duration kMaxEndpointListAge = 1500ms;
+/// Time for which an entry that has settings waits for its first list: a leader
+/// that has just been elected has to read the list first.
+constexpr Duration kFirstListWait = 3s;
 /// Minimum time between two reads of the list.
 constexpr Duration kMinEndpointListInterval = 1s;
 /// Number of entries that may read the list as often as that. With more, the
@@ -41,6 +44,8 @@
 }
 
 EntryActions EntryNode::Step(const EntryEvent& event, Time now) {
+  if (!started_)
+    started_ = now;
   std::visit([&](const auto& body) { On(body, now); }, event);
   AnnounceIsolation();
   LogStateChanges(now);
@@ -172,7 +177,7 @@
   }
   if (!endpoint_list_due_) {
     // A leader that has just been elected has to read the list first.
-    const Duration wait = AwaitsEndpoints() ? kMaxEndpointListAge : Duration{0};
+    const Duration wait = AwaitsEndpoints() ? kFirstListWait : Duration{0};
     endpoint_list_due_ = now + wait + jitter;
   }
   if (now < *endpoint_list_due_)
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -169,6 +169,7 @@
                                     Time now) const;
   Duration RetryAfter(const RequestRecord& record) const;
   Duration ScheduleReturn(const RequestRecord& record, Time now);
+  Duration ReturnWhenReady(RequestTicket ticket, Time now) const;
   Duration LongestReturn(const RequestRecord& record, Time now) const;
   void Admit(RequestRecord record, ServiceState& service_state, Time now);
   void StartClaim(RequestRecord& record, Time now);
@@ -244,6 +245,8 @@
   std::uint64_t endpoint_changes_ = 0;
   std::uint64_t members_version_ = 0;
   std::uint64_t rate_shares_version_ = 0;
+  /// Time of the first event.
+  std::optional<Time> started_;
   Time next_endpoint_list_{};
   /// Time of the next read of the endpoint list from the platform; empty while
   /// the control role provides an up-to-date list.
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/common/hash.h"
 #include "core/entry/entry_node.h"
 
 namespace jacinth::entry {
@@ -14,6 +15,16 @@
 /// Divisor of the objective that gives the retry delay of a refused caller.
 constexpr int kRetryAfterDivisor = 4;
 
+/// Time that an instance needs at most to get settings and endpoints if the
+/// control role starts along with it.
+constexpr Duration kStartTime = 2s;
+/// Shortest time after which callers return to an instance that isn't ready,
+/// and the time over which they are spread.
+constexpr Duration kMinReadyWait = 300ms;
+constexpr Duration kReturnSpread = 1s;
+/// Time after which callers of an instance that stops return, to another one.
+constexpr Duration kReturnElsewhere = 100ms;
+
 Error ErrorForVerdict(ClaimVerdict verdict) {
   switch (verdict) {
     case ClaimVerdict::kInProgress:
@@ -58,7 +69,9 @@
   };
   CountArrival(event, now);
   if (const auto error = CheckArrival(event)) {
-    refuse(*error, kMaxRetryAfter);
+    refuse(*error, error->kind == ErrorKind::kNotReady
+                       ? ReturnWhenReady(event.ticket, now)
+                       : kReturnElsewhere);
     return;
   }
   auto resolved = Resolve(event);
@@ -145,6 +158,8 @@
   if (session_.fleet() == nullptr)
     return Error{ErrorKind::kNotReady,
                  "no settings received from the control role yet"};
+  if (AwaitsEndpoints())
+    return Error{ErrorKind::kNotReady, "no endpoint list received yet"};
   if (event.budget < Duration{0})
     return Error{ErrorKind::kDeadlineExceeded,
                  "the deadline had passed when the request arrived"};
@@ -174,10 +189,18 @@
   return std::nullopt;
 }
 
+// Returns when callers should come back to an instance that has just started.
+// If the whole fleet has, no other instance serves them earlier.
+Duration EntryNode::ReturnWhenReady(RequestTicket ticket, Time now) const {
+  const Duration uptime = now - started_.value_or(now);
+  const auto spread = static_cast<std::int64_t>(
+      Hash64(options_.self.id, ticket) %
+      static_cast<std::uint64_t>(kReturnSpread.count()));
+  return std::max(kStartTime - uptime, kMinReadyWait) + Duration(spread);
+}
+
 // Returns the time after which a caller refused for lack of capacity may retry:
-// a fraction of the objective, if there is one. Callers refused before the
-// first settings get the longer kMaxRetryAfter, as settings take about a second
-// to arrive.
+// a fraction of the objective, if there is one.
 Duration EntryNode::RetryAfter(const RequestRecord& record) const {
   const Duration objective = record.kind.objective;
   if (objective <= Duration{0})
--- a/source/unit_tests/entry/control_traffic_test.cc
+++ b/source/unit_tests/entry/control_traffic_test.cc
@@ -241,4 +241,32 @@
   }));
 }
 
+// Pattern: all machines have lost power and start again. Guards against callers
+// with one retry that are sent back before any instance can serve them.
+TEST_CASE(
+    "Callers of an instance that has just started return when it's ready") {
+  EntryDriver driver;
+  driver.Step(Tick{});
+  const auto return_after = [&] {
+    RequestArrived arrival;
+    arrival.ticket = ++driver.last_ticket;
+    arrival.host = "h";
+    arrival.path = "/x";
+    driver.Step(arrival);
+    const RefuseRequest* refusal = driver.FindRefusal(arrival.ticket);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->outcome == Outcome::kNotRun);
+    return refusal->retry_after;
+  };
+  std::set<Duration> first;
+  for (int i = 0; i < 50; ++i)
+    first.insert(return_after());
+  CHECK(*first.begin() >= 1500ms);
+  CHECK(*first.rbegin() <= 3s);
+  CHECK(*first.rbegin() - *first.begin() >= 500ms);
+  driver.now += 3s;
+  driver.Step(Tick{});
+  CHECK(return_after() <= 1500ms);
+}
+
 }  // namespace jacinth::entry
