Consensus: Send silent replicas no entries of earlier terms again

Cause: a replica that hadn't replied to a new leader within half an election timeout was sent the log from its beginning, 14 of them again and again, as nothing of theirs was known to match. Change: without a reply in this term, only entries of this term are sent again; a replica that lacks earlier ones says which.

--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -278,11 +278,15 @@
     const auto found = progress_.find(id);
     if (found != progress_.end()) {
       Progress& progress = found->second;
-      // Messages may have been lost: resends from the last known match.
+      // Messages may have been lost: resends from the last known match. A
+      // replica that hasn't replied in this term may have all entries of
+      // earlier ones, and otherwise tells which it lacks.
       const bool stalled =
           now > progress.waiting_since + options_.election_timeout / 2;
-      if (progress.match + 1 < progress.next && stalled) {
-        progress.next = progress.match + 1;
+      const std::uint64_t resend_from = std::max(
+          progress.match + 1, std::min(progress.next, first_index_of_term_));
+      if (resend_from < progress.next && stalled) {
+        progress.next = resend_from;
         progress.inflight = 0;
         progress.waiting_since = now;
       }
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -153,6 +153,44 @@
   CHECK(replica.term() == 2);
 }
 
+// Pattern: all replicas have lost power, and the new leader answers hundreds of
+// entries at once. Guards against a leader that sends its whole log to each
+// replica whose first reply is late, and so has no time for the replies.
+TEST_CASE("A new leader sends a silent replica no entries of earlier terms") {
+  std::vector<LogEntry> entries;
+  for (std::uint64_t i = 2; i <= 100; ++i)
+    entries.push_back({i, 1, LogEntryKind::kCommand, "command"});
+  Replica replica(Options("a#1"), GroupStart(entries), kStart);
+  Elect(replica, kLater);
+  std::size_t sent = 0;
+  for (Time now = kLater; now < kLater + 2 * kElectionTimeout; now += 10ms) {
+    replica.OnTick(now);
+    const ReplicaActions actions = replica.TakeActions();
+    for (const DeferredPeerMessage& message : actions.messages) {
+      if (message.message.to != "c#1")
+        continue;
+      CHECK(message.message.kind != PeerMessageKind::kSnapshot);
+      for (const LogEntry& entry : message.message.entries) {
+        CHECK(entry.term == replica.term());
+        ++sent;
+      }
+    }
+    replica.OnMessage(Ack("b#1", replica.term(), 101, LastRound(actions)), now);
+  }
+  CHECK(sent > 0);
+  // It has the first half of the log.
+  PeerMessage refusal =
+      Message(PeerMessageKind::kAppendReply, "c#1", "a#1", replica.term());
+  refusal.index = 50;
+  replica.OnMessage(refusal, kLater + 2 * kElectionTimeout);
+  const ReplicaActions actions = replica.TakeActions();
+  const DeferredPeerMessage* append =
+      FindMessage(actions, PeerMessageKind::kAppend);
+  REQUIRE(append != nullptr);
+  REQUIRE_FALSE(append->message.entries.empty());
+  CHECK(append->message.entries.front().index == 51);
+}
+
 TEST_CASE("A replica votes once per term, even across a restart") {
   ReplicaStart start = GroupStart();
   start.hard_state = {2, "b#1"};
