Control, net: Send whole member lists from the table queue, and read links in blocks

Causes looked at: a leader that sends a member list of 13 KB to each of 185 entries, encoded for each of them 1.5 s after its election, and two system calls for each message that arrives. Change: whole member lists go with the other tables, once for all entries that lack them; a link reads what has arrived, which may be several messages.

--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -166,6 +166,8 @@
     ProposeCommand(PendingOwners{}, std::move(record), clock);
 }
 
+// Adds the changes of the member list, or the whole list for an entry that
+// takes no changes.
 void ControlNode::AddMembers(EntryDelivery& delivery,
                              const protocol::Heartbeat& heartbeat,
                              protocol::HeartbeatReply& reply,
@@ -174,10 +176,14 @@
   const std::uint64_t base = delivery.members.Base(now);
   if (current == 0 || base == current)
     return;
-  reply.members = heartbeat.takes_changes ? registry_.ChangesSince(base, now)
-                                          : registry_.Members(now);
-  if (reply.members.base == 0)
+  if (!heartbeat.takes_changes) {
+    reply.members = registry_.Members(now);
     reply.replicas = ReplicaInstances();
+  } else if (registry_.KeepsChangesSince(base)) {
+    reply.members = registry_.ChangesSince(base, now);
+  } else {
+    return;
+  }
   delivery.members.OnSent(current, kResendAfter, now);
 }
 
@@ -214,7 +220,10 @@
   const bool needs_slices = !slices_.IsFromTerm(delivery.slices.Base(now));
   delivery.wants_endpoints = needs_endpoints && may_send_endpoints;
   delivery.wants_slices = needs_slices && may_send_slices;
-  if (!delivery.wants_endpoints && !delivery.wants_slices)
+  delivery.wants_members =
+      registry_.Version(now) != 0 && heartbeat.takes_changes &&
+      !registry_.KeepsChangesSince(delivery.members.Base(now));
+  if (!delivery.WantsAny())
     return;
   delivery.sequence = heartbeat.sequence;
   delivery.endpoint_digest = heartbeat.endpoint_digest.value_or("");
@@ -235,13 +244,11 @@
       continue;
     const EntryDelivery lacking = found->second;
     std::vector<std::string> entries = {first};
-    if (lacking.HoldsNothing()) {
+    if (!lacking.WantsParts()) {
       std::erase_if(table_queue_, [&](const std::string& entry) {
         const auto other = deliveries_.find(entry);
         const bool is_same =
-            other != deliveries_.end() && other->second.HoldsNothing() &&
-            other->second.wants_endpoints == lacking.wants_endpoints &&
-            other->second.wants_slices == lacking.wants_slices;
+            other != deliveries_.end() && other->second.WantsSame(lacking);
         if (!is_same || entries.size() >= kMaxTableReceivers)
           return false;
         entries.push_back(entry);
@@ -261,33 +268,43 @@
 std::size_t ControlNode::SendTables(const EntryDelivery& lacking,
                                     const std::vector<std::string>& entries,
                                     Time now) {
-  std::size_t items = 1;
   for (const std::string& entry : entries) {
     EntryDelivery& delivery = deliveries_.at(entry);
     delivery.is_queued = false;
     delivery.wants_endpoints = false;
     delivery.wants_slices = false;
+    delivery.wants_members = false;
     if (lacking.wants_endpoints)
       delivery.endpoints.OnSent(catalog_.version(), kResendTableAfter, now);
     if (lacking.wants_slices)
       delivery.slices.OnSent(slices_.version(), kResendTableAfter, now);
+    if (lacking.wants_members)
+      delivery.members.OnSent(registry_.Version(now), kResendTableAfter, now);
   }
-  protocol::HeartbeatReply reply = MakeReply();
-  reply.sequence = entries.size() == 1 ? lacking.sequence : 0;
+  protocol::HeartbeatReply empty = MakeReply();
+  empty.sequence = entries.size() == 1 ? lacking.sequence : 0;
+  std::size_t items = 1;
   if (lacking.wants_endpoints) {
+    protocol::HeartbeatReply reply = empty;
     reply.endpoints =
-        lacking.HoldsNothing()
+        lacking.endpoint_digest.empty()
             ? catalog_.UpdateFor(0, now)
             : catalog_.UpdateForDigest(lacking.endpoint_digest, now);
     items += reply.endpoints.changed.size();
-    actions_.broadcasts.push_back({entries, reply});
+    actions_.broadcasts.push_back({entries, std::move(reply)});
   }
-  if (lacking.wants_slices) {
-    reply.endpoints = {};
-    reply.slices = lacking.HoldsNothing()
-                       ? slices_.UpdateFor(0)
-                       : slices_.UpdateForDigest(lacking.slice_digest);
-    items += reply.slices.changed.size();
+  if (lacking.wants_slices || lacking.wants_members) {
+    protocol::HeartbeatReply reply = std::move(empty);
+    if (lacking.wants_slices) {
+      reply.slices = lacking.slice_digest.empty()
+                         ? slices_.UpdateFor(0)
+                         : slices_.UpdateForDigest(lacking.slice_digest);
+    }
+    if (lacking.wants_members) {
+      reply.members = registry_.Members(now);
+      reply.replicas = ReplicaInstances();
+    }
+    items += reply.slices.changed.size() + reply.members.entries.size();
     actions_.broadcasts.push_back({entries, std::move(reply)});
   }
   return items;
--- a/source/core/control/entry_delivery.h
+++ b/source/core/control/entry_delivery.h
@@ -37,6 +37,7 @@
   bool is_queued = false;
   bool wants_endpoints = false;
   bool wants_slices = false;
+  bool wants_members = false;
   /// Sequence number of the heartbeat that told what the entry holds.
   std::uint64_t sequence = 0;
   /// TableDigest of the lists that it holds; empty if it holds none or doesn't
@@ -44,9 +45,20 @@
   std::string endpoint_digest;
   std::string slice_digest;
 
-  /// Returns true if the entry needs the lists as a whole.
-  bool HoldsNothing() const {
-    return endpoint_digest.empty() && slice_digest.empty();
+  bool WantsAny() const {
+    return wants_endpoints || wants_slices || wants_members;
+  }
+  /// Returns true if the entry holds a part of what it wants.
+  bool WantsParts() const {
+    return (wants_endpoints && !endpoint_digest.empty()) ||
+           (wants_slices && !slice_digest.empty());
+  }
+  /// Returns true if both want the same, as a whole.
+  bool WantsSame(const EntryDelivery& other) const {
+    return !WantsParts() && !other.WantsParts() &&
+           wants_endpoints == other.wants_endpoints &&
+           wants_slices == other.wants_slices &&
+           wants_members == other.wants_members;
   }
 };
 
--- a/source/core/control/entry_registry.cc
+++ b/source/core/control/entry_registry.cc
@@ -71,7 +71,7 @@
   const std::uint64_t current = Version(now);
   if (current == 0 || version == current)
     return {};
-  if (version < first_version_ || version > current)
+  if (!KeepsChangesSince(version))
     return Members(now);
   protocol::MemberList members;
   members.version = current;
--- a/source/core/control/entry_registry.h
+++ b/source/core/control/entry_registry.h
@@ -38,6 +38,11 @@
   /// longer kept. The list's version is 0 if there is no change.
   protocol::MemberList ChangesSince(std::uint64_t version, Time now) const;
 
+  /// Returns true if ChangesSince() can give the changes since `version`.
+  bool KeepsChangesSince(std::uint64_t version) const {
+    return version >= first_version_ && version <= version_;
+  }
+
   std::size_t size() const { return entries_.size(); }
 
   /// Returns the last status of every live entry.
--- a/source/core/net/link.cc
+++ b/source/core/net/link.cc
@@ -1,11 +1,10 @@
 #include "core/net/link.h"
 
-#include <chrono>
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include <asio/buffer.hpp>
-#include <asio/completion_condition.hpp>
-#include <asio/read.hpp>
 #include <asio/write.hpp>
 
 #include "core/common/process_clock.h"
@@ -17,6 +16,9 @@
 constexpr std::uint32_t kMaxFrameBytes = 64U * 1024 * 1024;
 constexpr std::size_t kMaxQueuedBytes = 2UL * kMaxFrameBytes;
 constexpr unsigned kBitsPerByte = 8;
+/// Bytes read at once, and in the middle of a large message.
+constexpr std::size_t kReadBytes = 4UL * 1024;
+constexpr std::size_t kMaxReadBytes = 64UL * 1024;
 
 }  // namespace
 
@@ -31,7 +33,7 @@
   last_received_ = now;
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  ReadHeader();
+  ReadMore();
 }
 
 Link::Frame Link::MakeFrame(const protocol::Envelope& envelope, bool packed) {
@@ -65,54 +67,64 @@
   socket_.close(ignored);
 }
 
-void Link::ReadHeader() {
-  asio::async_read(
-      socket_, asio::buffer(header_),
-      [self = shared_from_this()](asio::error_code error, std::size_t) {
-        if (self->closed_)
-          return;
-        if (error) {
-          self->CloseWithReason(error.message());
-          return;
-        }
-        std::uint32_t size = 0;
-        for (const unsigned char byte : self->header_)
-          size = (size << kBitsPerByte) | byte;
-        self->ReadBody(size);
-      });
+// Reads what has arrived, which may be several messages: one system call each
+// would cost a leader more than the messages do.
+void Link::ReadMore() {
+  const std::size_t held = received_.size();
+  const std::size_t wanted = std::clamp(missing_, kReadBytes, kMaxReadBytes);
+  received_.resize(held + wanted);
+  socket_.async_read_some(asio::buffer(received_.data() + held, wanted),
+                          [self = shared_from_this(), held](
+                              asio::error_code error, std::size_t bytes) {
+                            if (self->closed_)
+                              return;
+                            if (error) {
+                              self->CloseWithReason(error.message());
+                              return;
+                            }
+                            self->received_.resize(held + bytes);
+                            // Each part of a message counts as received, as a
+                            // large message can take longer than a link may
+                            // stay silent.
+                            self->last_received_ = MonotonicNow();
+                            if (self->HandleReceived())
+                              self->ReadMore();
+                          });
 }
 
-void Link::ReadBody(std::uint32_t size) {
-  if (size > kMaxFrameBytes) {
-    CloseWithReason("received frame exceeds the size limit");
-    return;
+bool Link::HandleReceived() {
+  missing_ = 0;
+  while (received_.size() - handled_ >= kHeaderSize) {
+    std::uint32_t size = 0;
+    for (std::size_t i = 0; i < kHeaderSize; ++i) {
+      size = (size << kBitsPerByte) |
+             static_cast<unsigned char>(received_[handled_ + i]);
+    }
+    if (size > kMaxFrameBytes) {
+      CloseWithReason("received frame exceeds the size limit");
+      return false;
+    }
+    const std::size_t available = received_.size() - handled_;
+    if (available < kHeaderSize + size) {
+      missing_ = kHeaderSize + size - available;
+      break;
+    }
+    auto envelope = wire::DecodeEnvelope(
+        std::string_view(received_).substr(handled_ + kHeaderSize, size));
+    handled_ += kHeaderSize + size;
+    if (!envelope) {
+      CloseWithReason(envelope.error().detail);
+      return false;
+    }
+    on_message_(shared_from_this(), std::move(*envelope));
+    if (closed_)
+      return false;
   }
-  body_.resize(size);
-  // Each part of a message counts as received, as a large message can take
-  // longer than a link may stay silent.
-  const auto note_progress = [self = shared_from_this()](asio::error_code error,
-                                                         std::size_t bytes) {
-    self->last_received_ = MonotonicNow();
-    return asio::transfer_all()(error, bytes);
-  };
-  asio::async_read(
-      socket_, asio::buffer(body_), note_progress,
-      [self = shared_from_this()](asio::error_code error, std::size_t) {
-        if (self->closed_)
-          return;
-        if (error) {
-          self->CloseWithReason(error.message());
-          return;
-        }
-        auto envelope = wire::DecodeEnvelope(self->body_);
-        if (!envelope) {
-          self->CloseWithReason(envelope.error().detail);
-          return;
-        }
-        self->on_message_(self, std::move(*envelope));
-        if (!self->closed_)
-          self->ReadHeader();
-      });
+  received_.erase(0, std::exchange(handled_, 0));
+  // Gives back the memory that a large message took.
+  if (received_.empty() && received_.capacity() > kMaxReadBytes)
+    received_.shrink_to_fit();
+  return true;
 }
 
 void Link::WriteNext() {
--- a/source/core/net/link.h
+++ b/source/core/net/link.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -62,8 +61,10 @@
  private:
   static constexpr std::size_t kHeaderSize = 4;
 
-  void ReadHeader();
-  void ReadBody(std::uint32_t size);
+  void ReadMore();
+  /// Passes on the complete messages in the buffer. Returns false once the link
+  /// is closed.
+  bool HandleReceived();
   void WriteNext();
   /// Closes the connection and passes `reason` to the close handler.
   void CloseWithReason(const std::string& reason);
@@ -73,8 +74,11 @@
   CloseHandler on_close_;
   bool closed_ = false;
   Time last_received_{};
-  std::array<unsigned char, kHeaderSize> header_{};
-  std::string body_;
+  /// Bytes that were read, from `handled_` on not yet handled.
+  std::string received_;
+  std::size_t handled_ = 0;
+  /// Bytes that the message lacks which has arrived in part.
+  std::size_t missing_ = 0;
   std::deque<Frame> send_queue_;
   std::size_t send_queue_bytes_ = 0;
 };
