Entry: Confirm owners only where both sides had the same

Callers' requests for one object could go to two endpoints after a change of leader, as one entry believed in another owner than the leader's. While an entry waits for its first settings, it asks a leader it knows at the usual interval, and searches less often the longer it takes.

--- a/source/core/control/slice_assignment.cc
+++ b/source/core/control/slice_assignment.cc
@@ -54,6 +54,12 @@
     SetOwner(key, state, claim.owner.endpoint);
     return;
   }
+  if (claim.reason == SliceClaimReason::kNoOwner &&
+      state.endpoint != claim.owner.endpoint) {
+    // The entry doesn't know the owner.
+    Announce(key, state);
+    return;
+  }
   const bool displaces = claim.reason != SliceClaimReason::kNoOwner &&
                          state.endpoint != claim.owner.endpoint;
   const bool owner_overloaded =
@@ -171,10 +177,14 @@
   }
   unrecorded_.insert(key);
   state.endpoint = endpoint;
+  Announce(key, state);
+  state.displacement_claims.clear();
+}
+
+void SliceAssignment::Announce(const Key& key, SliceState& state) {
   by_change_.erase(state.changed);
   state.changed = ++version_;
   by_change_[state.changed] = key;
-  state.displacement_claims.clear();
 }
 
 }  // namespace jacinth::control
--- a/source/core/control/slice_assignment.h
+++ b/source/core/control/slice_assignment.h
@@ -87,6 +87,8 @@
     std::map<std::string, Time> displacement_claims;
   };
 
+  // Makes the entries receive the owner again.
+  void Announce(const Key& key, SliceState& state);
   // An empty `endpoint` leaves the slice without an owner.
   void SetOwner(const Key& key, SliceState& state, const std::string& endpoint);
 
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -19,6 +19,8 @@
 /// Factor by which the heartbeat interval is shortened until the first settings
 /// are received.
 constexpr int kInitialHeartbeatDivisor = 3;
+/// Heartbeats after which that factor is reduced by one.
+constexpr std::int64_t kHeartbeatsPerSearchInterval = 5;
 /// Heartbeat intervals without a leader's reply after which heartbeats go to
 /// all contacts.
 constexpr int kMaxUnansweredHeartbeats = 3;
@@ -56,9 +58,10 @@
     return std::nullopt;
   // No request can be served without settings, so a newly elected leader must
   // be found quickly.
+  // A leader that is known to hold the first settings sends them in time.
+  const bool seeks_leader = fleet_ == nullptr && IsSearching(now);
   next_heartbeat_ =
-      now + (fleet_ == nullptr ? heartbeat_interval_ / kInitialHeartbeatDivisor
-                               : HeartbeatInterval());
+      now + (seeks_leader ? SearchInterval() : HeartbeatInterval());
   expedites_next_ = false;
   ++sequence_;
   sent_.push_back({sequence_, now});
@@ -83,7 +86,7 @@
 
 // Tells what this instance holds of the lists that are not from the current
 // leader, which then sends only what differs.
-void ControlSession::AddDigests(Heartbeat& heartbeat) const {
+void ControlSession::AddDigests(Heartbeat& heartbeat) {
   const auto is_foreign = [this](std::uint64_t version) {
     return version == 0 ||
            (leader_term_ != 0 && version >> kTermShift != leader_term_);
@@ -96,8 +99,10 @@
     }
     heartbeat.endpoint_digest = digest.ToBytes();
   }
-  if (is_foreign(slices_.version()))
-    heartbeat.slice_digest = slices_.Digest().ToBytes();
+  if (is_foreign(slices_.version())) {
+    heartbeat.slice_digest = slices_.TellDigest();
+    told_slices_with_ = heartbeat.sequence;
+  }
 }
 
 bool ControlSession::OnReply(const HeartbeatReply& reply, Time now) {
@@ -137,9 +142,10 @@
     changed |= ApplySettings(reply.update);
   if (reply.settings_piece.position.revision > self_.revision)
     changed |= ApplyPiece(reply.settings_piece);
-  if (confirmed)
-    changed |= ApplyMembers(reply.members);
-  slices_.ApplyUpdate(reply.slices);
+  changed |= ApplyMembers(reply.members);
+  // What differs in parts was found for the digest of the heartbeat.
+  if (!reply.slices.parts || reply.sequence == told_slices_with_)
+    slices_.ApplyUpdate(reply.slices);
   if (reply.rate_shares.version > rate_shares_.version)
     rate_shares_ = reply.rate_shares;
   // What differs in parts of the list was found for the list of the heartbeat.
@@ -166,6 +172,15 @@
       next_heartbeat_, std::max(now + kClaimBatchDelay, last_sent + interval));
 }
 
+// Grows with each heartbeat, so that a fleet without a leader doesn't keep the
+// control instances from electing one.
+Duration ControlSession::SearchInterval() const {
+  const auto divisor = std::max<std::int64_t>(
+      1, kInitialHeartbeatDivisor - static_cast<std::int64_t>(sequence_) /
+                                        kHeartbeatsPerSearchInterval);
+  return heartbeat_interval_ / divisor;
+}
+
 Duration ControlSession::HeartbeatInterval() const {
   return std::max(heartbeat_interval_,
                   std::min(MemberCount() * kIntervalPerMember,
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -119,6 +119,7 @@
   bool ApplySettings(const protocol::SettingsUpdate& update);
   bool ApplyPiece(const protocol::SettingsPiece& piece);
   bool ApplyEndpointUpdate(const protocol::EndpointUpdate& update, Time now);
+  Duration SearchInterval() const;
   void OnLeaderHint(const std::string& leader, Time now);
   int MemberCount() const;
   void AddContact(const std::string& instance);
@@ -126,7 +127,7 @@
   void RemoveUnlisted(const std::set<std::string>& listed_ids,
                       const std::optional<std::vector<int>>& parts);
   bool ApplyMembers(const protocol::MemberList& update);
-  void AddDigests(protocol::Heartbeat& heartbeat) const;
+  void AddDigests(protocol::Heartbeat& heartbeat);
 
   protocol::EntryStatus self_;
   Duration heartbeat_interval_;
@@ -165,6 +166,8 @@
   /// Sequence number of the last heartbeat before the list was read from the
   /// platform.
   std::uint64_t list_replaced_after_ = 0;
+  /// Sequence number of the last heartbeat with a digest of the slice owners.
+  std::uint64_t told_slices_with_ = 0;
   std::uint64_t endpoint_changes_ = 0;
   Time endpoints_confirmed_at_{};
 };
--- a/source/core/forwarding/slice_map.cc
+++ b/source/core/forwarding/slice_map.cc
@@ -38,15 +38,24 @@
   }
 }
 
-// Outside of `parts`, the leader of this version has the same owners.
+// Outside of `parts`, the leader of this version had the same owners as this
+// instance when it made the digest.
 void SliceMap::ConfirmOtherParts(const std::vector<int>& parts) {
+  const protocol::TableDigest now = Digest();
   for (auto& [key, record] : owners_) {
-    const auto part = static_cast<int>(protocol::SlicePart(key.second));
-    if (std::find(parts.begin(), parts.end(), part) == parts.end())
+    const std::size_t part = protocol::SlicePart(key.second);
+    const bool was_same = std::find(parts.begin(), parts.end(),
+                                    static_cast<int>(part)) == parts.end();
+    if (was_same && now.SumOf(part) == told_digest_.SumOf(part))
       record.term = version_ >> kTermShift;
   }
 }
 
+std::string SliceMap::TellDigest() {
+  told_digest_ = Digest();
+  return told_digest_.ToBytes();
+}
+
 protocol::TableDigest SliceMap::Digest() const {
   protocol::TableDigest digest = protocol::MakeSliceDigest();
   for (const auto& [key, record] : owners_) {
--- a/source/core/forwarding/slice_map.h
+++ b/source/core/forwarding/slice_map.h
@@ -31,6 +31,9 @@
 
   /// Returns the digest of all owners that are held.
   protocol::TableDigest Digest() const;
+  /// As Digest(), to be told to the leader, whose next update of parts must
+  /// answer it.
+  std::string TellDigest();
 
   /// Returns the owner of a slice; empty if none is known.
   const std::string& OwnerOf(const std::string& service,
@@ -79,6 +82,7 @@
 
   std::uint64_t version_ = 0;
   std::map<Key, OwnerRecord> owners_;
+  protocol::TableDigest told_digest_ = protocol::MakeSliceDigest();
   std::map<std::string, int> owned_counts_;
   std::map<Key, protocol::SliceClaim> claims_;
   std::map<Key, Duration> uses_;
--- a/source/core/protocol/table_digest.h
+++ b/source/core/protocol/table_digest.h
@@ -27,6 +27,7 @@
   /// are given: all parts if these bytes are malformed.
   std::vector<int> DifferingParts(std::string_view other) const;
 
+  std::uint32_t SumOf(std::size_t part) const { return sums_[part]; }
   std::size_t parts() const { return sums_.size(); }
 
  private:
