Entry: Let requests end until shortly before the platform ends the process

Change: the time that the platform states ends the wait, less 0.8 s to close what is left; the drain limit holds where none is stated.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -32,6 +32,9 @@
 /// none.
 constexpr int kDefaultRetryReserve = 10;
 constexpr double kPercent = 100;
+/// Time before the platform ends a stopping process at which it ends itself, to
+/// close what is left in order.
+constexpr Duration kStopMargin = 800ms;
 
 }  // namespace
 
@@ -122,6 +125,7 @@
   if (phase_ != Phase::kServing)
     return;
   phase_ = Phase::kAnnouncingDrain;
+  stop_started_ = now;
   stop_phase_started_ = now;
   session_.SetDraining();
   PublishSnapshot();
@@ -330,7 +334,11 @@
   if (phase_ != Phase::kRefusing)
     return;
   const bool idle = requests_.empty() && claim_client_.unconfirmed() == 0;
-  if (idle || now >= stop_phase_started_ + options_.drain_limit)
+  const Duration grace = options_.limits.stop_grace;
+  const Time end = grace > kStopMargin
+                       ? stop_started_ + grace - kStopMargin
+                       : stop_phase_started_ + options_.drain_limit;
+  if (idle || now >= end)
     actions_.stopped = true;
 }
 
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -264,6 +264,7 @@
   bool was_in_contact_ = false;
   std::string logged_leader_;
   Phase phase_ = Phase::kServing;
+  Time stop_started_{};
   Time stop_phase_started_{};
   EntryActions actions_;
 };
--- a/source/core/settings/fleet_limits.h
+++ b/source/core/settings/fleet_limits.h
@@ -21,6 +21,9 @@
   int warmup_slack = 0;
   /// Maximum time for which callers cache a look-up answer; zero for no limit.
   Duration max_lookup_ttl{0};
+  /// Time after which the platform ends a process that it has asked to stop;
+  /// zero if it doesn't say.
+  Duration stop_grace{0};
 };
 
 }  // namespace jacinth::settings
--- a/source/core/settings/instance_setting_table.cc
+++ b/source/core/settings/instance_setting_table.cc
@@ -144,7 +144,8 @@
         SettingType::kInteger,
         {0, 600'000},
         "30000",
-        "Maximum wait for requests in flight during a planned stop."},
+        "Maximum wait for requests in flight during a planned stop, unless the "
+        "platform tells when it ends the process."},
     InstanceSettingSpec{
         "control",
         "election_timeout_ms",
--- a/source/unit_tests/entry/entry_node_test.cc
+++ b/source/unit_tests/entry/entry_node_test.cc
@@ -333,6 +333,30 @@
   CHECK(driver.stopped);
 }
 
+// Pattern: a planned stop under load. Guards against requests that are cut
+// although the platform would have let them end.
+TEST_CASE("A planned stop uses the time that the platform leaves it") {
+  EntryOptions options = EntryDriver::DefaultOptions();
+  options.drain_limit = 1s;
+  options.limits.stop_grace = 10s;
+  EntryDriver driver(options);
+  driver.ApplySettings(test::ServiceSettingsText());
+  driver.SendRequest("GET", "/x");
+  REQUIRE(driver.attempts.size() == 1);
+  driver.Step(StopRequested{});
+  driver.AdvanceTime(8500ms);
+  CHECK_FALSE(driver.stopped);
+  SECTION("the request ends") {
+    driver.EndAttempt(driver.attempts[0], AttemptEnd::kAnswered);
+    driver.AdvanceTime(100ms);
+    CHECK(driver.WasForwarded(1));
+  }
+  SECTION("the request never ends") {
+    driver.AdvanceTime(1s);
+  }
+  CHECK(driver.stopped);
+}
+
 TEST_CASE(
     "An entry without contact with the control role omits itself from "
     "look-ups") {
