Control: Tell entries that asked in vain who leads

Change: a control instance that knew no leader tells those that asked within the last second as soon as it knows one. The delivery of lists and the lists of an entry get files of their own, without changes; entries of the last build are tested beside those of this one, with its stored messages.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -58,6 +58,7 @@
                                  ClockReading clock) {
   std::visit([&](const auto& body) { On(body, clock); }, event);
   ProcessReplicaActions(clock);
+  AnswerSeekers(clock.now);
   LogStateChanges(clock.now);
   actions_.next_tick = clock.now + kAdmissionInterval;
   if (replica_)
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -116,6 +116,7 @@
   void OnHeartbeat(const std::string& from,
                    const protocol::Heartbeat& heartbeat,
                    ClockReading clock);
+  void AnswerSeekers(Time now);
   void OnClaim(const std::string& from,
                const protocol::ClaimRequest& request,
                ClockReading clock);
@@ -214,6 +215,9 @@
   quarantine::SuspectRegistry suspects_;
   /// By entry instance.
   std::map<std::string, EntryDelivery> deliveries_;
+  /// Time of the last heartbeat of each entry that came while no leader was
+  /// known.
+  std::map<std::string, Time> seekers_;
   /// Entries that wait for whole tables.
   std::deque<std::string> table_queue_;
   /// Time from which the next whole table may be sent.
--- /dev/null
+++ b/source/core/control/control_node_delivery.cc
@@ -0,0 +1,221 @@
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "core/control/control_node.h"
+
+namespace jacinth::control {
+namespace {
+
+/// Time after which an unconfirmed message is taken to be lost.
+constexpr Duration kResendAfter = 1s;
+/// The same for a whole table, which can take seconds on a narrow link.
+constexpr Duration kResendTableAfter = 3s;
+/// Time after a whole table, for each of its items and for each of them that is
+/// sent to an entry, in which no other table is sent.
+constexpr Duration kTableItemTime = std::chrono::microseconds(4);
+constexpr Duration kSentItemTime = std::chrono::microseconds(1);
+/// Number of entries that a table is sent to at once.
+constexpr std::size_t kMaxTableReceivers = 32;
+/// Time without tables that is made up for at once.
+constexpr Duration kTableBurst = 20ms;
+
+}  // namespace
+
+// Adds the changes of the member list, or the whole list for an entry that
+// takes no changes.
+void ControlNode::AddMembers(EntryDelivery& delivery,
+                             const protocol::Heartbeat& heartbeat,
+                             protocol::HeartbeatReply& reply,
+                             Time now) {
+  const std::uint64_t current = registry_.Version(now);
+  const std::uint64_t base = delivery.members.Base(now);
+  if (current == 0 || base == current)
+    return;
+  if (!heartbeat.takes_changes) {
+    reply.members = registry_.Members(now);
+    reply.replicas = ReplicaInstances();
+  } else if (registry_.KeepsChangesSince(base)) {
+    reply.members = registry_.ChangesSince(base, now);
+  } else {
+    return;
+  }
+  delivery.members.OnSent(current, kResendAfter, now);
+}
+
+void ControlNode::AddChanges(EntryDelivery& delivery,
+                             protocol::HeartbeatReply& reply,
+                             Time now) {
+  const std::uint64_t endpoints = delivery.endpoints.Base(now);
+  if (endpoints != catalog_.version() &&
+      catalog_.KeepsChangesSince(endpoints)) {
+    reply.endpoints = catalog_.UpdateFor(endpoints, now);
+    delivery.endpoints.OnSent(catalog_.version(), kResendAfter, now);
+  }
+  const std::uint64_t slices = delivery.slices.Base(now);
+  if (slices != slices_.version() && slices_.IsFromTerm(slices)) {
+    reply.slices = slices_.UpdateFor(slices);
+    delivery.slices.OnSent(slices_.version(), kResendAfter, now);
+  }
+}
+
+// Queues the entry if it holds lists whose changes the leader doesn't know,
+// such as those of another leader.
+void ControlNode::QueueTables(const std::string& entry,
+                              EntryDelivery& delivery,
+                              const protocol::Heartbeat& heartbeat,
+                              Time now) {
+  // Entries that take changes tell what they hold once they know the term.
+  const bool may_send_endpoints =
+      !heartbeat.takes_changes || heartbeat.endpoint_digest;
+  const bool may_send_slices =
+      !heartbeat.takes_changes || heartbeat.slice_digest;
+  const bool needs_endpoints =
+      catalog_.version() != 0 &&
+      !catalog_.KeepsChangesSince(delivery.endpoints.Base(now));
+  const bool needs_slices = !slices_.IsFromTerm(delivery.slices.Base(now));
+  delivery.wants_endpoints = needs_endpoints && may_send_endpoints;
+  delivery.wants_slices = needs_slices && may_send_slices;
+  delivery.wants_members =
+      registry_.Version(now) != 0 && heartbeat.takes_changes &&
+      !registry_.KeepsChangesSince(delivery.members.Base(now));
+  if (!delivery.WantsAny())
+    return;
+  delivery.sequence = heartbeat.sequence;
+  delivery.endpoint_digest = heartbeat.endpoint_digest.value_or("");
+  delivery.slice_digest = heartbeat.slice_digest.value_or("");
+  if (!std::exchange(delivery.is_queued, true))
+    table_queue_.push_back(entry);
+}
+
+// Sends whole tables, or what differs in them, to the entries that wait for
+// them: not to all at once, so that a fleet that starts anew leaves the leader
+// time for its replicas.
+void ControlNode::ServeTableQueue(Time now) {
+  while (!table_queue_.empty() && now >= next_table_) {
+    const std::string first = std::move(table_queue_.front());
+    table_queue_.pop_front();
+    const auto found = deliveries_.find(first);
+    if (found == deliveries_.end())
+      continue;
+    const EntryDelivery lacking = found->second;
+    std::vector<std::string> entries = {first};
+    if (!lacking.WantsParts()) {
+      std::erase_if(table_queue_, [&](const std::string& entry) {
+        const auto other = deliveries_.find(entry);
+        const bool is_same =
+            other != deliveries_.end() && other->second.WantsSame(lacking);
+        if (!is_same || entries.size() >= kMaxTableReceivers)
+          return false;
+        entries.push_back(entry);
+        return true;
+      });
+    }
+    const std::size_t items = SendTables(lacking, entries, now);
+    const auto receivers = static_cast<int>(entries.size());
+    next_table_ =
+        std::max(next_table_, now - kTableBurst) +
+        static_cast<int>(items) * (kTableItemTime + receivers * kSentItemTime);
+  }
+}
+
+// Sends the tables that `lacking` wants to the entries, the endpoints first:
+// with them, requests can be served. Returns the number of items.
+std::size_t ControlNode::SendTables(const EntryDelivery& lacking,
+                                    const std::vector<std::string>& entries,
+                                    Time now) {
+  for (const std::string& entry : entries) {
+    EntryDelivery& delivery = deliveries_.at(entry);
+    delivery.is_queued = false;
+    delivery.wants_endpoints = false;
+    delivery.wants_slices = false;
+    delivery.wants_members = false;
+    if (lacking.wants_endpoints)
+      delivery.endpoints.OnSent(catalog_.version(), kResendTableAfter, now);
+    if (lacking.wants_slices)
+      delivery.slices.OnSent(slices_.version(), kResendTableAfter, now);
+    if (lacking.wants_members)
+      delivery.members.OnSent(registry_.Version(now), kResendTableAfter, now);
+  }
+  protocol::HeartbeatReply empty = MakeReply();
+  empty.sequence = entries.size() == 1 ? lacking.sequence : 0;
+  std::size_t items = 1;
+  if (lacking.wants_endpoints) {
+    protocol::HeartbeatReply reply = empty;
+    reply.endpoints =
+        lacking.endpoint_digest.empty()
+            ? catalog_.UpdateFor(0, now)
+            : catalog_.UpdateForDigest(lacking.endpoint_digest, now);
+    items += reply.endpoints.changed.size();
+    actions_.broadcasts.push_back({entries, std::move(reply)});
+  }
+  if (lacking.wants_slices || lacking.wants_members) {
+    protocol::HeartbeatReply reply = std::move(empty);
+    if (lacking.wants_slices) {
+      reply.slices = lacking.slice_digest.empty()
+                         ? slices_.UpdateFor(0)
+                         : slices_.UpdateForDigest(lacking.slice_digest);
+    }
+    if (lacking.wants_members) {
+      reply.members = registry_.Members(now);
+      reply.replicas = ReplicaInstances();
+    }
+    items += reply.slices.changed.size() + reply.members.entries.size();
+    actions_.broadcasts.push_back({entries, std::move(reply)});
+  }
+  return items;
+}
+
+protocol::HeartbeatReply ControlNode::MakeReply() const {
+  protocol::HeartbeatReply reply;
+  reply.leader = true;
+  reply.leader_hint = LeaderInstance();
+  reply.revision = state_.revision();
+  reply.term = replica_->term();
+  return reply;
+}
+
+// Sends changed lists to the entries whose lists are from this term. Entries
+// that hold the same versions are sent the same message.
+void ControlNode::PushLists(ClockReading clock) {
+  const Time now = clock.now;
+  using Bases = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>;
+  std::map<Bases, std::vector<std::string>> entries_by_bases;
+  for (auto& [entry, delivery] : deliveries_) {
+    protocol::RateShareUpdate shares =
+        RateSharesFor(entry, delivery.rate_shares, now);
+    if (shares.version != 0 && !shares.unchanged) {
+      delivery.rate_shares = shares.version;
+      protocol::HeartbeatReply reply = MakeReply();
+      reply.rate_shares = std::move(shares);
+      SendToEntry(entry, std::move(reply));
+    }
+    std::uint64_t endpoints = delivery.endpoints.Base(now);
+    std::uint64_t slices = delivery.slices.Base(now);
+    if (catalog_.KeepsChangesSince(endpoints))
+      delivery.endpoints.OnSent(catalog_.version(), kResendAfter, now);
+    else
+      endpoints = catalog_.version();
+    if (slices_.IsFromTerm(slices))
+      delivery.slices.OnSent(slices_.version(), kResendAfter, now);
+    else
+      slices = slices_.version();
+    entries_by_bases[{endpoints, slices, delivery.suspects}].push_back(entry);
+  }
+  for (auto& [bases, entries] : entries_by_bases) {
+    const auto& [endpoints, slices, suspects] = bases;
+    protocol::HeartbeatReply reply = MakeReply();
+    reply.endpoints = catalog_.UpdateFor(endpoints, now);
+    reply.slices = slices_.UpdateFor(slices);
+    reply.suspects = SuspectsFor(suspects, clock);
+    if (reply.endpoints.version == 0 && reply.slices.version == 0 &&
+        reply.suspects.unchanged)
+      continue;
+    for (const std::string& entry : entries)
+      deliveries_.at(entry).suspects = reply.suspects.version;
+    actions_.broadcasts.push_back({std::move(entries), std::move(reply)});
+  }
+}
+
+}  // namespace jacinth::control
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -6,7 +6,16 @@
 #include "core/wire/command_codec.h"
 
 namespace jacinth::control {
+namespace {
 
+/// Number of entries that are told of the next leader, and the time for which
+/// they are remembered.
+constexpr std::size_t kMaxSeekers = 1'024;
+constexpr Duration kSeekerMemory = 1s;
+
+}  // namespace
+
+using consensus::ReplicaRole;
 using protocol::Command;
 
 void ControlNode::OnHeartbeat(const std::string& from,
@@ -17,6 +26,8 @@
     reply.sequence = heartbeat.sequence;
     reply.leader_hint = LeaderInstance();
     reply.replicas = ReplicaInstances();
+    if (reply.leader_hint.empty() && seekers_.size() < kMaxSeekers)
+      seekers_[from] = clock.now;
     SendToEntry(from, reply);
     return;
   }
@@ -51,6 +62,25 @@
     PushLists(clock);
 }
 
+// Tells the entries that asked in vain who leads now, so that a fleet without a
+// leader finds the next one as soon as it is elected.
+void ControlNode::AnswerSeekers(Time now) {
+  if (seekers_.empty())
+    return;
+  protocol::HeartbeatReply reply;
+  reply.leader_hint = LeaderInstance();
+  const bool leads = replica_ && replica_->role() == ReplicaRole::kLeader;
+  if (reply.leader_hint.empty() || (leads && !HasLeaderLease(now)))
+    return;
+  std::vector<std::string> entries;
+  for (const auto& [entry, asked] : std::exchange(seekers_, {})) {
+    if (now <= asked + kSeekerMemory)
+      entries.push_back(entry);
+  }
+  if (!entries.empty())
+    actions_.broadcasts.push_back({std::move(entries), std::move(reply)});
+}
+
 void ControlNode::OnClaim(const std::string& from,
                           const protocol::ClaimRequest& request,
                           ClockReading clock) {
--- a/source/unit_tests/control/control_membership_test.cc
+++ b/source/unit_tests/control/control_membership_test.cc
@@ -99,6 +99,39 @@
   }
 }
 
+// Pattern: a leader is lost, or all machines start again. Guards against
+// entries that find the next leader only with their next heartbeats.
+TEST_CASE("Entries that asked without a leader are told who is elected") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    ControlCluster cluster(seed);
+    cluster.loss_percent = 0;
+    std::string hint;
+    cluster.on_entry_message = [&](const std::string& entry,
+                                   const protocol::Envelope& envelope) {
+      const auto* reply = std::get_if<protocol::HeartbeatReply>(&envelope);
+      if (entry == "e1" && reply != nullptr && !reply->leader_hint.empty())
+        hint = reply->leader_hint;
+    };
+    cluster.Run(2s);
+    const std::size_t lost = *cluster.Leader();
+    cluster.Crash(lost);
+    const auto knows_leader = [&](std::size_t machine) {
+      return cluster.IsUp(machine) &&
+             !cluster.node(machine)->LeaderInstance().empty();
+    };
+    while (knows_leader((lost + 1) % 3) || knows_leader((lost + 2) % 3))
+      cluster.Run(1ms);
+    hint.clear();
+    protocol::Heartbeat heartbeat;
+    heartbeat.status.id = "e1";
+    cluster.SendFromEntry("e1", (lost + 1) % 3, heartbeat);
+    cluster.Run(ControlCluster::kElectionTimeout * 3);
+    REQUIRE(cluster.Leader());
+    CHECK(hint == cluster.instance(*cluster.Leader()));
+  }
+}
+
 // Pattern: the disks of control instances are full for some seconds, one after
 // the other. Guards against changes that are refused or not answered long after
 // all disks have room again.
--- a/source/unit_tests/entry/control_traffic_test.cc
+++ b/source/unit_tests/entry/control_traffic_test.cc
@@ -207,6 +207,33 @@
   CHECK(digests.size() == 1);
 }
 
+// Pattern: an upgrade. Entries of earlier builds are sent whole lists, also by
+// a leader that they didn't hear from before.
+TEST_CASE("Entries of an earlier build run beside those of this one") {
+  Fleet test(12, 50);
+  for (std::size_t i = 0; i < 6; ++i)
+    test.fleet.entries()[i].is_earlier_build = true;
+  test.UseObjects(3);
+  test.fleet.Run(1s);
+  test.fleet.ReplaceLeader();
+  auto endpoints = MakeEndpoints(60);
+  endpoints[3].draining = true;
+  test.fleet.ListEndpoints(endpoints);
+  test.fleet.entries()[7].driver->Step(StopRequested{});
+  test.fleet.Run(6s);
+  std::set<std::string> digests;
+  for (const NarrowEntry& entry : test.fleet.entries()) {
+    CHECK(entry.session().endpoints().size() == 60);
+    CHECK(entry.session().endpoints().at(endpoints[3].id).draining);
+    digests.insert(entry.session().slices().Digest().ToBytes());
+    const auto& members = entry.session().members();
+    CHECK(std::count_if(members.begin(), members.end(), [](const auto& member) {
+            return member.draining;
+          }) == 1);
+  }
+  CHECK(digests.size() == 1);
+}
+
 // Guards against entries that all ask all control instances, several times a
 // second, as long as there is no leader.
 TEST_CASE("An entry without a leader asks few contacts and follows a hint") {
--- a/source/unit_tests/support/narrow_fleet.cc
+++ b/source/unit_tests/support/narrow_fleet.cc
@@ -138,6 +138,11 @@
     driver.Step(entry::MessageReceived{"c1", delivery.envelope});
   }
   for (auto& heartbeat : driver.TakeMessages<protocol::Heartbeat>()) {
+    if (entry.is_earlier_build) {
+      heartbeat.takes_changes = false;
+      heartbeat.endpoint_digest.reset();
+      heartbeat.slice_digest.reset();
+    }
     heartbeats_.push_back(
         {clock_.now + kOneWay, heartbeat.status.id, std::move(heartbeat)});
   }
--- a/source/unit_tests/support/narrow_fleet.h
+++ b/source/unit_tests/support/narrow_fleet.h
@@ -30,6 +30,8 @@
   void Deliver(const std::string& bytes, Time now);
 
   std::unique_ptr<EntryDriver> driver;
+  /// True if the entry's heartbeats lack what earlier builds don't know.
+  bool is_earlier_build = false;
   std::deque<Delivery> deliveries;
   std::size_t received_bytes = 0;
   Time link_free{};
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -276,4 +276,43 @@
   CHECK(EncodeEnvelope(heartbeat) == stored);
 }
 
+// As above, for the messages of a leader and of a link as the build of commit
+// b196610 wrote them.
+TEST_CASE("Messages of the last build are read and written as they were") {
+  const auto check = [](const Envelope& envelope, const std::string& hex) {
+    const std::string stored = FromHex(hex);
+    const auto decoded = DecodeEnvelope(stored);
+    REQUIRE(decoded);
+    CHECK(*decoded == envelope);
+    CHECK(EncodeEnvelope(envelope) == stored);
+  };
+  check(protocol::Challenge{"nonce"}, "15021c18056e6f6e63650000");
+  check(protocol::Hello{"e1", "mac"}, "15022c1802653118036d61630000");
+  protocol::HeartbeatReply reply;
+  reply.sequence = 1;
+  reply.leader = true;
+  reply.leader_hint = "c1";
+  reply.revision = 2;
+  reply.members.version = 5;
+  reply.members.entries = {MakeFullEntryStatus()};
+  reply.endpoints.version = 6;
+  reply.endpoints.base = 5;
+  reply.endpoints.changed = {MakeFullListedEndpoint()};
+  reply.endpoints.removed = {"gone"};
+  reply.replicas = {"c1", "c2"};
+  reply.slices.version = 7;
+  reply.slices.changed = {{"s", 7, "a"}};
+  reply.rate_shares = {7, true, {{{"s", "i-1"}, 9, 2.5, 1.5}}};
+  reply.settings_piece = {{1, 2, 3, 4}, 5, "piece"};
+  reply.suspects = {8, true, {{9, {10, 11}, 12}}};
+  check(
+      reply,
+      "15026c1602111802633116042c160a191c1802653116021804776573741806776573742d"
+      "61180b3132372e302e302e313a311604111100001c160c160a191c1803692d3116021801"
+      "73180b3132372e302e302e313a321806776573742d61150611160800191804676f6e6500"
+      "19280263310263321c160e191c180173150e18016100001c160e11191c1801731803692d"
+      "31161217000000000000044017000000000000f83f00001c1c1602160416061608001"
+      "60a18057069656365009c161011191c161219261416161800000000");
+}
+
 }  // namespace jacinth::wire
