--- a/source/unit_tests/entry/control_traffic_test.cc
+++ b/source/unit_tests/entry/control_traffic_test.cc
@@ -156,7 +156,8 @@
     CHECK(found->draining);
   }
   // Heartbeats are answered with about 50 bytes each.
-  CHECK(test.fleet.sent_bytes() - before < kEntries * 1'000);
+  constexpr std::size_t kMaxBytesPerEntry = 1'000;
+  CHECK(test.fleet.sent_bytes() - before < kEntries * kMaxBytesPerEntry);
 }
 
 // Pattern: traffic starts at all entries at once, each with objects that have
