--- a/review/harness/stage.cc
+++ b/review/harness/stage.cc
@@ -776,6 +776,31 @@
   Note("%s gets %s", process.name.c_str(), strsignal(signal));
 }
 
+double Stage::WatchMemory(Process& process,
+                          double limit_mb,
+                          const std::atomic<bool>& done) {
+  const std::string path = "/proc/" + std::to_string(process.pid) + "/statm";
+  const double page_mb = static_cast<double>(sysconf(_SC_PAGESIZE)) / 1048576;
+  double peak = 0;
+  while (!done) {
+    std::ifstream file(path);
+    double pages = 0;
+    double resident = 0;
+    if (!(file >> pages >> resident))
+      break;
+    peak = std::max(peak, resident * page_mb);
+    if (peak > limit_mb) {
+      Note("%s uses %.0f MB of memory, its limit is %.0f MB",
+           process.name.c_str(), peak, limit_mb);
+      Signal(process, SIGKILL);
+      WaitExit(process, Now() + 2);
+      break;
+    }
+    SleepFor(0.002);
+  }
+  return peak;
+}
+
 bool Stage::WaitExit(Process& process, double until) {
   while (true) {
     int status = 0;
--- a/review/harness/stage.h
+++ b/review/harness/stage.h
@@ -184,6 +184,11 @@
   Process& entry(int index) { return *entries_.at(index); }
   /// Sends a signal to a process of the stage.
   void Signal(Process& process, int signal);
+  /// Does what the platform does with a process that uses more memory than its
+  /// limit: kills it. Watches until `done` is set. Returns the peak in MB.
+  double WatchMemory(Process& process,
+                     double limit_mb,
+                     const std::atomic<bool>& done);
   /// Waits for the end of a process; returns false at `until`.
   bool WaitExit(Process& process, double until);
 
