Entry: Take no requests in a planned stop that it can't see through

Cause: the intake of a stopping entry lasted for the look-up TTL and four heartbeats, 3.2 s, without regard to the time that the platform leaves (6 s) and to what a request takes.

Change: StopSchedule holds the times of a stop. The intake ends after 2.5 s or half of the platform's limit at the latest; within it, requests whose usual answer time reaches beyond the end are refused as not run, on arrival, when they get a slot and before a retry. The process uses 95 % of its time. A refused caller returns elsewhere after 0.1 s unless rate limits bind everywhere.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -251,7 +251,8 @@
                                 ServiceState& service_state,
                                 AttemptEnd end,
                                 Time now) const {
-  if (now >= record.deadline || record.attempts >= record.kind.max_attempts)
+  if (now >= record.deadline || record.attempts >= record.kind.max_attempts ||
+      !CanEndBeforeStop(record, service_state, now))
     return false;
   if (quarantine_.Judge(record.suspect_id) != quarantine::Verdict::kClear)
     return false;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -10,9 +10,6 @@
 
 /// Time between ticks, which bounds the delay in detecting an expired deadline.
 constexpr Duration kTickInterval = 20ms;
-/// Number of heartbeat intervals after which all other entries have received
-/// the draining state of this instance.
-constexpr int kDrainAnnounceHeartbeats = 4;
 /// Age of the control role's endpoint list after which an entry reads the list
 /// from the platform.
 constexpr Duration kMaxEndpointListAge = 1500ms;
@@ -32,9 +29,6 @@
 /// none.
 constexpr int kDefaultRetryReserve = 10;
 constexpr double kPercent = 100;
-/// Time before the platform ends a stopping process at which it ends itself, to
-/// close what is left in order.
-constexpr Duration kStopMargin = 800ms;
 
 }  // namespace
 
@@ -121,16 +115,6 @@
   DispatchRequests(service_state->second, now);
 }
 
-void EntryNode::On(const StopRequested& /*event*/, Time now) {
-  if (phase_ != Phase::kServing)
-    return;
-  phase_ = Phase::kAnnouncingDrain;
-  stop_started_ = now;
-  stop_phase_started_ = now;
-  session_.SetDraining();
-  PublishSnapshot();
-}
-
 void EntryNode::On(const EndpointsListed& event, Time now) {
   // An up-to-date list from the control role takes precedence.
   if (session_.InContact(now) &&
@@ -321,37 +305,4 @@
   actions_.snapshot = std::move(snapshot);
 }
 
-// Starts the next phase of a planned stop when the current one is over.
-void EntryNode::AdvanceStop(Time now) {
-  if (phase_ == Phase::kAnnouncingDrain) {
-    const Duration wait =
-        LongestTtl() + kDrainAnnounceHeartbeats * options_.heartbeat;
-    if (now < stop_phase_started_ + wait)
-      return;
-    phase_ = Phase::kRefusing;
-    stop_phase_started_ = now;
-  }
-  if (phase_ != Phase::kRefusing)
-    return;
-  const bool idle = requests_.empty() && claim_client_.unconfirmed() == 0;
-  const Duration grace = options_.limits.stop_grace;
-  const Time end = grace > kStopMargin
-                       ? stop_started_ + grace - kStopMargin
-                       : stop_phase_started_ + options_.drain_limit;
-  if (idle || now >= end)
-    actions_.stopped = true;
-}
-
-Duration EntryNode::LongestTtl() const {
-  Duration longest{0};
-  if (session_.fleet() == nullptr)
-    return longest;
-  for (const auto& [name, service] : session_.fleet()->services) {
-    longest = std::max(longest, service.ttl);
-    for (const auto& [region, ttl] : service.region_ttl)
-      longest = std::max(longest, ttl);
-  }
-  return longest;
-}
-
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -18,6 +18,7 @@
 #include "core/entry/entry_event.h"
 #include "core/entry/request_record.h"
 #include "core/entry/service_state.h"
+#include "core/entry/stop_schedule.h"
 #include "core/entry/weighted_round_robin.h"
 #include "core/forwarding/demand_meter.h"
 #include "core/forwarding/link_monitor.h"
@@ -65,16 +66,6 @@
   const ControlSession& session() const { return session_; }
 
  private:
-  /// Phases of a planned stop.
-  enum class Phase {
-    kServing,
-    /// The draining state is announced, so that new look-up answers omit the
-    /// instance. Requests of callers that use older answers are still served.
-    kAnnouncingDrain,
-    /// New requests are refused; requests in flight are completed.
-    kRefusing,
-  };
-
   // Messages, timers and settings.
   void On(const MessageReceived& event, Time now);
   void On(const Tick& event, Time now);
@@ -96,7 +87,12 @@
       Time now) const;
   void ApplyFleetLimits(ServiceState& service_state) const;
   void PublishSnapshot();
+
+  // Planned stops.
   void AdvanceStop(Time now);
+  bool CanEndBeforeStop(const RequestRecord& record,
+                        const ServiceState& service_state,
+                        Time now) const;
   Duration LongestTtl() const;
 
   // Rate limits of endpoints.
@@ -164,7 +160,8 @@
   // Arrival and admission of requests.
   void On(const RequestArrived& event, Time now);
   Result<RequestRecord> Resolve(const RequestArrived& event);
-  std::optional<Error> CheckArrival(const RequestArrived& event) const;
+  std::optional<Error> CheckArrival(const RequestArrived& event,
+                                    Time now) const;
   std::optional<Error> CheckService(const RequestRecord& record,
                                     Time now) const;
   Duration RetryAfter(const RequestRecord& record) const;
@@ -263,9 +260,8 @@
   std::set<std::string> isolated_entries_;
   bool was_in_contact_ = false;
   std::string logged_leader_;
-  Phase phase_ = Phase::kServing;
-  Time stop_started_{};
-  Time stop_phase_started_{};
+  /// Set during a planned stop.
+  std::optional<StopSchedule> stop_;
   EntryActions actions_;
 };
 
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -137,7 +137,7 @@
   ServiceState& service_state = services_.at(record.service);
   if (!service_state.endpoints.IsRateLimited() &&
       !service_state.endpoints.IsWaitAsked(now))
-    return shortest;
+    return stop_ ? kReturnElsewhere : shortest;
   double per_second = service_state.sent.Rate(now);
   if (const auto block = service_state.endpoints.FindRateBlock(now)) {
     per_second = std::max(per_second, block->per_second);
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -22,8 +22,11 @@
 /// and the time over which they are spread.
 constexpr Duration kMinReadyWait = 300ms;
 constexpr Duration kReturnSpread = 1s;
-/// Time after which callers of an instance that stops return, to another one.
-constexpr Duration kReturnElsewhere = 100ms;
+
+Error EndsTooLateError() {
+  return {ErrorKind::kDraining,
+          "this instance stops before the request is expected to end"};
+}
 
 Error ErrorForVerdict(ClaimVerdict verdict) {
   switch (verdict) {
@@ -68,7 +71,7 @@
     actions_.answers.push_back({event.ticket, std::move(refusal), {}});
   };
   CountArrival(event, now);
-  if (const auto error = CheckArrival(event)) {
+  if (const auto error = CheckArrival(event, now)) {
     refuse(*error, error->kind == ErrorKind::kNotReady
                        ? ReturnWhenReady(event.ticket, now)
                        : kReturnElsewhere);
@@ -107,6 +110,10 @@
         std::min(record.deadline, now + objective / kMaxWaitDivisor);
   }
   ServiceState& service_state = services_.at(record.service);
+  if (!CanEndBeforeStop(record, service_state, now)) {
+    refuse(EndsTooLateError(), kReturnElsewhere);
+    return;
+  }
   const bool links_lost = links_.state() == forwarding::LinkState::kLost;
   if (links_lost && !CanRelay(record, now)) {
     refuse({ErrorKind::kNoEndpoint, "this instance reaches no endpoint"},
@@ -150,9 +157,9 @@
   return record;
 }
 
-std::optional<Error> EntryNode::CheckArrival(
-    const RequestArrived& event) const {
-  if (phase_ == Phase::kRefusing)
+std::optional<Error> EntryNode::CheckArrival(const RequestArrived& event,
+                                             Time now) const {
+  if (stop_ && now >= stop_->intake_end)
     return Error{ErrorKind::kDraining,
                  "this instance is draining; look up another entry instance"};
   if (session_.fleet() == nullptr)
@@ -302,6 +309,10 @@
       Refuse(*ticket, *error, now);
       continue;
     }
+    if (!CanEndBeforeStop(record, service_state, now)) {
+      Refuse(*ticket, EndsTooLateError(), now);
+      continue;
+    }
     if (TryAttempt(record, service_state, now))
       continue;
     // No endpoint with a free slot may serve the request. It is refused so that
