Entry: Answer the requests that are under way when a planned stop ends

Cause: AdvanceStop reported the stop as complete with requests still held, and the host destroyed their transactions, which closes the connections.

Change: at 90 % of the platform's time, requests that were never sent are refused as not run, the others end with 504 and an unknown outcome, and their exchanges are cancelled. Attempts started during a stop tell the endpoint less time than that, so that one that hasn't begun can say that it has not run the request.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -36,8 +36,11 @@
   std::string incarnation;
   Execution execution = Execution::kRepeatable;
   Duration connect_timeout{0};
-  /// Time limit of the whole attempt.
+  /// Time limit of the whole attempt, which the endpoint is told.
   Duration timeout{0};
+  /// Time after `timeout` in which the answer may still arrive, so that the
+  /// endpoint can say whether it ran the request.
+  Duration answer_delay{0};
   /// Opens a new connection instead of reusing an idle one.
   bool fresh_connection = false;
   /// Number of the attempt within its request, starting at 1.
@@ -137,8 +140,11 @@
   std::vector<log::Record> log_records;
   /// Latest time at which the next Tick must be delivered.
   Time next_tick{};
-  /// True once a planned stop is complete, so that the node can be destroyed.
+  /// True once a planned stop is complete, so that the node can be destroyed
+  /// after the callers have received their answers.
   bool stopped = false;
+  /// Latest time for that.
+  Time answers_until{};
 };
 
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -96,6 +96,12 @@
   attempt.timeout = record.deadline - now;
   if (can_retry_later)
     attempt.timeout = std::min(attempt.timeout, record.kind.attempt_timeout);
+  const Duration until_stop =
+      stop_ ? stop_->EndpointDeadline() - now : attempt.timeout;
+  if (until_stop < attempt.timeout) {
+    attempt.timeout = until_stop;
+    attempt.answer_delay = stop_->exchanges_end - stop_->EndpointDeadline();
+  }
   attempt.connect_timeout =
       std::min(service_state.settings.connect_timeout, attempt.timeout);
   service_state.sent.Count(1, now);
--- a/source/core/entry/entry_completion.cc
+++ b/source/core/entry/entry_completion.cc
@@ -14,19 +14,10 @@
     return;
   RequestRecord& record = found->second;
   ServiceState& service_state = services_.at(record.service);
-  const bool running = !record.endpoint.empty();
-  if (running) {
-    service_state.endpoints.OnAttemptEnd(
-        record.endpoint, forwarding::AttemptEnd::kCancelled, {}, now);
-    RecordSliceUse(record, now);
-    actions_.cancellations.push_back({event.ticket});
-  }
   if (record.phase == RequestPhase::kWaiting)
     service_state.queue.Remove(event.ticket);
-  const bool relayed = !record.relay_entry.empty();
-  if (relayed)
-    actions_.cancellations.push_back({event.ticket});
-  const bool may_have_run = running || relayed || record.may_have_run;
+  const bool was_sent = CancelExchange(record, now);
+  const bool may_have_run = was_sent || record.may_have_run;
   FinishClaim(record, may_have_run ? Outcome::kUnknown : Outcome::kNotRun, {},
               now);
   RefuseRequest cancellation{
@@ -38,6 +29,23 @@
   DispatchRequests(service_state, now);
 }
 
+// Cancels the attempt or relay of a request, if there is one. Returns true if
+// there was.
+bool EntryNode::CancelExchange(RequestRecord& record, Time now) {
+  const bool running = !record.endpoint.empty();
+  if (running) {
+    services_.at(record.service)
+        .endpoints.OnAttemptEnd(record.endpoint,
+                                forwarding::AttemptEnd::kCancelled, {}, now);
+    RecordSliceUse(record, now);
+    record.endpoint.clear();
+  }
+  const bool relayed = !record.relay_entry.empty();
+  if (running || relayed)
+    actions_.cancellations.push_back({record.arrival.ticket});
+  return running || relayed;
+}
+
 // Refuses the requests that have waited too long for an endpoint or for the
 // decision on their claim.
 void EntryNode::RefuseExpired(Time now) {
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -90,6 +90,7 @@
 
   // Planned stops.
   void AdvanceStop(Time now);
+  void EndRequestsAtStop(Time now);
   bool CanEndBeforeStop(const RequestRecord& record,
                         const ServiceState& service_state,
                         Time now) const;
@@ -194,6 +195,7 @@
                        Time now) const;
 
   // Ends of requests.
+  bool CancelExchange(RequestRecord& record, Time now);
   void On(const RequestAbandoned& event, Time now);
   void RefuseExpired(Time now);
   void RefuseUnservable(ServiceState& service_state, Time now);
--- a/source/core/entry/entry_stop.cc
+++ b/source/core/entry/entry_stop.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <vector>
 
 #include "core/entry/entry_node.h"
 
@@ -29,10 +30,32 @@
 void EntryNode::AdvanceStop(Time now) {
   if (!stop_ || now < stop_->intake_end)
     return;
+  if (now >= stop_->exchanges_end)
+    EndRequestsAtStop(now);
   const bool idle = requests_.empty() && claim_client_.unconfirmed() == 0;
   if (!idle && now < stop_->end)
     return;
   actions_.stopped = true;
+  actions_.answers_until = stop_->end;
+}
+
+// Answers the requests that are still under way, as their connections would
+// otherwise be closed without an answer when the process ends.
+void EntryNode::EndRequestsAtStop(Time now) {
+  std::vector<RequestTicket> open;
+  open.reserve(requests_.size());
+  for (const auto& [ticket, record] : requests_)
+    open.push_back(ticket);
+  for (const RequestTicket ticket : open) {
+    RequestRecord& record = requests_.at(ticket);
+    if (record.phase == RequestPhase::kWaiting)
+      services_.at(record.service).queue.Remove(ticket);
+    record.may_have_run |= CancelExchange(record, now);
+    Refuse(ticket,
+           {record.may_have_run ? ErrorKind::kTimeout : ErrorKind::kDraining,
+            "this instance stops before the request has ended"},
+           now);
+  }
 }
 
 // Returns true unless a planned stop is expected to cut the request.
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -190,7 +190,7 @@
   client_call.address = attempt.address;
   client_call.request = adapter_.MakeAttemptRequest(pending.forwarded, attempt);
   client_call.limits.connect_timeout = attempt.connect_timeout;
-  client_call.limits.timeout = attempt.timeout;
+  client_call.limits.timeout = attempt.timeout + attempt.answer_delay;
   client_call.limits.max_body_bytes = server_.limits().max_body_bytes;
   if (!attempt.fresh_connection) {
     client_call.max_idle = attempt.execution == Execution::kRepeatable
--- a/source/unit_tests/entry/entry_stop_test.cc
+++ b/source/unit_tests/entry/entry_stop_test.cc
@@ -69,4 +69,46 @@
   CHECK(driver.FindRefusal(brief) == nullptr);
 }
 
+// Guards against closing the connections of callers whose requests wait for an
+// endpoint when a planned stop ends.
+TEST_CASE("An entry answers what is still under way when a stop ends") {
+  EntryDriver driver = MakeDriver();
+  constexpr RequestTicket kRunning = 4;
+  for (RequestTicket i = 0; i < kRunning; ++i)
+    driver.SendRequest("GET", "/x");
+  const RequestTicket waiting = driver.SendRequest("GET", "/x");
+  REQUIRE(driver.attempts.size() == kRunning);
+  driver.Step(StopRequested{});
+  AdvanceInContact(driver, kGrace * 5 / 6);
+  // The platform lets requests at work be given up only in the last sixth.
+  CHECK(driver.answers.empty());
+  AdvanceInContact(driver, 600ms);
+  for (const StartAttempt& attempt : driver.attempts) {
+    REQUIRE(driver.FindRefusal(attempt.ticket) != nullptr);
+    CHECK(driver.FindRefusal(attempt.ticket)->error.kind ==
+          ErrorKind::kTimeout);
+    CHECK(driver.FindRefusal(attempt.ticket)->outcome == Outcome::kUnknown);
+  }
+  REQUIRE(driver.FindRefusal(waiting) != nullptr);
+  CHECK(driver.FindRefusal(waiting)->error.kind == ErrorKind::kDraining);
+  CHECK(driver.FindRefusal(waiting)->outcome == Outcome::kNotRun);
+  CHECK(driver.cancellations.size() == kRunning);
+  CHECK(driver.stopped);
+}
+
+// Guards against giving up requests in an endpoint's queue with an unknown
+// outcome: the endpoint says in time that it hasn't run them.
+TEST_CASE("An endpoint's time ends before that of a stopping entry") {
+  EntryDriver driver = MakeDriver();
+  driver.Step(StopRequested{});
+  AdvanceInContact(driver, 1s);
+  driver.SendRequest("GET", "/x");
+  REQUIRE(driver.attempts.size() == 1);
+  const StartAttempt& attempt = driver.attempts[0];
+  const Time stop_end = driver.now - 1s + kGrace;
+  CHECK(driver.now + attempt.timeout > stop_end - kGrace / 6);
+  CHECK(driver.now + attempt.timeout + attempt.answer_delay < stop_end);
+  CHECK(attempt.answer_delay >= 100ms);
+}
+
 }  // namespace jacinth::entry
