HTTP, entry: Let callers receive their answers before a planned stop ends

Requests received in part got no answer.

Cause: the node takes itself for idle once no request waits for an endpoint, and the host then closed all connections, also those that were being written.

The new tests use the new call and have no run on the code before.

Change: EventServer::Finish() stops accepting, refuses requests received in part with 503, and reports when all responses are written.

--- a/source/core/http/event_server.cc
+++ b/source/core/http/event_server.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <asio/post.hpp>
+
 #include "core/http/address.h"
 #include "core/http/event_session.h"
 
@@ -64,14 +66,23 @@
   }
 }
 
+void EventServer::Finish(std::function<void()> done) {
+  draining_ = true;
+  finishing_ = true;
+  on_finished_ = std::move(done);
+  CloseAcceptors();
+  const auto sessions = sessions_;
+  for (const auto& session : sessions)
+    session->Finish();
+  NotifyIfFinished();
+}
+
 void EventServer::Stop() {
   if (stopped_)
     return;
   stopped_ = true;
-  for (const auto& acceptor : acceptors_) {
-    asio::error_code ignored;
-    acceptor->close(ignored);
-  }
+  on_finished_ = nullptr;
+  CloseAcceptors();
   const auto sessions = sessions_;
   for (const auto& session : sessions)
     session->Close();
@@ -80,7 +91,7 @@
 void EventServer::Accept(tcp::acceptor& acceptor) {
   acceptor.async_accept([this, &acceptor](asio::error_code error,
                                           tcp::socket socket) {
-    if (stopped_)
+    if (stopped_ || finishing_)
       return;
     const bool has_capacity = sessions_.size() < limits_.max_connections;
     if (!error && has_capacity) {
@@ -92,8 +103,22 @@
   });
 }
 
+void EventServer::CloseAcceptors() {
+  for (const auto& acceptor : acceptors_) {
+    asio::error_code ignored;
+    acceptor->close(ignored);
+  }
+}
+
 void EventServer::Remove(const std::shared_ptr<EventSession>& session) {
   sessions_.erase(session);
+  NotifyIfFinished();
+}
+
+void EventServer::NotifyIfFinished() {
+  if (!sessions_.empty() || !on_finished_)
+    return;
+  asio::post(context_, std::exchange(on_finished_, nullptr));
 }
 
 }  // namespace jacinth::http
--- a/source/core/http/event_server.h
+++ b/source/core/http/event_server.h
@@ -72,6 +72,11 @@
   /// current or next request, so that their callers choose an instance anew.
   void RecycleConnections(double fraction);
 
+  /// Stops accepting, refuses requests that are still being received, and calls
+  /// `done` once all responses have been written and their connections are
+  /// closed.
+  void Finish(std::function<void()> done);
+
   /// Stops accepting and closes all connections.
   void Stop();
 
@@ -81,7 +86,9 @@
   friend class EventSession;
 
   void Accept(asio::ip::tcp::acceptor& acceptor);
+  void CloseAcceptors();
   void Remove(const std::shared_ptr<EventSession>& session);
+  void NotifyIfFinished();
 
   asio::io_context& context_;
   Handler handler_;
@@ -91,6 +98,9 @@
   std::set<std::shared_ptr<EventSession>> sessions_;
   std::size_t buffered_bytes_ = 0;
   bool draining_ = false;
+  /// Set by Finish() until all connections are closed.
+  std::function<void()> on_finished_;
+  bool finishing_ = false;
   bool stopped_ = false;
 };
 
--- a/source/core/http/event_session.cc
+++ b/source/core/http/event_session.cc
@@ -74,6 +74,21 @@
     SetTimer(grace_period);
 }
 
+void EventSession::Finish() {
+  close_after_response_ = true;
+  if (phase_ != Phase::kReading)
+    return;
+  if (parser_->started()) {
+    SendError(kStatusServiceUnavailable,
+              "the server stopped before the request was received");
+    return;
+  }
+  // A request that has arrived but hasn't been read is still answered.
+  asio::error_code error;
+  if (socket_.available(error) == 0 || error)
+    Close();
+}
+
 void EventSession::Respond(std::uint64_t request_number,
                            const Response& response) {
   if (phase_ != Phase::kHandling || request_number != request_number_)
@@ -230,7 +245,7 @@
 
 void EventSession::OnWritten(bool close) {
   output_.clear();
-  if (close) {
+  if (close || server_.finishing_) {
     Linger();
     return;
   }
--- a/source/core/http/event_session.h
+++ b/source/core/http/event_session.h
@@ -24,6 +24,10 @@
   /// the response to its current request.
   void Drain(Duration grace_period);
 
+  /// Closes the connection after the response to its current request. Refuses
+  /// a request that isn't received whole; closes an idle connection at once.
+  void Finish();
+
   /// Closes the connection after the response to its current or next request.
   void CloseAfterResponse() { close_after_response_ = true; }
 
--- a/source/jacinthroute/entry_host_impl.h
+++ b/source/jacinthroute/entry_host_impl.h
@@ -106,6 +106,8 @@
                        const http::Response& response,
                        PendingRequest& pending);
   void StartProbe(const entry::StartProbe& probe);
+  void FinishAnswers(Time until);
+  void OnAnswersFinished();
   void Step(const entry::EntryEvent& event);
   void CarryOut(entry::EntryActions actions);
   void ApplySnapshot(
@@ -126,6 +128,9 @@
   http::EventClient client_;
   http::EventServer server_;
   EndpointLister endpoint_lister_;
+  /// Limits the time in which callers receive their answers at a planned stop.
+  TickTimer answers_timer_;
+  bool finishing_answers_ = false;
   std::function<void()> on_stopped_;
 };
 
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -43,7 +43,8 @@
           },
           [this](const http::Response& response) {
             return adapter_.ParseEndpointListPage(response);
-          }) {}
+          }),
+      answers_timer_(context, [this] { OnAnswersFinished(); }) {}
 
 template <InterfaceAdapter Adapter>
 entry::EntryOptions EntryHostImpl<Adapter>::MakeOptions(
@@ -445,8 +446,29 @@
         });
   }
   timer_.Schedule(actions.next_tick);
-  if (actions.stopped && on_stopped_)
-    std::exchange(on_stopped_, nullptr)();
+  if (actions.stopped)
+    FinishAnswers(actions.answers_until);
+}
+
+// Lets callers receive the answers that are being written before a planned stop
+// ends.
+template <InterfaceAdapter Adapter>
+void EntryHostImpl<Adapter>::FinishAnswers(Time until) {
+  if (!on_stopped_ || std::exchange(finishing_answers_, true))
+    return;
+  answers_timer_.Schedule(until);
+  server_.Finish([this] { OnAnswersFinished(); });
+}
+
+template <InterfaceAdapter Adapter>
+void EntryHostImpl<Adapter>::OnAnswersFinished() {
+  if (!on_stopped_)
+    return;
+  log::Record record{
+      log::Level::kInfo, log::Category::kEntry, "answers_finished", {}};
+  record.With("connections_cut", server_.connections());
+  log::Write(record);
+  std::exchange(on_stopped_, nullptr)();
 }
 
 template <InterfaceAdapter Adapter>
--- a/source/unit_tests/http/event_server_test.cc
+++ b/source/unit_tests/http/event_server_test.cc
@@ -5,7 +5,10 @@
 #include <thread>
 #include <vector>
 
+#include <asio/post.hpp>
+#include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "unit_tests/support/port_reservation.h"
@@ -33,12 +36,20 @@
   }
 
   const std::string& address() const { return address_; }
+  bool finished() const { return finished_; }
+
+  /// Calls EventServer::Finish().
+  void Finish() {
+    asio::post(context_,
+               [this] { server_.Finish([this] { finished_ = true; }); });
+  }
 
  private:
   test::PortReservation ports_;
   std::string address_;
   asio::io_context context_;
   EventServer server_;
+  std::atomic<bool> finished_{false};
   std::thread thread_;
 };
 
@@ -148,4 +159,54 @@
   CHECK(test::ExchangeRawBytes(server.address(), kGetRequest).empty());
 }
 
+// Guards against cutting answers that callers are receiving when the process
+// stops.
+TEST_CASE("A server that finishes lets callers receive their responses") {
+  constexpr std::size_t kBodyBytes = 16UL << 20U;
+  std::atomic<bool> responded{false};
+  ServerThread server([&](const std::shared_ptr<Transaction>& transaction) {
+    Response response;
+    response.body.assign(kBodyBytes, 'x');
+    transaction->Respond(std::move(response));
+    responded = true;
+  });
+  asio::io_context context;
+  asio::ip::tcp::socket caller(context);
+  const std::size_t colon = server.address().find(':');
+  caller.connect({asio::ip::make_address(server.address().substr(0, colon)),
+                  static_cast<unsigned short>(
+                      std::stoi(server.address().substr(colon + 1)))});
+  asio::write(caller, asio::buffer(kGetRequest));
+  while (!responded)
+    std::this_thread::sleep_for(1ms);
+  server.Finish();
+  std::this_thread::sleep_for(100ms);
+  CHECK_FALSE(server.finished());
+  std::string received;
+  asio::error_code error;
+  asio::read(caller, asio::dynamic_buffer(received), error);
+  CHECK(error == asio::error::eof);
+  CHECK(received.size() > kBodyBytes);
+  caller.close();
+  for (int i = 0; i < 500 && !server.finished(); ++i)
+    std::this_thread::sleep_for(10ms);
+  CHECK(server.finished());
+}
+
+// Guards against closing the connection of a caller that is sending a request
+// without an answer when the process stops.
+TEST_CASE("A server that finishes refuses requests that it receives in part") {
+  ServerThread server(EchoPathAndBody);
+  std::string received;
+  std::thread caller([&] {
+    received = test::ExchangeRawBytes(
+        server.address(),
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+  });
+  std::this_thread::sleep_for(200ms);
+  server.Finish();
+  caller.join();
+  CHECK(received.rfind("HTTP/1.1 503", 0) == 0);
+}
+
 }  // namespace jacinth::http
