Instance: Go on with a stop in order when SIGTERM is repeated

Callers saw: requests under way were cut with no answer when the signal to stop came a second time.

Cause: any second signal stopped the event loop at once, which was meant for an operator at a terminal.

Change: SIGTERM during a stop is logged and changes nothing; SIGINT still ends the instance at once.

--- a/source/jacinthroute/instance.cc
+++ b/source/jacinthroute/instance.cc
@@ -154,9 +154,15 @@
       WaitForSignal();
       return;
     }
+    if (stopping_ && signal == SIGTERM) {
+      log::Info(log::Category::kMain,
+                "Received SIGTERM again; the stop goes on in order.");
+      WaitForSignal();
+      return;
+    }
     if (stopping_) {
       log::Warning(log::Category::kMain,
-                   "Received a second signal; exiting immediately.");
+                   "Received SIGINT during a stop; exiting immediately.");
       context_.stop();
       return;
     }
--- a/source/jacinthroute/instance.h
+++ b/source/jacinthroute/instance.h
@@ -29,8 +29,9 @@
            InterfaceComponents components,
            ReadSettings read_settings);
 
-  /// Runs until SIGTERM or SIGINT, then stops gracefully; a second signal stops
-  /// the instance immediately. Returns an error if the instance can't start.
+  /// Runs until SIGTERM or SIGINT, then stops gracefully; SIGINT during the
+  /// stop ends the instance immediately. Returns an error if the instance can't
+  /// start.
   Result<void> Run();
 
  private:
