Control: Stop a replica whose storage has failed when it is asked to

Cause: the node returned from its tick before it looked at the stop, the host passed the request to no node while the folder couldn't be opened, and a node opened later knew nothing of it. A second failed attempt to reopen also used a writer that the first one had left empty.

Evidence: "A replica whose disk has failed stops when it is asked to" fails without the change in the node. The host's part is by reading; it has no test.

Change: such a node stops at its next tick, a host without a node at once, and the folder isn't reopened once a stop was requested.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -99,8 +99,11 @@
 }
 
 void ControlNode::On(const Tick& /*event*/, ClockReading clock) {
-  if (storage_failed_)
+  if (storage_failed_) {
+    // There is no leadership to hand over.
+    actions_.stopped = stop_deadline_.has_value();
     return;
+  }
   TickFormation(clock);
   TickRejoin(clock);
   if (replica_)
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -154,7 +154,11 @@
 }
 
 void ControlHost::ReopenDataFolder() {
-  writer_->Stop();
+  // The new node would know nothing of a stop that was requested.
+  if (stopping_)
+    return;
+  if (writer_)
+    writer_->Stop();
   writer_.reset();
   node_.reset();
   folder_.reset();
@@ -195,6 +199,11 @@
 }
 
 void ControlHost::BeginStop(std::function<void()> done) {
+  stopping_ = true;
+  if (!node_) {
+    done();
+    return;
+  }
   on_stopped_ = std::move(done);
   Step(control::StopRequested{});
 }
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -102,6 +102,7 @@
   std::map<control::AdminTicket, ReplyHandler> reply_handlers_;
   control::AdminTicket last_ticket_ = 0;
   std::function<void()> on_stopped_;
+  bool stopping_ = false;
 };
 
 }  // namespace jacinth
