Consensus: Wait for replies that have arrived before a busy leader steps down

Cause: the leader, busy with the change for longer than an election timeout, took the age of the last replies that it had handled for silence of the others. The replies were waiting to be read: the others noticed only 0.4 s after it had stepped down.

The new test fails without the change.

Change: the delay of a tick is added once to the time for which the leader waits, if it is shorter than an election timeout. The lease isn't longer for it.

--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -265,12 +265,16 @@
 void Replica::LeaderTick(Time now) {
   if (now < heartbeat_due_)
     return;
+  // While this replica was busy it handled no replies, which may have arrived.
+  // If it was for longer than the others wait, one of them leads already.
+  const Duration late = now - heartbeat_due_;
+  const Duration busy = late < options_.election_timeout ? late : Duration{0};
   heartbeat_due_ = now + options_.heartbeat;
   const Time contact = std::max(
       lease_->start(), lease_->QuorumContact(configuration_, options_.id, now));
   const bool transfer_timed_out =
       transfer_started_ && now > *transfer_started_ + options_.election_timeout;
-  if (now > contact + options_.election_timeout || transfer_timed_out) {
+  if (now > contact + options_.election_timeout + busy || transfer_timed_out) {
     BecomeFollower(hard_state_.term, "", now);
     return;
   }
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -323,6 +323,28 @@
   CHECK(replica.role() == ReplicaRole::kFollower);
 }
 
+// Guards against elections because a leader was busy with a large change and
+// hasn't handled the replies that have arrived meanwhile.
+TEST_CASE("A leader that was busy waits for replies before it steps down") {
+  Replica replica(Options("a#1"), GroupStart(), kStart);
+  const ReplicaActions elected = Elect(replica, kLater);
+  replica.OnTick(kLater + kElectionTimeout / 2);
+  const Time late = kLater + kElectionTimeout + 50ms;
+  replica.OnTick(late);
+  REQUIRE(replica.role() == ReplicaRole::kLeader);
+  SECTION("replies have arrived") {
+    replica.OnMessage(Ack("b#1", replica.term(), replica.last_index(),
+                          LastRound(replica.TakeActions())),
+                      late);
+    replica.OnTick(late + kElectionTimeout / 2);
+    CHECK(replica.role() == ReplicaRole::kLeader);
+  }
+  SECTION("there are none") {
+    replica.OnTick(late + 20ms);
+    CHECK(replica.role() == ReplicaRole::kFollower);
+  }
+}
+
 TEST_CASE("A partitioned replica doesn't increase its term") {
   Replica replica(Options("a#1"), GroupStart(), kStart);
   for (int i = 1; i < 100; ++i)
