Control, wire: Encode a change of settings once for all entries

Cause: the push of a change encoded the same message for each entry, and packed the piece of the update in it, which is packed already, each time: 78 ms here for 185 entries, which is half a second at 0.15 of a core, on the thread that renews the lease. Unpacked, the same takes 0.8 ms.

Change: entries that hold the same revision are sent one message; messages that are mostly a packed piece aren't packed again.

--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/common/hash.h"
 #include "core/control/control_node.h"
@@ -172,6 +174,9 @@
     return;
   pushed_revision_ = state_.revision();
   const protocol::HeartbeatReply reply = MakeReply();
+  // Entries that hold the same revision are sent the same message.
+  std::vector<Broadcast> broadcasts;
+  std::vector<protocol::HeartbeatReply> replies;
   for (const protocol::EntryStatus& entry : registry_.Statuses()) {
     // An entry takes its first settings only with the reply to a heartbeat.
     if (entry.revision == 0)
@@ -179,7 +184,17 @@
     // Sent even without settings, so that the entry knows that it lacks some.
     protocol::HeartbeatReply entry_reply = reply;
     AddSettings(entry.id, entry_reply, clock.now);
-    SendToEntry(entry.id, std::move(entry_reply));
+    const auto same = std::find(replies.begin(), replies.end(), entry_reply);
+    const auto index = static_cast<std::size_t>(same - replies.begin());
+    if (same == replies.end()) {
+      replies.push_back(std::move(entry_reply));
+      broadcasts.emplace_back();
+    }
+    broadcasts[index].to_instances.push_back(entry.id);
+  }
+  for (std::size_t i = 0; i < broadcasts.size(); ++i) {
+    broadcasts[i].envelope = std::move(replies[i]);
+    actions_.broadcasts.push_back(std::move(broadcasts[i]));
   }
 }
 
--- a/source/core/wire/envelope_codec.cc
+++ b/source/core/wire/envelope_codec.cc
@@ -58,6 +58,13 @@
   }
 };
 
+// Returns true if most of a large message is a piece of an update that is
+// packed itself.
+bool IsPacked(const protocol::Envelope& envelope, std::size_t bytes) {
+  const auto* reply = std::get_if<protocol::HeartbeatReply>(&envelope);
+  return reply != nullptr && reply->settings_piece.bytes.size() > bytes / 2;
+}
+
 template <typename Message>
 Result<protocol::Envelope> ToEnvelope(Result<Message> message) {
   if (!message)
@@ -76,7 +83,7 @@
 
 std::string EncodePackedEnvelope(const protocol::Envelope& envelope) {
   std::string bytes = EncodeEnvelope(envelope);
-  if (bytes.size() < kMinPackedBytes)
+  if (bytes.size() < kMinPackedBytes || IsPacked(envelope, bytes.size()))
     return bytes;
   generated::PackedEnvelope packed;
   packed.unpacked_bytes = static_cast<std::int64_t>(bytes.size());
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -145,6 +145,15 @@
 }
 
 // Guards against endpoints of a leader of another build that can't be used.
+// Guards against a leader that packs the same packed piece again for each of
+// hundreds of entries, and loses its lease over it.
+TEST_CASE("A piece of a settings update isn't packed again") {
+  protocol::HeartbeatReply reply;
+  reply.settings_piece.position = {1, 2, 3, 0};
+  reply.settings_piece.bytes.assign(10'000, 'x');
+  CHECK(EncodePackedEnvelope(reply) == EncodeEnvelope(reply));
+}
+
 TEST_CASE("Listed endpoints that can't be used are received as removed") {
   protocol::HeartbeatReply reply;
   reply.endpoints.version = 2;
