Entry: Bound messages by the machine's memory unless a setting says otherwise

Change: the memory of the machine, as the system reports it, is the default of memory_mb; the template is as it was. Incomplete answers keep their limit of 32 MB on large machines.

--- a/source/core/settings/instance_setting_table.cc
+++ b/source/core/settings/instance_setting_table.cc
@@ -132,8 +132,7 @@
                         "0",
                         "Memory that the process may use, in MB; requests and "
                         "answers that would take too much of it together are "
-                        "refused or cut. With 0, the limits are 96 MB of "
-                        "requests and 32 MB of incomplete answers."},
+                        "refused or cut. With 0, the memory of the machine."},
     InstanceSettingSpec{"entry",
                         "control_timeout_ms",
                         SettingType::kInteger,
--- a/source/core/settings/instance_settings.h
+++ b/source/core/settings/instance_settings.h
@@ -53,7 +53,7 @@
   /// Bandwidth of the network link in each direction, in bytes per second; 0 if
   /// requests are not limited by it.
   double entry_bandwidth = 0;
-  /// Memory that the process may use, in bytes; 0 if it isn't stated.
+  /// Memory that the process may use, in bytes; 0 for that of the machine.
   std::size_t entry_memory = 0;
   /// Time without contact with the control role after which the entry omits
   /// itself from look-ups.
--- a/source/jacinthroute/entry_host_impl.h
+++ b/source/jacinthroute/entry_host_impl.h
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "core/common/machine_memory.h"
 #include "core/common/process_clock.h"
 #include "core/entry/entry_node.h"
 #include "core/http/event_client.h"
@@ -43,10 +44,10 @@
 /// Time from the start of a planned stop until idle connections of callers are
 /// closed.
 inline constexpr Duration kDrainGracePeriod = 1s;
-/// Parts of the memory of the process, in percent, that messages may take, and
-/// of these incomplete answers, which take half as much again while they grow.
+/// Part of the memory of the process, in percent, that messages may take, and
+/// part of that for incomplete answers, which take more while they grow.
 inline constexpr std::size_t kMessageMemoryPercent = 70;
-inline constexpr std::size_t kIncompleteAnswersPercent = 25;
+inline constexpr std::size_t kIncompleteAnswersPercent = 35;
 /// Limit on request bodies until the first settings are received.
 inline constexpr std::size_t kInitialMaxBodyBytes = 64UL << 20U;
 
@@ -89,9 +90,8 @@
     Time started{};
   };
 
-  /// Returns the budget for all messages of a process with `memory` bytes, or
-  /// one without a limit if it isn't stated.
-  static http::MemoryBudget MakeMemoryBudget(std::size_t memory);
+  /// Returns the memory that all messages together may take, in bytes.
+  static std::size_t MessageMemory(const settings::InstanceSettings& settings);
   static entry::EntryOptions MakeOptions(
       const settings::InstanceSettings& settings,
       const Adapter& adapter);
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -28,7 +28,7 @@
       adapter_(settings),
       timer_(context, [this] { Step(entry::Tick{}); }),
       node_(MakeOptions(settings, adapter_)),
-      memory_(MakeMemoryBudget(settings.entry_memory)),
+      memory_(MessageMemory(settings)),
       client_(context, kMaxIdleConnectionsPerEndpoint, settings.source_address),
       server_(context,
               [this](const TransactionPtr& transaction) {
@@ -48,10 +48,11 @@
       answers_timer_(context, [this] { OnAnswersFinished(); }) {}
 
 template <InterfaceAdapter Adapter>
-http::MemoryBudget EntryHostImpl<Adapter>::MakeMemoryBudget(
-    std::size_t memory) {
-  return memory == 0 ? http::MemoryBudget()
-                     : http::MemoryBudget(memory * kMessageMemoryPercent / 100);
+std::size_t EntryHostImpl<Adapter>::MessageMemory(
+    const settings::InstanceSettings& settings) {
+  const std::size_t memory =
+      settings.entry_memory != 0 ? settings.entry_memory : MachineMemory();
+  return memory * kMessageMemoryPercent / 100;
 }
 
 template <InterfaceAdapter Adapter>
@@ -85,10 +86,9 @@
   server_.SetLimits(limits);
   server_.SetMemoryBudget(memory_);
   client_.SetMemoryBudget(memory_);
-  if (settings_.entry_memory != 0) {
-    client_.SetMaxBufferedBytes(settings_.entry_memory *
-                                kIncompleteAnswersPercent / 100);
-  }
+  client_.SetMaxBufferedBytes(
+      std::min(http::kMaxBufferedResponseBytes,
+               MessageMemory(settings_) * kIncompleteAnswersPercent / 100));
   server_.SetErrorResponder([this](int status, const std::string& detail) {
     return adapter_.MakeErrorResponse(status, detail);
   });
