Control, entry: Log when endpoints are known to leave, and steps that keep a replica busy

- endpoints_leave and endpoint_listing_dropped by the leader, with the ids;
- endpoints_drained by the entry, for each update of a service;
- step_was_slow by a replica, with the event and its duration, from 100 ms.

--- a/source/core/control/control_event.h
+++ b/source/core/control/control_event.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -75,4 +76,7 @@
                                   ViewRequested,
                                   StopRequested>;
 
+/// Returns the name of an event's type for log records.
+std::string_view ControlEventName(const ControlEvent& event);
+
 }  // namespace jacinth::control
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -186,6 +186,7 @@
   // Log records.
   log::Record& LogEvent(std::string_view event);
   void LogStateChanges(Time now);
+  void LogNewDrains(const std::vector<protocol::ListedEndpoint>& listed);
   void LogChange(AdminTicket ticket, const ChangeOutcome& outcome);
   void LogRefusal(AdminTicket ticket, const Error& error);
 
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -16,9 +16,13 @@
 }  // namespace
 
 void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
-  if (!HasLeaderLease(clock.now) || registry_term_ != replica_->term())
+  if (!HasLeaderLease(clock.now) || registry_term_ != replica_->term()) {
+    LogEvent("endpoint_listing_dropped")
+        .With("endpoints", event.endpoints.size());
     return;
+  }
   ResetListsForTerm(clock);
+  LogNewDrains(event.endpoints);
   catalog_.ApplyListing(event.endpoints, clock.now);
   slices_.RetainOwners(SliceEndpoints(clock.now));
   ForgetDeparted(clock.now);
--- a/source/core/control/control_node_logging.cc
+++ b/source/core/control/control_node_logging.cc
@@ -39,6 +39,22 @@
   }
 }
 
+// Names the endpoints that a listing shows as draining and that aren't known to
+// drain yet. Must be called before the listing is applied.
+void ControlNode::LogNewDrains(
+    const std::vector<protocol::ListedEndpoint>& listed) {
+  std::vector<std::string> drained;
+  for (const protocol::ListedEndpoint& endpoint : listed) {
+    if (endpoint.draining && !catalog_.IsDraining(endpoint.id))
+      drained.push_back(endpoint.id);
+  }
+  if (drained.empty())
+    return;
+  LogEvent("endpoints_leave")
+      .With("count", drained.size())
+      .With("endpoints", JoinList(drained));
+}
+
 void ControlNode::LogChange(AdminTicket ticket, const ChangeOutcome& outcome) {
   LogEvent(outcome.accepted ? "change_accepted" : "change_refused")
       .With("ticket", ticket)
--- a/source/core/control/endpoint_catalog.cc
+++ b/source/core/control/endpoint_catalog.cc
@@ -129,6 +129,11 @@
   return all;
 }
 
+bool EndpointCatalog::IsDraining(const std::string& id) const {
+  const auto found = endpoints_.find(id);
+  return found != endpoints_.end() && found->second.endpoint.draining;
+}
+
 bool EndpointCatalog::UpdateEndpoint(const ListedEndpoint& endpoint,
                                      std::uint64_t version,
                                      Time now) {
--- a/source/core/control/endpoint_catalog.h
+++ b/source/core/control/endpoint_catalog.h
@@ -54,6 +54,9 @@
   /// Returns all endpoints, with the warm-up time that remains at `now`.
   std::vector<protocol::ListedEndpoint> Endpoints(Time now) const;
 
+  /// Returns true if the endpoint is known to drain.
+  bool IsDraining(const std::string& id) const;
+
   std::size_t size() const { return endpoints_.size(); }
 
  private:
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/common/hash.h"
+#include "core/common/split.h"
 
 namespace jacinth::forwarding {
 namespace {
@@ -45,6 +46,7 @@
   wait_percent_ = service.endpoint_wait_percent;
   warmup_ = service.warmup;
   std::set<std::string> listed_names;
+  std::vector<std::string> drained;
   for (const settings::EndpointSettings& endpoint : service.endpoints) {
     listed_names.insert(endpoint.name);
     const auto [found, added] = endpoints_.try_emplace(endpoint.name);
@@ -58,6 +60,8 @@
     const bool new_slots =
         state.settings.slots != endpoint.slots || state.limit < 1;
     const bool drain_ended = state.settings.drained && !endpoint.drained;
+    if (!added && !state.settings.drained && endpoint.drained)
+      drained.push_back(endpoint.name);
     state.settings = endpoint;
     if (new_slots)
       state.limit = endpoint.slots;
@@ -70,6 +74,13 @@
     ApplyMemory(state);
   }
   has_endpoint_list_ |= !service.endpoints.empty();
+  if (!drained.empty()) {
+    log::Record record;
+    record.category = log::Category::kForwarding;
+    record.event = "endpoints_drained";
+    record.With("count", drained.size()).With("endpoints", JoinList(drained));
+    log_records_.push_back(std::move(record));
+  }
   for (auto& [name, state] : endpoints_) {
     if (listed_names.count(name) == 0)
       state.settings.drained = true;
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -25,6 +25,9 @@
 /// an election, and shorter than the time within which a lost replica must be
 /// replaced.
 constexpr Duration kReplaceAfter = 2500ms;
+/// Duration from which the handling of an event is logged: while it lasts, this
+/// replica sends no heartbeats.
+constexpr Duration kSlowStep = 100ms;
 
 std::vector<std::string> FailureDomains(
     const settings::InstanceSettings& settings) {
@@ -234,7 +237,16 @@
 void ControlHost::Step(const control::ControlEvent& event) {
   if (!node_)
     return;
+  const Time start = MonotonicNow();
   CarryOut(node_->Step(event, ReadClocks()));
+  const Duration took = MonotonicNow() - start;
+  if (took < kSlowStep)
+    return;
+  log::Record record{
+      log::Level::kInfo, log::Category::kControl, "step_was_slow", {}};
+  record.With("step", control::ControlEventName(event))
+      .With("took_ms", ToMillis(took));
+  log::Write(record);
 }
 
 void ControlHost::CarryOut(control::ControlActions actions) {
