Control: Use and pass on lists though the lease has lapsed

Lists need no lease. Their versions contain the term, so that an entry that knows a later leader ignores those of an earlier one; for all other entries they are the newest there are. The lists of a term still begin with the lease, which guarantees that the owners recorded before are applied.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -140,7 +140,7 @@
   if (registry_term_ != replica_->term())
     return;
   registry_.Expire(clock.now);
-  if (!HasLeaderLease(clock.now))
+  if (!ServesLists(clock.now))
     return;
   ResetListsForTerm(clock);
   ServeTableQueue(clock.now);
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
-  if (!HasLeaderLease(clock.now) || registry_term_ != replica_->term()) {
+  if (!ServesLists(clock.now)) {
     LogEvent("endpoint_listing_dropped")
         .With("endpoints", event.endpoints.size());
     return;
@@ -48,6 +48,15 @@
   return changed;
 }
 
+// Returns true if this replica keeps the lists of entries. Begins only with the
+// lease, but doesn't end when that lapses: versions of lists contain the term,
+// so that entries ignore those of a replica that no longer leads.
+bool ControlNode::ServesLists(Time now) const {
+  if (!Leads() || registry_term_ != replica_->term())
+    return false;
+  return lists_term_ == registry_term_ || HasLeaderLease(now);
+}
+
 // Requires the leader lease, which guarantees that all owners recorded by
 // earlier leaders have been applied.
 void ControlNode::ResetListsForTerm(ClockReading clock) {
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -88,7 +88,8 @@
 struct HeartbeatReply {
   /// Sequence number of the heartbeat; 0 if the message is not a reply.
   std::uint64_t sequence = 0;
-  /// True if the sender is the leader and holds its lease.
+  /// True if the sender is the leader. It then holds its lease, if the message
+  /// is a reply.
   bool leader = false;
   /// Instance id of the leader as known to the sender; empty if unknown.
   std::string leader_hint;
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -182,8 +182,7 @@
 }
 
 void ControlHost::RefreshEndpointList() {
-  const bool is_leader = node_ && node_->HasLeaderLease(MonotonicNow());
-  if (is_leader) {
+  if (node_ && node_->Leads()) {
     endpoint_lister_.Start(
         [this](std::vector<protocol::ListedEndpoint> endpoints) {
           Step(control::EndpointsListed{std::move(endpoints)});
