Platform, instance: Read and propose a large change in steps of their own

The leader read an operator's change, checked it and proposed it within one event: 0.4 s for 1,400 routes on 0.15 of a core, in which it sent no heartbeats. The operator interface now defers each of these steps, and the host sends the heartbeats that are due and handles what has arrived between them.

--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -59,6 +59,7 @@
   void SetContacts(std::vector<std::string> contacts);
 
   void SubmitEvent(const MakeEvent& make_event, ReplyHandler on_reply) override;
+  void Defer(std::function<void()> work) override;
 
  private:
   Result<void> OpenNode();
--- a/source/jacinthroute/control_host_admin.cc
+++ b/source/jacinthroute/control_host_admin.cc
@@ -85,4 +85,12 @@
   Step(make_event(ticket));
 }
 
+void ControlHost::Defer(std::function<void()> work) {
+  // Messages that have arrived are handled between the two.
+  asio::post(context_, [this, work = std::move(work)]() mutable {
+    Step(control::Tick{});
+    asio::post(context_, std::move(work));
+  });
+}
+
 }  // namespace jacinth
--- a/source/jacinthroute/operator_interface.h
+++ b/source/jacinthroute/operator_interface.h
@@ -21,6 +21,11 @@
   /// `on_reply` with the reply, on the thread of the io_context.
   virtual void SubmitEvent(const MakeEvent& make_event,
                            ReplyHandler on_reply) = 0;
+
+  /// Calls `work`, which may take long, on the thread of the io_context after
+  /// the node has sent the heartbeats that are due and handled the messages
+  /// that have arrived.
+  virtual void Defer(std::function<void()> work) = 0;
 };
 
 /// An operator interface that replaces the built-in administration API. Used on
