--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -1,8 +1,9 @@
 #include "core/settings/tree_table.h"
 
-#include <algorithm>
 #include <array>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/common/split.h"
@@ -366,9 +367,8 @@
                     "the branch is drained and receives no new requests."},
 };
 
-bool MatchesPattern(std::string_view pattern,
+bool MatchesPattern(const std::vector<std::string>& pattern_parts,
                     const std::vector<std::string>& parts) {
-  const std::vector<std::string> pattern_parts = Split(pattern, '/');
   if (pattern_parts.size() != parts.size())
     return false;
   for (std::size_t i = 0; i < parts.size(); ++i) {
@@ -388,17 +388,27 @@
 }
 
 const TreeSettingSpec* FindTreeSetting(std::string_view key) {
-  const auto* entry = std::find_if(
-      kTreeSettings.begin(), kTreeSettings.end(),
-      [&](const TreeSettingSpec& spec) { return spec.key == key; });
-  return entry == kTreeSettings.end() ? nullptr : entry;
+  static const auto kSpecs = [] {
+    std::unordered_map<std::string_view, const TreeSettingSpec*> specs;
+    for (const TreeSettingSpec& spec : kTreeSettings)
+      specs.emplace(spec.key, &spec);
+    return specs;
+  }();
+  const auto found = kSpecs.find(key);
+  return found == kSpecs.end() ? nullptr : found->second;
 }
 
 std::optional<BranchScope> FindBranchScope(std::string_view branch) {
+  static const auto kPatterns = [] {
+    std::vector<std::pair<std::vector<std::string>, BranchScope>> patterns;
+    for (const ScopePatternEntry& entry : kScopePatterns)
+      patterns.emplace_back(Split(entry.pattern, '/'), entry.scope);
+    return patterns;
+  }();
   const std::vector<std::string> parts = Split(branch, '/');
-  for (const ScopePatternEntry& entry : kScopePatterns) {
-    if (MatchesPattern(entry.pattern, parts))
-      return entry.scope;
+  for (const auto& [pattern, scope] : kPatterns) {
+    if (MatchesPattern(pattern, parts))
+      return scope;
   }
   return std::nullopt;
 }
--- a/source/core/wire/command_codec.cc
+++ b/source/core/wire/command_codec.cc
@@ -1,5 +1,7 @@
 #include "core/wire/command_codec.h"
 
+#include <utility>
+
 #include "core/wire/convert.h"
 #include "core/wire/thrift_buffer.h"
 
@@ -10,7 +12,9 @@
   generated::Command& out;
 
   void operator()(const protocol::ChangeSettings& body) const {
-    out.__set_change(ToWire(body));
+    // The setter would copy the branches.
+    out.change = ToWire(body);
+    out.__isset.change = true;
   }
   void operator()(const protocol::ClaimRequest& body) const {
     out.__set_claim(ToWire(body));
@@ -47,7 +51,7 @@
 }
 
 Result<protocol::Command> DecodeCommand(std::string_view bytes) {
-  const auto in = Deserialize<generated::Command>(bytes);
+  auto in = Deserialize<generated::Command>(bytes);
   if (!in)
     return tl::unexpected(in.error());
   if (in->version != kWireVersion)
@@ -57,7 +61,7 @@
   out.wall_ms = in->wall_ms;
   out.proposal = static_cast<std::uint64_t>(in->proposal);
   if (in->__isset.change) {
-    out.body = FromWire(in->change);
+    out.body = FromWire(std::move(in->change));
     return out;
   }
   if (in->__isset.claim) {
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -32,7 +32,7 @@
 protocol::HeartbeatReply FromWire(const generated::HeartbeatReply& reply);
 
 generated::SettingsUpdate ToWire(const protocol::SettingsUpdate& update);
-protocol::SettingsUpdate FromWire(const generated::SettingsUpdate& update);
+protocol::SettingsUpdate FromWire(generated::SettingsUpdate update);
 
 generated::SettingsPosition ToWire(const protocol::SettingsPosition& position);
 protocol::SettingsPosition FromWire(
@@ -58,7 +58,7 @@
     const generated::FinishRequest& request);
 
 generated::BranchChange ToWire(const protocol::BranchChange& change);
-protocol::BranchChange FromWire(const generated::BranchChange& change);
+protocol::BranchChange FromWire(generated::BranchChange change);
 
 generated::EndpointUpdate ToWire(const protocol::EndpointUpdate& update);
 protocol::EndpointUpdate FromWire(const generated::EndpointUpdate& update);
@@ -94,7 +94,7 @@
 protocol::SuspectUpdate FromWire(const generated::SuspectUpdate& update);
 
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change);
-protocol::ChangeSettings FromWire(const generated::ChangeSettings& change);
+protocol::ChangeSettings FromWire(generated::ChangeSettings change);
 
 generated::ClaimRecord ToWire(const protocol::ClaimRecord& record);
 Result<protocol::ClaimRecord> FromWire(const generated::ClaimRecord& record);
--- a/source/core/wire/convert_command.cc
+++ b/source/core/wire/convert_command.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "core/wire/convert.h"
 #include "core/wire/thrift_buffer.h"
 
@@ -10,8 +12,8 @@
   return out;
 }
 
-protocol::BranchChange FromWire(const generated::BranchChange& change) {
-  return {change.branch, change.entries};
+protocol::BranchChange FromWire(generated::BranchChange change) {
+  return {std::move(change.branch), std::move(change.entries)};
 }
 
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change) {
@@ -28,12 +30,13 @@
     step.next_version = static_cast<std::int64_t>(change.version_step->next);
     out.__set_version_step(step);
   }
+  out.changes.reserve(change.changes.size());
   for (const auto& branch : change.changes)
     out.changes.push_back(ToWire(branch));
   return out;
 }
 
-protocol::ChangeSettings FromWire(const generated::ChangeSettings& change) {
+protocol::ChangeSettings FromWire(generated::ChangeSettings change) {
   protocol::ChangeSettings out;
   out.operator_name = change.operator_name;
   out.idempotency_key = change.idempotency_key;
@@ -46,8 +49,9 @@
         static_cast<std::uint64_t>(change.version_step.base_version),
         static_cast<std::uint64_t>(change.version_step.next_version)};
   }
-  for (const auto& branch : change.changes)
-    out.changes.push_back(FromWire(branch));
+  out.changes.reserve(change.changes.size());
+  for (generated::BranchChange& branch : change.changes)
+    out.changes.push_back(FromWire(std::move(branch)));
   return out;
 }
 
--- a/source/core/wire/convert_settings.cc
+++ b/source/core/wire/convert_settings.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "core/wire/convert.h"
 
 namespace jacinth::wire {
@@ -8,19 +10,21 @@
   out.text = update.text;
   out.checksum = static_cast<std::int64_t>(update.checksum);
   out.base_revision = static_cast<std::int64_t>(update.base_revision);
+  out.changes.reserve(update.changes.size());
   for (const protocol::BranchChange& change : update.changes)
     out.changes.push_back(ToWire(change));
   return out;
 }
 
-protocol::SettingsUpdate FromWire(const generated::SettingsUpdate& update) {
+protocol::SettingsUpdate FromWire(generated::SettingsUpdate update) {
   protocol::SettingsUpdate out;
   out.revision = static_cast<std::uint64_t>(update.revision);
-  out.text = update.text;
+  out.text = std::move(update.text);
   out.checksum = static_cast<std::uint64_t>(update.checksum);
   out.base_revision = static_cast<std::uint64_t>(update.base_revision);
-  for (const generated::BranchChange& change : update.changes)
-    out.changes.push_back(FromWire(change));
+  out.changes.reserve(update.changes.size());
+  for (generated::BranchChange& change : update.changes)
+    out.changes.push_back(FromWire(std::move(change)));
   return out;
 }
 
--- a/source/core/wire/settings_packing.cc
+++ b/source/core/wire/settings_packing.cc
@@ -1,5 +1,7 @@
 #include "core/wire/settings_packing.h"
 
+#include <utility>
+
 #include "core/wire/compression.h"
 #include "core/wire/convert.h"
 #include "core/wire/thrift_buffer.h"
@@ -20,10 +22,10 @@
   const auto bytes = Decompress(wrapper->compressed, wrapper->unpacked_bytes);
   if (!bytes)
     return tl::unexpected(bytes.error());
-  const auto update = Deserialize<generated::SettingsUpdate>(*bytes);
+  auto update = Deserialize<generated::SettingsUpdate>(*bytes);
   if (!update)
     return tl::unexpected(update.error());
-  return FromWire(*update);
+  return FromWire(std::move(*update));
 }
 
 }  // namespace jacinth::wire
--- a/source/core/wire/thrift_buffer.h
+++ b/source/core/wire/thrift_buffer.h
@@ -16,11 +16,15 @@
 /// Decoders reject any other version.
 inline constexpr std::int32_t kWireVersion = 1;
 
+/// The compact protocol without virtual calls to the transport.
+using MemoryProtocol = apache::thrift::protocol::TCompactProtocolT<
+    apache::thrift::transport::TMemoryBuffer>;
+
 /// Serializes a generated struct with the compact protocol.
 template <typename Generated>
 std::string Serialize(const Generated& value) {
   auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-  apache::thrift::protocol::TCompactProtocol protocol(buffer);
+  MemoryProtocol protocol(buffer);
   value.write(&protocol);
   return buffer->getBufferAsString();
 }
@@ -36,7 +40,7 @@
   try {
     auto buffer = std::make_shared<TMemoryBuffer>(
         data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    MemoryProtocol protocol(buffer);
     Generated value;
     value.read(&protocol);
     return value;
