--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -65,8 +65,8 @@
   control::ControlOptions options;
   options.replica.id = protocol::MakeReplicaId(
       machine.instance, std::to_string(machine.incarnation));
-  options.replica.election_timeout = kElectionTimeout;
-  options.replica.heartbeat = kHeartbeat;
+  options.replica.election_timeout = layout_.election_timeout;
+  options.replica.heartbeat = layout_.heartbeat;
   for (std::size_t i = 0; i < layout_.contacts; ++i)
     options.contacts.push_back(machines_[i].instance);
   if (layout_.target_voters != 0) {
@@ -240,6 +240,8 @@
         on_entry_message(entry, broadcast.envelope);
     }
   }
+  if (actions.list_endpoints && on_list_endpoints)
+    on_list_endpoints(machine_index);
   for (const control::AdminReply& reply : actions.replies) {
     if (on_admin_reply)
       on_admin_reply(reply);
--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -25,9 +25,15 @@
   using EntryHandler =
       std::function<void(const std::string& entry, const protocol::Envelope&)>;
   using ReplyHandler = std::function<void(const control::AdminReply&)>;
+  /// Called when a node wants the platform's endpoint list to be read now.
+  using ListHandler = std::function<void(std::size_t machine)>;
   /// Called after every step of a node, to check invariants.
   using Check = std::function<void(ControlCluster&)>;
 
+  static constexpr Duration kElectionTimeout = 200ms;
+  static constexpr Duration kHeartbeat = 20ms;
+  static constexpr Duration kReplaceAfter = 600ms;
+
   /// Number of machines and membership of the group.
   struct Layout {
     std::size_t machines = 3;
@@ -37,6 +43,8 @@
     /// Number of voters up to which the group grows; 0 for a fixed group of the
     /// contacts.
     std::size_t target_voters = 0;
+    Duration election_timeout = kElectionTimeout;
+    Duration heartbeat = kHeartbeat;
   };
 
   explicit ControlCluster(std::uint64_t seed);
@@ -44,6 +52,7 @@
 
   EntryHandler on_entry_message;
   ReplyHandler on_admin_reply;
+  ListHandler on_list_endpoints;
   Check check;
 
   /// Shares of messages that are lost and that are duplicated.
@@ -95,10 +104,6 @@
     return machines_[machine].instance;
   }
 
-  static constexpr Duration kElectionTimeout = 200ms;
-  static constexpr Duration kHeartbeat = 20ms;
-  static constexpr Duration kReplaceAfter = 600ms;
-
  private:
   struct PendingWrite {
     consensus::WriteRequest request;
