Control, entry: Let replicas tell entries of drains while the leader doesn't answer

What callers saw: an entry learned that an endpoint leaves only from a leader.

Cause: the promise on drains rested on one instance, and what entries do without it (reading the list themselves) takes up to 18 s in a fleet of 185, since all share the platform's limit of calls.

That a process drains is final, whoever reads it. An entry whose heartbeat the leader leaves unanswered now sends the next one to two other replicas as well, with a digest of its endpoints. A replica that hears from no leader reads the list, at most every 500 ms, and tells those that ask which of their endpoints drain. Replicas that hear from the leader read nothing. The field is optional; earlier builds ignore it.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -21,6 +21,7 @@
 #include "core/control/rate_share_allocator.h"
 #include "core/control/settings_sender.h"
 #include "core/control/slice_assignment.h"
+#include "core/control/standby_list.h"
 #include "core/quarantine/suspect_registry.h"
 
 namespace jacinth::control {
@@ -121,6 +122,9 @@
                    const protocol::Heartbeat& heartbeat,
                    ClockReading clock);
   void AnswerSeekers(Time now);
+  void ReadListForEntry(const protocol::Heartbeat& heartbeat, Time now);
+  void TellStandbyList(const std::vector<protocol::ListedEndpoint>& list,
+                       Time now);
   void OnClaim(const std::string& from,
                const protocol::ClaimRequest& request,
                ClockReading clock);
@@ -215,6 +219,8 @@
   ControlState state_;
   EntryRegistry registry_;
   EndpointCatalog catalog_;
+  /// Used while this replica keeps no lists for entries.
+  StandbyList standby_list_;
   SettingsSender settings_sender_;
   SliceAssignment slices_;
   RateShareAllocator rate_shares_;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -14,6 +14,9 @@
 /// they are remembered.
 constexpr std::size_t kMaxSeekers = 1'024;
 constexpr Duration kSeekerMemory = 1s;
+/// Heartbeats of the leader that a replica may miss before it reads the list
+/// for entries.
+constexpr int kMaxMissedHeartbeats = 3;
 
 }  // namespace
 
@@ -28,9 +31,12 @@
     reply.sequence = heartbeat.sequence;
     reply.leader_hint = LeaderInstance();
     reply.replicas = ReplicaInstances();
+    reply.drains =
+        standby_list_.DrainsFor(heartbeat.endpoint_digest.value_or(""));
     if (reply.leader_hint.empty() && seekers_.size() < kMaxSeekers)
       seekers_[from] = clock.now;
     SendToEntry(from, reply);
+    ReadListForEntry(heartbeat, clock.now);
     return;
   }
   protocol::HeartbeatReply reply = MakeReply();
@@ -64,6 +70,43 @@
     PushLists(clock);
 }
 
+// Reads the platform's list for an entry that asks this replica, unless it
+// hears from a leader, which does that.
+void ControlNode::ReadListForEntry(const protocol::Heartbeat& heartbeat,
+                                   Time now) {
+  if (!replica_ || storage_failed_ || ServesLists(now))
+    return;
+  const Duration silence = now - replica_->last_leader_contact();
+  const bool hears_leader =
+      replica_->role() == ReplicaRole::kFollower &&
+      silence < kMaxMissedHeartbeats * options_.replica.heartbeat;
+  if (hears_leader)
+    return;
+  standby_list_.OnAsked(heartbeat.status.id,
+                        heartbeat.endpoint_digest.value_or(""), now);
+  actions_.list_endpoints |= standby_list_.TakeReading(now);
+}
+
+// Tells the entries that ask this replica which endpoints drain.
+void ControlNode::TellStandbyList(
+    const std::vector<protocol::ListedEndpoint>& list,
+    Time now) {
+  standby_list_.ApplyListing(list);
+  std::size_t told = 0;
+  for (const auto& [entry, digest] : standby_list_.Askers(now)) {
+    protocol::HeartbeatReply reply;
+    reply.leader_hint = LeaderInstance();
+    reply.drains = standby_list_.DrainsFor(digest);
+    if (reply.drains.empty())
+      continue;
+    ++told;
+    SendToEntry(entry, std::move(reply));
+  }
+  LogEvent("standby_list_read")
+      .With("endpoints", list.size())
+      .With("entries_told", told);
+}
+
 // Tells the entries that asked in vain who leads now, so that a fleet without a
 // leader finds the next one as soon as it is elected.
 void ControlNode::AnswerSeekers(Time now) {
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -17,8 +17,7 @@
 
 void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
   if (!ServesLists(clock.now)) {
-    LogEvent("endpoint_listing_dropped")
-        .With("endpoints", event.endpoints.size());
+    TellStandbyList(event.endpoints, clock.now);
     return;
   }
   ResetListsForTerm(clock);
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -1,6 +1,7 @@
 #include "core/entry/control_session.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/common/hash.h"
@@ -36,6 +37,8 @@
 constexpr int kMaxIntervalDivisor = 4;
 /// Number of contacts that are asked at once for the leader.
 constexpr std::size_t kMaxAskedContacts = 5;
+/// Number of contacts that are asked beside a leader that has not answered.
+constexpr std::size_t kOtherContacts = 2;
 /// Minimum time between a heartbeat and the next one to a leader that a contact
 /// has named.
 constexpr Duration kHintDelay = 100ms;
@@ -85,7 +88,7 @@
     AddContact(replica);
   if (!reply.leader) {
     OnLeaderHint(reply.leader_hint, now);
-    return false;
+    return ApplyDrains(reply.drains);
   }
   const auto sent = FindSendTime(reply.sequence);
   const bool confirmed = sent && now < *sent + timeout_;
@@ -182,15 +185,28 @@
   std::vector<std::string> asked;
   if (!hinted_leader_.empty())
     asked.push_back(std::exchange(hinted_leader_, ""));
+  TakeContacts(kMaxAskedContacts, asked);
+  return asked;
+}
+
+std::vector<std::string> ControlSession::TakeOtherContacts() {
+  std::vector<std::string> asked = {leader_};
+  TakeContacts(1 + kOtherContacts, asked);
+  asked.erase(asked.begin());
+  return asked;
+}
+
+// Adds contacts until there are `count`, or all.
+void ControlSession::TakeContacts(std::size_t count,
+                                  std::vector<std::string>& asked) {
   // Entries begin at different contacts.
   if (next_contact_ == 0)
     next_contact_ = Hash64(self_.id);
-  while (asked.size() < kMaxAskedContacts) {
+  for (std::size_t i = 0; i < contacts_.size() && asked.size() < count; ++i) {
     const std::string& contact = contacts_[next_contact_++ % contacts_.size()];
     if (std::find(asked.begin(), asked.end(), contact) == asked.end())
       asked.push_back(contact);
   }
-  return asked;
 }
 
 bool ControlSession::IsSearching(Time now) const {
@@ -199,6 +215,14 @@
                    kMaxUnansweredHeartbeats * HeartbeatInterval();
 }
 
+bool ControlSession::MissesReply(Time now) const {
+  if (sent_.size() < 2)
+    return false;
+  const SentHeartbeat& previous = *std::prev(sent_.end(), 2);
+  return previous.sequence > answered_sequence_ &&
+         now >= previous.sent + HeartbeatInterval() / 2;
+}
+
 void ControlSession::SetContacts(std::vector<std::string> contacts) {
   contacts_ = std::move(contacts);
 }
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -40,10 +40,20 @@
   /// the next one must go to all contacts.
   bool IsSearching(Time now) const;
 
+  /// Returns true if the leader has had time to answer the heartbeat before the
+  /// last one and hasn't, so that others are asked what they know.
+  bool MissesReply(Time now) const;
+
   /// Returns the instances to send a heartbeat to while the leader is unknown:
   /// the one that another named as the leader, and some of the contacts, others
   /// each time.
   std::vector<std::string> TakeAskedContacts();
+
+  /// Adds a digest of endpoints() to a heartbeat, for replicas that don't lead.
+  void AddEndpointDigest(protocol::Heartbeat& heartbeat) const;
+
+  /// Returns some contacts beside the leader, others each time.
+  std::vector<std::string> TakeOtherContacts();
   void SetContacts(std::vector<std::string> contacts);
 
   /// Endpoints of the platform's list by id.
@@ -124,6 +134,8 @@
   int MemberCount() const;
   void AddContact(const std::string& instance);
   bool SetEndpoint(const protocol::ListedEndpoint& endpoint, Time now);
+  bool ApplyDrains(const std::vector<protocol::DrainReport>& drains);
+  void TakeContacts(std::size_t count, std::vector<std::string>& asked);
   void RemoveUnlisted(const std::set<std::string>& listed_ids,
                       const std::optional<std::vector<int>>& parts);
   bool ApplyMembers(const protocol::MemberList& update);
--- a/source/core/entry/control_session_lists.cc
+++ b/source/core/entry/control_session_lists.cc
@@ -21,20 +21,25 @@
     return version == 0 ||
            (leader_term_ != 0 && version >> kTermShift != leader_term_);
   };
-  if (is_foreign(endpoints_version_)) {
-    protocol::TableDigest digest = protocol::MakeEndpointDigest();
-    for (const auto& [id, endpoint] : endpoints_) {
-      digest.Add(protocol::EndpointPart(id),
-                 protocol::EndpointItemHash(endpoint));
-    }
-    heartbeat.endpoint_digest = digest.ToBytes();
-  }
+  if (is_foreign(endpoints_version_))
+    AddEndpointDigest(heartbeat);
   if (is_foreign(slices_.version())) {
     heartbeat.slice_digest = slices_.TellDigest();
     told_slices_with_ = heartbeat.sequence;
   }
 }
 
+void ControlSession::AddEndpointDigest(Heartbeat& heartbeat) const {
+  if (heartbeat.endpoint_digest)
+    return;
+  protocol::TableDigest digest = protocol::MakeEndpointDigest();
+  for (const auto& [id, endpoint] : endpoints_) {
+    digest.Add(protocol::EndpointPart(id),
+               protocol::EndpointItemHash(endpoint));
+  }
+  heartbeat.endpoint_digest = digest.ToBytes();
+}
+
 bool ControlSession::ApplyMembers(const protocol::MemberList& update) {
   if (update.version <= members_.version)
     return false;
@@ -124,6 +129,29 @@
   return true;
 }
 
+// Marks the listed processes of endpoints as draining, whoever has read that: a
+// process never leaves this state. Returns true if that is new for any.
+bool ControlSession::ApplyDrains(
+    const std::vector<protocol::DrainReport>& drains) {
+  bool changed = false;
+  for (const protocol::DrainReport& report : drains) {
+    const auto found = endpoints_.find(report.endpoint);
+    if (found == endpoints_.end() || report.started_ms == 0)
+      continue;
+    protocol::ListedEndpoint& endpoint = found->second;
+    const bool is_new = endpoint.started_ms == report.started_ms &&
+                        endpoint.address == report.address &&
+                        !endpoint.draining;
+    if (!is_new)
+      continue;
+    endpoint.draining = true;
+    changed = true;
+  }
+  if (changed)
+    ++endpoint_changes_;
+  return changed;
+}
+
 bool ControlSession::ApplyEndpointUpdate(const protocol::EndpointUpdate& update,
                                          Time now) {
   if (update.version == 0 || update.version <= endpoints_version_)
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -129,12 +129,20 @@
 }
 
 void EntryNode::SendHeartbeat(const protocol::Heartbeat& heartbeat, Time now) {
-  if (!session_.IsSearching(now)) {
+  const bool is_searching = session_.IsSearching(now);
+  if (!is_searching)
     actions_.messages.push_back({session_.leader(), heartbeat});
+  if (!is_searching && !session_.MissesReply(now))
     return;
+  protocol::Heartbeat question = heartbeat;
+  session_.AddEndpointDigest(question);
+  if (!is_searching) {
+    question.claims.clear();
+    question.uses.clear();
   }
-  for (const std::string& contact : session_.TakeAskedContacts())
-    actions_.messages.push_back({contact, heartbeat});
+  for (const std::string& contact : is_searching ? session_.TakeAskedContacts()
+                                                 : session_.TakeOtherContacts())
+    actions_.messages.push_back({contact, question});
 }
 
 // Reads the endpoint list from the platform while the control role provides no
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -117,6 +117,9 @@
   /// Term of the leader that sends the message; 0 if the sender does not lead
   /// or is of a build that does not tell.
   std::uint64_t term = 0;
+  /// Endpoints that drain, as far as a replica knows that does not lead but has
+  /// read the platform's list. Builds that don't know the field leave it empty.
+  std::vector<DrainReport> drains;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -51,6 +51,24 @@
   return out;
 }
 
+std::vector<generated::DrainReport> DrainsToWire(
+    const std::vector<protocol::DrainReport>& drains) {
+  std::vector<generated::DrainReport> out;
+  out.reserve(drains.size());
+  for (const protocol::DrainReport& report : drains)
+    out.push_back(ToWire(report));
+  return out;
+}
+
+std::vector<protocol::DrainReport> DrainsFromWire(
+    const std::vector<generated::DrainReport>& drains) {
+  std::vector<protocol::DrainReport> out;
+  out.reserve(drains.size());
+  for (const generated::DrainReport& report : drains)
+    out.push_back(FromWire(report));
+  return out;
+}
+
 }  // namespace
 
 generated::Heartbeat ToWire(const protocol::Heartbeat& heartbeat) {
@@ -77,11 +95,8 @@
   out.__isset.acquitted = !out.acquitted.empty();
   out.suspects_version = static_cast<std::int64_t>(heartbeat.suspects_version);
   out.__isset.suspects_version = out.suspects_version != 0;
-  std::vector<generated::DrainReport> drains;
-  for (const protocol::DrainReport& report : heartbeat.drains)
-    drains.push_back(ToWire(report));
-  if (!drains.empty())
-    out.__set_drains(drains);
+  if (!heartbeat.drains.empty())
+    out.__set_drains(DrainsToWire(heartbeat.drains));
   if (heartbeat.takes_changes)
     out.__set_takes_changes(true);
   if (heartbeat.endpoint_digest)
@@ -117,10 +132,8 @@
     out.crashes.push_back(FromWire(report));
   out.acquitted.assign(heartbeat.acquitted.begin(), heartbeat.acquitted.end());
   out.suspects_version = static_cast<std::uint64_t>(heartbeat.suspects_version);
-  if (heartbeat.__isset.drains) {
-    for (const generated::DrainReport& report : heartbeat.drains)
-      out.drains.push_back(FromWire(report));
-  }
+  if (heartbeat.__isset.drains)
+    out.drains = DrainsFromWire(heartbeat.drains);
   out.takes_changes = heartbeat.takes_changes;
   if (heartbeat.__isset.endpoint_digest)
     out.endpoint_digest = heartbeat.endpoint_digest;
@@ -153,6 +166,8 @@
     out.__set_suspects(ToWire(reply.suspects));
   if (reply.term != 0)
     out.__set_term(static_cast<std::int64_t>(reply.term));
+  if (!reply.drains.empty())
+    out.__set_drains(DrainsToWire(reply.drains));
   return out;
 }
 
@@ -178,6 +193,8 @@
   if (reply.__isset.suspects)
     out.suspects = FromWire(reply.suspects);
   out.term = static_cast<std::uint64_t>(reply.term);
+  if (reply.__isset.drains)
+    out.drains = DrainsFromWire(reply.drains);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -93,7 +93,8 @@
   9: optional SliceUpdate slices, 10: optional RateShareUpdate rate_shares,
   11: optional SettingsPiece settings_piece,
   20: optional SuspectUpdate suspects,
-  40: optional i64 term
+  40: optional i64 term,
+  50: optional list<DrainReport> drains
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -181,13 +181,16 @@
   });
 }
 
+void ControlHost::ReadEndpointList() {
+  endpoint_lister_.Start(
+      [this](std::vector<protocol::ListedEndpoint> endpoints) {
+        Step(control::EndpointsListed{std::move(endpoints)});
+      });
+}
+
 void ControlHost::RefreshEndpointList() {
-  if (node_ && node_->Leads()) {
-    endpoint_lister_.Start(
-        [this](std::vector<protocol::ListedEndpoint> endpoints) {
-          Step(control::EndpointsListed{std::move(endpoints)});
-        });
-  }
+  if (node_ && node_->Leads())
+    ReadEndpointList();
   endpoint_list_timer_.expires_after(settings_.discovery_interval);
   endpoint_list_timer_.async_wait([this](asio::error_code error) {
     if (!error)
@@ -280,7 +283,7 @@
   for (const log::Record& record : actions.log_records)
     log::Write(record);
   if (actions.list_endpoints && !settings_.discovery_address.empty())
-    RefreshEndpointList();
+    ReadEndpointList();
   timer_.Schedule(actions.next_tick);
   if (actions.stopped && on_stopped_)
     std::exchange(on_stopped_, nullptr)();
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -66,6 +66,7 @@
   Result<void> StartOperatorServer();
   void OnStorageFailure(const Error& error);
   void ReopenDataFolder();
+  void ReadEndpointList();
   void RefreshEndpointList();
   void Step(const control::ControlEvent& event);
   void CarryOut(control::ControlActions actions);
--- /dev/null
+++ b/source/unit_tests/control/standby_list_test.cc
@@ -0,0 +1,67 @@
+#include "core/control/standby_list.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+namespace jacinth::control {
+namespace {
+
+constexpr Time kNow{1000s};
+
+std::vector<protocol::ListedEndpoint> MakeList(int draining) {
+  std::vector<protocol::ListedEndpoint> list;
+  for (int i = 0; i < 900; ++i) {
+    protocol::ListedEndpoint endpoint;
+    endpoint.id = "i-" + std::to_string(i);
+    endpoint.started_ms = 1;
+    endpoint.address = "10.0.0.1:" + std::to_string(i);
+    endpoint.draining = i < draining;
+    list.push_back(std::move(endpoint));
+  }
+  return list;
+}
+
+std::string DigestOf(const std::vector<protocol::ListedEndpoint>& list) {
+  protocol::TableDigest digest = protocol::MakeEndpointDigest();
+  for (const protocol::ListedEndpoint& endpoint : list) {
+    digest.Add(protocol::EndpointPart(endpoint.id),
+               protocol::EndpointItemHash(endpoint));
+  }
+  return digest.ToBytes();
+}
+
+}  // namespace
+
+// Guards against links of entries that are filled with what these know.
+TEST_CASE("An entry is told of the drains that its list lacks") {
+  StandbyList standby;
+  standby.ApplyListing(MakeList(400));
+  CHECK(standby.DrainsFor(DigestOf(MakeList(400))).empty());
+  CHECK(standby.DrainsFor("").size() == 400);
+  const auto drains = standby.DrainsFor(DigestOf(MakeList(399)));
+  const protocol::DrainReport lacking{"i-399", "10.0.0.1:399", 1};
+  CHECK(std::count(drains.begin(), drains.end(), lacking) == 1);
+  CHECK(drains.size() < 30);
+}
+
+TEST_CASE("An endpoint of unknown start time is not reported to drain") {
+  StandbyList standby;
+  auto list = MakeList(1);
+  list[0].started_ms = 0;
+  standby.ApplyListing(list);
+  CHECK(standby.DrainsFor("").empty());
+}
+
+TEST_CASE("Entries that asked long ago are told no more") {
+  StandbyList standby;
+  standby.OnAsked("e1", "", kNow);
+  standby.OnAsked("e2", "", kNow + 2s);
+  CHECK(standby.Askers(kNow + 2s).size() == 2);
+  CHECK(standby.Askers(kNow + 3s).size() == 1);
+  CHECK(standby.TakeReading(kNow));
+  CHECK_FALSE(standby.TakeReading(kNow + 400ms));
+  CHECK(standby.TakeReading(kNow + 500ms));
+}
+
+}  // namespace jacinth::control
