--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -401,6 +401,7 @@
 std::optional<BranchScope> FindBranchScope(std::string_view branch) {
   static const auto kPatterns = [] {
     std::vector<std::pair<std::vector<std::string>, BranchScope>> patterns;
+    patterns.reserve(std::size(kScopePatterns));
     for (const ScopePatternEntry& entry : kScopePatterns)
       patterns.emplace_back(Split(entry.pattern, '/'), entry.scope);
     return patterns;
--- a/source/core/wire/convert.h
+++ b/source/core/wire/convert.h
@@ -11,7 +11,9 @@
 
 /// Conversions between the plain structs of core/protocol and the generated
 /// structs. Overloads of FromWire that return a Result fail with kCorruptData
-/// if a number is not a value of its enumeration.
+/// if a number is not a value of its enumeration. Those that take an rvalue
+/// move the text out of it: the generated structs themselves can only be
+/// copied.
 
 generated::LogEntry ToWire(const protocol::LogEntry& entry);
 Result<protocol::LogEntry> FromWire(const generated::LogEntry& entry);
@@ -32,7 +34,7 @@
 protocol::HeartbeatReply FromWire(const generated::HeartbeatReply& reply);
 
 generated::SettingsUpdate ToWire(const protocol::SettingsUpdate& update);
-protocol::SettingsUpdate FromWire(generated::SettingsUpdate update);
+protocol::SettingsUpdate FromWire(generated::SettingsUpdate&& update);
 
 generated::SettingsPosition ToWire(const protocol::SettingsPosition& position);
 protocol::SettingsPosition FromWire(
@@ -58,7 +60,7 @@
     const generated::FinishRequest& request);
 
 generated::BranchChange ToWire(const protocol::BranchChange& change);
-protocol::BranchChange FromWire(generated::BranchChange change);
+protocol::BranchChange FromWire(generated::BranchChange&& change);
 
 generated::EndpointUpdate ToWire(const protocol::EndpointUpdate& update);
 protocol::EndpointUpdate FromWire(const generated::EndpointUpdate& update);
@@ -94,7 +96,7 @@
 protocol::SuspectUpdate FromWire(const generated::SuspectUpdate& update);
 
 generated::ChangeSettings ToWire(const protocol::ChangeSettings& change);
-protocol::ChangeSettings FromWire(generated::ChangeSettings change);
+protocol::ChangeSettings FromWire(generated::ChangeSettings&& change);
 
 generated::ClaimRecord ToWire(const protocol::ClaimRecord& record);
 Result<protocol::ClaimRecord> FromWire(const generated::ClaimRecord& record);
--- a/source/core/wire/convert_command.cc
+++ b/source/core/wire/convert_command.cc
@@ -12,7 +12,7 @@
   return out;
 }
 
-protocol::BranchChange FromWire(generated::BranchChange change) {
+protocol::BranchChange FromWire(generated::BranchChange&& change) {
   return {std::move(change.branch), std::move(change.entries)};
 }
 
@@ -36,7 +36,7 @@
   return out;
 }
 
-protocol::ChangeSettings FromWire(generated::ChangeSettings change) {
+protocol::ChangeSettings FromWire(generated::ChangeSettings&& change) {
   protocol::ChangeSettings out;
   out.operator_name = change.operator_name;
   out.idempotency_key = change.idempotency_key;
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -178,7 +178,7 @@
   out.leader_hint = reply.leader_hint;
   out.revision = static_cast<std::uint64_t>(reply.revision);
   if (reply.__isset.update)
-    out.update = FromWire(reply.update);
+    out.update = FromWire(generated::SettingsUpdate(reply.update));
   if (reply.__isset.members)
     out.members = MembersFromWire(reply.members);
   if (reply.__isset.endpoints)
--- a/source/core/wire/convert_settings.cc
+++ b/source/core/wire/convert_settings.cc
@@ -16,7 +16,7 @@
   return out;
 }
 
-protocol::SettingsUpdate FromWire(generated::SettingsUpdate update) {
+protocol::SettingsUpdate FromWire(generated::SettingsUpdate&& update) {
   protocol::SettingsUpdate out;
   out.revision = static_cast<std::uint64_t>(update.revision);
   out.text = std::move(update.text);
