Control: Log operators' calls, proposals and what makes a tick late

Adds operator_call, change_proposed and tick_was_late, and splits step_was_slow into deciding and doing. No decision changes.

--- a/source/core/control/control_event.cc
+++ b/source/core/control/control_event.cc
@@ -16,7 +16,11 @@
 }  // namespace
 
 std::string_view ControlEventName(const ControlEvent& event) {
-  return kNames.at(event.index());
+  return ControlEventName(event.index());
+}
+
+std::string_view ControlEventName(std::size_t index) {
+  return kNames.at(index);
 }
 
 }  // namespace jacinth::control
--- a/source/core/control/control_event.h
+++ b/source/core/control/control_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -81,5 +82,7 @@
 
 /// Returns the name of an event's type for log records.
 std::string_view ControlEventName(const ControlEvent& event);
+/// The same by the type's index in ControlEvent.
+std::string_view ControlEventName(std::size_t index);
 
 }  // namespace jacinth::control
--- a/source/core/control/control_node_admin.cc
+++ b/source/core/control/control_node_admin.cc
@@ -57,7 +57,13 @@
   if (!ProposeCommand(PendingChange{event.ticket}, event.change, clock)) {
     Refuse(event.ticket, ErrorKind::kNotLeader,
            "this replica could not propose the change; send it to the leader");
+    return;
   }
+  LogEvent("change_proposed")
+      .With("ticket", event.ticket)
+      .With("index", replica_->last_index())
+      .With("has_lease", HasLeaderLease(clock.now))
+      .With("term", replica_->term());
 }
 
 void ControlNode::On(const ViewRequested& event, ClockReading clock) {
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -8,6 +8,7 @@
 
 #include "core/common/process_clock.h"
 #include "core/log/log.h"
+#include "jacinthroute/logged_transaction.h"
 
 namespace jacinth {
 namespace {
@@ -25,9 +26,6 @@
 /// an election, and shorter than the time within which a lost replica must be
 /// replaced.
 constexpr Duration kReplaceAfter = 2500ms;
-/// Duration from which the handling of an event is logged: while it lasts, this
-/// replica sends no heartbeats.
-constexpr Duration kSlowStep = 100ms;
 
 std::vector<std::string> FailureDomains(
     const settings::InstanceSettings& settings) {
@@ -119,7 +117,8 @@
     operator_server_ = std::make_unique<http::EventServer>(
         context_,
         [this](const std::shared_ptr<http::Transaction>& transaction) {
-          operator_interface_->Handle(transaction);
+          operator_interface_->Handle(std::make_shared<LoggedTransaction>(
+              transaction, MonotonicNow()));
         });
     http::EventServerLimits limits;
     limits.max_body_bytes = kMaxAdminBodyBytes;
@@ -239,19 +238,22 @@
 void ControlHost::Step(const control::ControlEvent& event) {
   if (!node_)
     return;
-  const Time start = MonotonicNow();
-  CarryOut(node_->Step(event, ReadClocks()));
-  const Duration took = MonotonicNow() - start;
-  if (took < kSlowStep)
-    return;
-  log::Record record{
-      log::Level::kInfo, log::Category::kControl, "step_was_slow", {}};
-  record.With("step", control::ControlEventName(event))
-      .With("took_ms", ToMillis(took));
-  log::Write(record);
+  const ClockReading clock = ReadClocks();
+  if (std::holds_alternative<control::Tick>(event)) {
+    if (const auto record = monitor_.OnTick(tick_due_, clock.now))
+      log::Write(*record);
+  }
+  control::ControlActions actions = node_->Step(event, clock);
+  const Time decided = MonotonicNow();
+  tick_due_ = actions.next_tick;
+  CarryOut(actions);
+  const auto record =
+      monitor_.OnStep(event, actions, clock.now, decided, MonotonicNow());
+  if (record)
+    log::Write(*record);
 }
 
-void ControlHost::CarryOut(control::ControlActions actions) {
+void ControlHost::CarryOut(control::ControlActions& actions) {
   for (consensus::WriteRequest& write : actions.writes)
     writer_->Add(std::move(write));
   for (const control::OutgoingMessage& message : actions.messages)
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -22,6 +22,7 @@
 #include "core/trace/span_writer.h"
 #include "jacinthroute/endpoint_lister.h"
 #include "jacinthroute/interface_components.h"
+#include "jacinthroute/step_monitor.h"
 #include "jacinthroute/storage_writer.h"
 #include "jacinthroute/tick_timer.h"
 
@@ -69,7 +70,8 @@
   void ReadEndpointList();
   void RefreshEndpointList();
   void Step(const control::ControlEvent& event);
-  void CarryOut(control::ControlActions actions);
+  // Moves the writes and replies out of `actions`.
+  void CarryOut(control::ControlActions& actions);
   // Opens the data folder and the log store, and loads the stored state into
   // `start`.
   Result<storage::LogStore> OpenStore(consensus::ReplicaStart& start);
@@ -88,6 +90,9 @@
   metrics::Registry& metrics_;
   trace::SpanWriter& spans_;
   TickTimer timer_;
+  StepMonitor monitor_;
+  /// Time at which the next tick is due.
+  Time tick_due_ = Time::max();
   std::optional<storage::DataFolder> folder_;
   std::optional<control::ControlNode> node_;
   std::unique_ptr<StorageWriter> writer_;
