--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -117,8 +117,8 @@
     operator_server_ = std::make_unique<http::EventServer>(
         context_,
         [this](const std::shared_ptr<http::Transaction>& transaction) {
-          operator_interface_->Handle(std::make_shared<LoggedTransaction>(
-              transaction, MonotonicNow()));
+          operator_interface_->Handle(
+              std::make_shared<LoggedTransaction>(transaction, MonotonicNow()));
         });
     http::EventServerLimits limits;
     limits.max_body_bytes = kMaxAdminBodyBytes;
