Control: Let operators' calls wait for the next leader

Cause: a call that can't be served at this moment was treated as one that can't be served. Now a replica keeps a call for up to 0.7 s, less than the second after which operators move on, until it leads, holds its lease again or hears another leader, to which it redirects. It redirects to a leader only if it has heard from it within three heartbeats. A change that a former leader has proposed waits likewise: it is answered if it is committed after all, or goes to the next leader. At most 32 calls wait. Replicas whose storage has failed refuse at once, as before.

Evidence: operator_call_test. Three of its four tests fail on the code before (checked by taking the change out: the change between two leaders, the change that goes to the next leader, the read).

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -58,6 +58,10 @@
                                  ClockReading clock) {
   std::visit([&](const auto& body) { On(body, clock); }, event);
   ProcessReplicaActions(clock);
+  if (HasWaitingCalls()) {
+    ServeWaitingCalls(clock);
+    ProcessReplicaActions(clock);
+  }
   AnswerSeekers(clock.now);
   LogStateChanges(clock.now);
   actions_.next_tick = clock.now + kAdmissionInterval;
@@ -90,12 +94,12 @@
     replica_->OnSynced(event.id, clock.now);
 }
 
-void ControlNode::On(const StorageFailed& /*event*/, ClockReading /*clock*/) {
+void ControlNode::On(const StorageFailed& /*event*/, ClockReading clock) {
   storage_failed_ = true;
   deferred_messages_.clear();
   if (replica_)
     replica_->OnStorageFailure();
-  AbandonProposals();
+  AbandonProposals(/*keep_changes=*/false, clock.now);
 }
 
 void ControlNode::On(const Tick& /*event*/, ClockReading clock) {
@@ -110,7 +114,8 @@
     replica_->OnTick(clock.now);
   TickLeader(clock);
   const bool is_leader = replica_ && replica_->role() == ReplicaRole::kLeader;
-  if (stop_deadline_ && (!is_leader || clock.now >= *stop_deadline_))
+  const bool is_done = !is_leader && !HasWaitingCalls();
+  if (stop_deadline_ && (is_done || clock.now >= *stop_deadline_))
     actions_.stopped = true;
 }
 
@@ -125,7 +130,7 @@
 void ControlNode::TickLeader(ClockReading clock) {
   const bool is_leader = replica_ && replica_->role() == ReplicaRole::kLeader;
   if (!is_leader) {
-    AbandonProposals();
+    AbandonProposals(/*keep_changes=*/true, clock.now);
     return;
   }
   if (clock.now >= next_admission_) {
@@ -160,7 +165,7 @@
   if (replica_) {
     consensus::ReplicaActions replica_actions = replica_->TakeActions();
     if (replica_actions.restore) {
-      AbandonProposals();
+      AbandonProposals(/*keep_changes=*/true, clock.now);
       if (!state_.Load(replica_actions.restore->state))
         On(StorageFailed{}, clock);
     }
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -83,6 +83,9 @@
  private:
   struct PendingChange {
     AdminTicket ticket;
+    /// Time until which the change waits for its outcome if this replica no
+    /// longer leads.
+    Time deadline;
   };
   struct PendingClaim {
     std::string entry;
@@ -102,6 +105,14 @@
                                        PendingOwners,
                                        PendingSuspects>;
 
+  /// An operator's call that waits for a leader, or for this leader's lease.
+  struct WaitingCall {
+    std::variant<ChangeRequested, ViewRequested> call;
+    Time deadline;
+    /// True for a change that was found invalid while the lease had lapsed.
+    bool needs_lease = false;
+  };
+
   /// A message that must not be sent before the write `after` is synced.
   struct DeferredMessage {
     consensus::SyncId after;
@@ -143,7 +154,10 @@
   bool ProposeCommand(PendingProposal pending,
                       decltype(protocol::Command::body) body,
                       ClockReading clock);
-  void AbandonProposals();
+  // Forgets what this replica proposed as the leader, but for the changes whose
+  // outcome it may still learn. Without `keep_changes` it tells their callers
+  // that the outcome is unknown.
+  void AbandonProposals(bool keep_changes, Time now);
   void PushSettings(ClockReading clock);
 
   // Membership of the control group.
@@ -209,7 +223,16 @@
   // Administration calls.
   void On(const ChangeRequested& event, ClockReading clock);
   void On(const ViewRequested& event, ClockReading clock);
-  void Refuse(AdminTicket ticket, ErrorKind kind, std::string detail);
+  bool CanServe(const WaitingCall& waiting, Time now) const;
+  void ServeOrWait(WaitingCall waiting, ClockReading clock);
+  void ServeChange(const ChangeRequested& event,
+                   Time deadline,
+                   ClockReading clock);
+  void ServeWaitingCalls(ClockReading clock);
+  void ResolveAbandonedChanges(Time now);
+  bool HasWaitingCalls() const;
+  bool HearsOtherLeader(Time now) const;
+  void Refuse(AdminTicket ticket, ErrorKind kind, std::string detail, Time now);
   std::optional<Error> ValidateChange(const ChangeRequested& event) const;
   ControlView MakeView(Time now) const;
 
@@ -239,6 +262,7 @@
   std::uint64_t last_proposal_ = 0;
   /// By proposal id.
   std::map<std::uint64_t, PendingProposal> pending_proposals_;
+  std::vector<WaitingCall> waiting_calls_;
   std::uint64_t pushed_revision_ = 0;
   /// INI text of the settings tree at `tree_text_revision_`, and its Hash64.
   std::string tree_text_;
--- a/source/core/control/control_node_admin.cc
+++ b/source/core/control/control_node_admin.cc
@@ -26,12 +26,9 @@
 
 }  // namespace
 
-void ControlNode::On(const ChangeRequested& event, ClockReading clock) {
-  if (!Leads()) {
-    Refuse(event.ticket, ErrorKind::kNotLeader,
-           "this replica does not lead; send the change to the leader");
-    return;
-  }
+void ControlNode::ServeChange(const ChangeRequested& event,
+                              Time deadline,
+                              ClockReading clock) {
   if (const auto first = state_.FindResult(event.change)) {
     if (first->accepted) {
       actions_.replies.push_back(
@@ -39,24 +36,23 @@
       return;
     }
     Refuse(event.ticket, first->refusal,
-           "the operator has already used this Idempotency-Key");
+           "the operator has already used this Idempotency-Key", clock.now);
     return;
   }
   if (const auto error = ValidateChange(event)) {
-    // Only the log decides whether the state is current if the lease has lapsed
-    // while the change was read. A change that is valid needs no lease.
-    if (!HasLeaderLease(clock.now)) {
-      Refuse(event.ticket, ErrorKind::kNotLeader,
-             "the leader lease has lapsed, so the state that the change was "
-             "checked against may be outdated; send the change again");
-      return;
-    }
-    Refuse(event.ticket, error->kind, error->detail);
+    // The state that the change was checked against may be outdated if the
+    // lease has lapsed meanwhile. A change that is valid needs no lease.
+    if (!HasLeaderLease(clock.now))
+      ServeOrWait({event, deadline, /*needs_lease=*/true}, clock);
+    else
+      Refuse(event.ticket, error->kind, error->detail, clock.now);
     return;
   }
-  if (!ProposeCommand(PendingChange{event.ticket}, event.change, clock)) {
+  if (!ProposeCommand(PendingChange{event.ticket, deadline}, event.change,
+                      clock)) {
     Refuse(event.ticket, ErrorKind::kNotLeader,
-           "this replica could not propose the change; send it to the leader");
+           "this replica could not propose the change; send it to the leader",
+           clock.now);
     return;
   }
   LogEvent("change_proposed")
@@ -66,26 +62,17 @@
       .With("term", replica_->term());
 }
 
-void ControlNode::On(const ViewRequested& event, ClockReading clock) {
-  const bool is_current =
-      event.for_change ? Leads() : HasLeaderLease(clock.now);
-  if (!is_current && !event.allow_stale) {
-    Refuse(event.ticket, ErrorKind::kNotLeader,
-           "this replica does not hold the leader lease, so its state may be "
-           "outdated");
-    return;
-  }
-  actions_.replies.push_back({event.ticket, MakeView(clock.now)});
-}
-
 void ControlNode::Refuse(AdminTicket ticket,
                          ErrorKind kind,
-                         std::string detail) {
+                         std::string detail,
+                         Time now) {
   CallRefused refused;
   refused.error = {kind, std::move(detail)};
   LogRefusal(ticket, refused.error);
   refused.revision = state_.revision();
-  refused.leader = LeaderInstance();
+  // A redirect to a leader that is gone would cost the operator a time-out.
+  if (HearsOtherLeader(now))
+    refused.leader = LeaderInstance();
   actions_.replies.push_back({ticket, std::move(refused)});
 }
 
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -14,9 +14,6 @@
 /// they are remembered.
 constexpr std::size_t kMaxSeekers = 1'024;
 constexpr Duration kSeekerMemory = 1s;
-/// Heartbeats of the leader that a replica may miss before it reads the list
-/// for entries.
-constexpr int kMaxMissedHeartbeats = 3;
 
 }  // namespace
 
@@ -78,11 +75,7 @@
                                    Time now) {
   if (!replica_ || storage_failed_ || ServesLists(now))
     return;
-  const Duration silence = now - replica_->last_leader_contact();
-  const bool hears_leader =
-      replica_->role() == ReplicaRole::kFollower &&
-      silence < kMaxMissedHeartbeats * options_.replica.heartbeat;
-  if (hears_leader)
+  if (HearsOtherLeader(now))
     return;
   standby_list_.OnAsked(heartbeat.status.id,
                         heartbeat.endpoint_digest.value_or(""), now);
@@ -201,19 +194,6 @@
   return true;
 }
 
-void ControlNode::AbandonProposals() {
-  for (const auto& [proposal, pending] : pending_proposals_) {
-    const auto* change = std::get_if<PendingChange>(&pending);
-    if (change == nullptr)
-      continue;
-    // The next leader may still commit the change.
-    Refuse(change->ticket, ErrorKind::kOutcomeUnknown,
-           "the leader changed before the change was committed; send it again "
-           "with the same Idempotency-Key");
-  }
-  pending_proposals_.clear();
-}
-
 void ControlNode::PushSettings(ClockReading clock) {
   if (pushed_revision_ == state_.revision() || !Leads())
     return;
