Control: Handle the messages of entries in slices of time

The logs show its tick 141 to 340 ms late behind 150 to 250 heartbeats of entries, which take 1.5 ms each and were handled in the order of arrival, before the replies of the replicas that renew the lease.

Messages of entries now wait in a backlog that is handled 10 ms at a time; messages of replicas, ticks and operators' calls come in between.

--- /dev/null
+++ b/source/core/control/entry_backlog.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <utility>
+
+#include "core/common/time.h"
+#include "core/control/control_event.h"
+
+namespace jacinth::control {
+
+/// Messages of entries that wait for the control thread. They are handled in
+/// slices of time, so that messages of replicas, ticks and operators' calls,
+/// which come in between, wait for one slice at most, however many entries
+/// there are.
+class EntryBacklog {
+ public:
+  /// Time after which no further message is begun: a fraction of the interval
+  /// between the heartbeats of replicas.
+  static constexpr Duration kSlice = 10ms;
+  /// Messages that are kept. Entries send again what isn't answered.
+  static constexpr std::size_t kMaxMessages = 4'096;
+
+  /// Adds a message. Returns false if the backlog is full.
+  bool Add(MessageReceived message) {
+    if (messages_.size() >= kMaxMessages)
+      return false;
+    messages_.push_back(std::move(message));
+    return true;
+  }
+
+  /// Calls `handle` with the oldest messages until the slice is over, as told
+  /// by `read_now`, or none is left.
+  template <typename Handle, typename ReadNow>
+  void ServeSlice(Handle handle, ReadNow read_now) {
+    const Time end = read_now() + kSlice;
+    while (!messages_.empty()) {
+      const MessageReceived message = std::move(messages_.front());
+      messages_.pop_front();
+      handle(message);
+      if (read_now() >= end)
+        return;
+    }
+  }
+
+  bool empty() const { return messages_.empty(); }
+
+ private:
+  std::deque<MessageReceived> messages_;
+};
+
+}  // namespace jacinth::control
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -232,7 +232,29 @@
 
 void ControlHost::OnMessage(const std::string& from,
                             protocol::Envelope envelope) {
-  Step(control::MessageReceived{from, std::move(envelope)});
+  control::MessageReceived message{from, std::move(envelope)};
+  if (std::holds_alternative<protocol::PeerMessage>(message.envelope)) {
+    Step(message);
+    return;
+  }
+  if (!entry_backlog_.Add(std::move(message))) {
+    log::Warning(log::Category::kControl,
+                 "Dropped a message of an entry: too many wait.");
+    return;
+  }
+  ScheduleBacklog();
+}
+
+void ControlHost::ScheduleBacklog() {
+  if (entry_backlog_.empty() || std::exchange(backlog_scheduled_, true))
+    return;
+  asio::post(context_, [this] {
+    backlog_scheduled_ = false;
+    entry_backlog_.ServeSlice(
+        [this](const control::MessageReceived& message) { Step(message); },
+        MonotonicNow);
+    ScheduleBacklog();
+  });
 }
 
 void ControlHost::Step(const control::ControlEvent& event) {
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -12,6 +12,7 @@
 #include "core/admin/admin_api.h"
 #include "core/common/error.h"
 #include "core/control/control_node.h"
+#include "core/control/entry_backlog.h"
 #include "core/http/event_client.h"
 #include "core/http/event_server.h"
 #include "core/http/server.h"
@@ -70,6 +71,7 @@
   void ReadEndpointList();
   void RefreshEndpointList();
   void Step(const control::ControlEvent& event);
+  void ScheduleBacklog();
   // Moves the writes and replies out of `actions`.
   void CarryOut(control::ControlActions& actions);
   // Opens the data folder and the log store, and loads the stored state into
@@ -95,6 +97,9 @@
   Time tick_due_ = Time::max();
   std::optional<storage::DataFolder> folder_;
   std::optional<control::ControlNode> node_;
+  control::EntryBacklog entry_backlog_;
+  /// True while a slice of the backlog is due.
+  bool backlog_scheduled_ = false;
   std::unique_ptr<StorageWriter> writer_;
   std::unique_ptr<admin::AdminApi> admin_api_;
   std::unique_ptr<http::Server> admin_server_;
