Control: Send entries that lack almost the same the same update

Entries have always taken updates that begin earlier than what they hold, so they are now divided into eight groups of similar versions.

The test counts 180 different messages in one step without the change (checked by taking it out) and at most 16 with it.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -105,6 +105,12 @@
                                        PendingOwners,
                                        PendingSuspects>;
 
+  /// An entry and the version of the slice owners that it holds.
+  struct SliceBase {
+    std::uint64_t base;
+    const std::string* entry;
+  };
+
   /// An operator's call that waits for a leader, or for this leader's lease.
   struct WaitingCall {
     std::variant<ChangeRequested, ViewRequested> call;
@@ -171,6 +177,8 @@
   // Endpoint list, slice owners and rate limits.
   void On(const EndpointsListed& event, ClockReading clock);
   void PushLists(ClockReading clock);
+  std::vector<std::vector<SliceBase>> GroupByBase(
+      std::vector<SliceBase> bases) const;
   protocol::HeartbeatReply MakeReply() const;
   void AddMembers(EntryDelivery& delivery,
                   const protocol::Heartbeat& heartbeat,
--- a/source/core/control/control_node_delivery.cc
+++ b/source/core/control/control_node_delivery.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <map>
-#include <tuple>
 #include <utility>
 
 #include "core/control/control_node.h"
@@ -18,6 +17,9 @@
 constexpr Duration kSentItemTime = std::chrono::microseconds(1);
 /// Number of entries that a table is sent to at once.
 constexpr std::size_t kMaxTableReceivers = 32;
+/// Number of different updates of the slice owners that are made for one push.
+/// While entries claim slices, almost each holds another version.
+constexpr std::size_t kMaxSliceGroups = 8;
 /// Time without tables that is made up for at once.
 constexpr Duration kTableBurst = 20ms;
 
@@ -177,11 +179,11 @@
 }
 
 // Sends changed lists to the entries whose lists are from this term. Entries
-// that hold the same versions are sent the same message.
+// that lack the same, or almost the same, are sent the same message.
 void ControlNode::PushLists(ClockReading clock) {
   const Time now = clock.now;
-  using Bases = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>;
-  std::map<Bases, std::vector<std::string>> entries_by_bases;
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::vector<SliceBase>>
+      bases;
   for (auto& [entry, delivery] : deliveries_) {
     protocol::RateShareUpdate shares =
         RateSharesFor(entry, delivery.rate_shares, now);
@@ -201,21 +203,55 @@
       delivery.slices.OnSent(slices_.version(), kResendAfter, now);
     else
       slices = slices_.version();
-    entries_by_bases[{endpoints, slices, delivery.suspects}].push_back(entry);
+    bases[{endpoints, delivery.suspects}].push_back({slices, &entry});
   }
-  for (auto& [bases, entries] : entries_by_bases) {
-    const auto& [endpoints, slices, suspects] = bases;
+  for (auto& [other_bases, slice_bases] : bases) {
+    const auto& [endpoints, suspects] = other_bases;
     protocol::HeartbeatReply reply = MakeReply();
     reply.endpoints = catalog_.UpdateFor(endpoints, now);
-    reply.slices = slices_.UpdateFor(slices);
     reply.suspects = SuspectsFor(suspects, clock);
-    if (reply.endpoints.version == 0 && reply.slices.version == 0 &&
-        reply.suspects.unchanged)
-      continue;
-    for (const std::string& entry : entries)
-      deliveries_.at(entry).suspects = reply.suspects.version;
-    actions_.broadcasts.push_back({std::move(entries), std::move(reply)});
+    for (std::vector<SliceBase>& group : GroupByBase(std::move(slice_bases))) {
+      reply.slices = slices_.UpdateFor(group.front().base);
+      if (reply.endpoints.version == 0 && reply.slices.version == 0 &&
+          reply.suspects.unchanged)
+        continue;
+      std::vector<std::string> entries;
+      for (const SliceBase& item : group) {
+        deliveries_.at(*item.entry).suspects = reply.suspects.version;
+        entries.push_back(*item.entry);
+      }
+      actions_.broadcasts.push_back({std::move(entries), reply});
+    }
+  }
+}
+
+// Divides the entries into groups of similar versions of the slice owners,
+// lowest first: entries take updates that begin earlier than what they hold.
+// Those that lack nothing are a group of their own.
+std::vector<std::vector<ControlNode::SliceBase>> ControlNode::GroupByBase(
+    std::vector<SliceBase> bases) const {
+  std::sort(bases.begin(), bases.end(),
+            [](const SliceBase& left, const SliceBase& right) {
+              return left.base < right.base;
+            });
+  const auto first_current = std::find_if(
+      bases.begin(), bases.end(),
+      [this](const SliceBase& item) { return item.base == slices_.version(); });
+  const auto lagging = static_cast<std::size_t>(first_current - bases.begin());
+  const std::size_t group_size = std::max<std::size_t>(
+      1, (lagging + kMaxSliceGroups - 1) / kMaxSliceGroups);
+  std::vector<std::vector<SliceBase>> groups;
+  for (std::size_t begin = 0; begin < bases.size();) {
+    const std::size_t limit = begin < lagging ? lagging : bases.size();
+    std::size_t end =
+        begin < lagging ? std::min(begin + group_size, limit) : limit;
+    while (end < limit && bases[end].base == bases[begin].base)
+      ++end;
+    groups.emplace_back(bases.begin() + static_cast<std::ptrdiff_t>(begin),
+                        bases.begin() + static_cast<std::ptrdiff_t>(end));
+    begin = end;
   }
+  return groups;
 }
 
 }  // namespace jacinth::control
--- a/source/unit_tests/entry/control_traffic_test.cc
+++ b/source/unit_tests/entry/control_traffic_test.cc
@@ -178,6 +178,28 @@
   CHECK(test.fleet.heartbeats() - before < 1'200);
 }
 
+// Pattern: traffic starts at all entries at once. Guards against a leader that
+// makes an update of its own for almost each entry, for longer than its lease.
+TEST_CASE("Entries that hold different versions are sent few updates") {
+  Fleet test(kEntries);
+  test.fleet.ForgetBroadcasts();
+  for (int i = 0; i < 10; ++i) {
+    int entry_index = 0;
+    for (NarrowEntry& entry : test.fleet.entries()) {
+      SendRequest(*entry.driver, "object-" + std::to_string(i) + "-" +
+                                     std::to_string(++entry_index));
+      if (entry_index % 20 == 0)
+        test.fleet.Run(NarrowFleet::kStep);
+    }
+  }
+  CHECK(test.fleet.most_broadcasts() <= 16);
+  test.fleet.Run(3s);
+  std::set<std::string> digests;
+  for (const NarrowEntry& entry : test.fleet.entries())
+    digests.insert(entry.session().slices().Digest().ToBytes());
+  CHECK(digests.size() == 1);
+}
+
 // Guards against entries that go on without changes which were lost on the way.
 TEST_CASE("Changes that are lost reach all entries in the end") {
   Fleet test(20, 50);
--- a/source/unit_tests/support/narrow_fleet.cc
+++ b/source/unit_tests/support/narrow_fleet.cc
@@ -98,6 +98,7 @@
 void NarrowFleet::Execute(const control::ControlActions& actions) {
   for (const auto& message : actions.messages)
     Send({message.to_instance}, message.envelope);
+  most_broadcasts_ = std::max(most_broadcasts_, actions.broadcasts.size());
   for (const auto& broadcast : actions.broadcasts)
     Send(broadcast.to_instances, broadcast.envelope);
   for (const auto& write : actions.writes) {
--- a/source/unit_tests/support/narrow_fleet.h
+++ b/source/unit_tests/support/narrow_fleet.h
@@ -71,6 +71,10 @@
   std::size_t encoded_bytes() const { return encoded_bytes_; }
   /// Heartbeats that arrived so far.
   std::size_t heartbeats() const { return heartbeat_count_; }
+  /// Highest number of different messages that the leader made in one step
+  /// since ForgetBroadcasts().
+  std::size_t most_broadcasts() const { return most_broadcasts_; }
+  void ForgetBroadcasts() { most_broadcasts_ = 0; }
 
  private:
   struct SentHeartbeat {
@@ -101,6 +105,7 @@
   std::size_t sent_bytes_ = 0;
   std::size_t encoded_bytes_ = 0;
   std::size_t heartbeat_count_ = 0;
+  std::size_t most_broadcasts_ = 0;
 };
 
 }  // namespace jacinth::test
