Control: Keep one waiting heartbeat of each entry

Entries that have no settings yet send heartbeats several times a second, 1,200 in all, and the leader answers 600. The backlog grew to its 4,096 messages, so that each answer came seven seconds after its heartbeat, and entries ignore answers to ones older than two seconds. They asked again, and so it stayed ("Dropped a message of an entry", 600 a second). Before, the same heartbeats waited in the links.

Now a heartbeat replaces the one of the same entry that waits, with all that that reported, so that no answer is older than one round of all entries.

--- a/source/core/control/entry_backlog.h
+++ b/source/core/control/entry_backlog.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
-#include <utility>
+#include <list>
+#include <map>
+#include <string>
 
 #include "core/common/time.h"
 #include "core/control/control_event.h"
@@ -13,6 +14,10 @@
 /// slices of time, so that messages of replicas, ticks and operators' calls,
 /// which come in between, wait for one slice at most, however many entries
 /// there are.
+///
+/// Of each entry at most one heartbeat waits, with all that those before it
+/// reported. Otherwise a leader that gets more heartbeats than it can handle
+/// would answer only ones that their senders have given up.
 class EntryBacklog {
  public:
   /// Time after which no further message is begun: a fraction of the interval
@@ -22,12 +27,7 @@
   static constexpr std::size_t kMaxMessages = 4'096;
 
   /// Adds a message. Returns false if the backlog is full.
-  bool Add(MessageReceived message) {
-    if (messages_.size() >= kMaxMessages)
-      return false;
-    messages_.push_back(std::move(message));
-    return true;
-  }
+  bool Add(MessageReceived message);
 
   /// Calls `handle` with the oldest messages until the slice is over, as told
   /// by `read_now`, or none is left.
@@ -35,9 +35,7 @@
   void ServeSlice(Handle handle, ReadNow read_now) {
     const Time end = read_now() + kSlice;
     while (!messages_.empty()) {
-      const MessageReceived message = std::move(messages_.front());
-      messages_.pop_front();
-      handle(message);
+      handle(TakeOldest());
       if (read_now() >= end)
         return;
     }
@@ -46,7 +44,11 @@
   bool empty() const { return messages_.empty(); }
 
  private:
-  std::deque<MessageReceived> messages_;
+  MessageReceived TakeOldest();
+
+  std::list<MessageReceived> messages_;
+  /// The waiting heartbeat of each entry.
+  std::map<std::string, std::list<MessageReceived>::iterator> heartbeats_;
 };
 
 }  // namespace jacinth::control
