--- a/source/unit_tests/control/entry_backlog_test.cc
+++ b/source/unit_tests/control/entry_backlog_test.cc
@@ -86,7 +86,8 @@
       for (int i = 0; i < kEntries; ++i) {
         MessageReceived message = MakeMessage(i);
         std::get<protocol::Heartbeat>(message.envelope).sequence = round;
-        REQUIRE(backlog.Add(std::move(message)));
+        const bool added = backlog.Add(std::move(message));
+        REQUIRE(added);
       }
     }
     backlog.ServeSlice(
