Entry tests: Show drains that entries miss while a leader answers them

Two hypotheses as tests, with entries and five replicas of the timing of the large deployment; neither needs a leader to be lost at that moment:

- A new leader's table is lost on its way to one entry, right before the list shows the drain.
- The leader answers heartbeats but its reading of the list doesn't end.

--- /dev/null
+++ b/source/unit_tests/entry/listing_age_test.cc
@@ -0,0 +1,80 @@
+#include <cstdint>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "unit_tests/support/listing_fleet.h"
+
+namespace jacinth::entry {
+namespace {
+
+using protocol::HeartbeatReply;
+using test::ListingFleet;
+
+}  // namespace
+
+// Pattern: a new leader's table is lost on its way to one entry, and an
+// endpoint leaves before the leader sends it again. Guards against an entry
+// that takes its list for current because the leader answers its heartbeats.
+TEST_CASE("Entries know in time of a drain though a table was lost") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    ListingFleet fleet(seed);
+    bool was_lost = false;
+    fleet.CrashLeader();
+    fleet.loses = [&](const std::string& entry, const HeartbeatReply& reply) {
+      if (was_lost || entry != "e3" || reply.endpoints.version == 0)
+        return false;
+      was_lost = true;
+      return true;
+    };
+    for (int steps = 0; !was_lost && steps < 600; ++steps)
+      fleet.Run(ListingFleet::kStep);
+    REQUIRE(was_lost);
+    fleet.DrainEndpoint();
+    fleet.Run(ListingFleet::kMaxDrainDelay);
+    CHECK(fleet.AllKnow(true));
+  }
+}
+
+// Pattern: the same for a change of the list, without a change of leader.
+TEST_CASE("Entries know in time of a drain though the change was lost") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    ListingFleet fleet(seed);
+    bool was_lost = false;
+    fleet.loses = [&](const std::string& entry, const HeartbeatReply& reply) {
+      if (was_lost || entry != "e3" || reply.endpoints.version == 0)
+        return false;
+      was_lost = true;
+      return true;
+    };
+    // The list shows the drain right after the leader has begun to read it.
+    fleet.RunUntilReading();
+    fleet.Run(ListingFleet::kListTime);
+    fleet.DrainEndpoint();
+    fleet.Run(ListingFleet::kMaxDrainDelay);
+    REQUIRE(was_lost);
+    CHECK(fleet.AllKnow(true));
+  }
+}
+
+// Pattern: the leader answers heartbeats but can't read the platform's list.
+// Guards against entries and replicas that leave the list to a leader because
+// it is heard, not because it has read the list.
+TEST_CASE("Entries know in time of a drain that the leader can't read") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    ListingFleet fleet(seed);
+    fleet.RunUntilReading();
+    fleet.Run(ListingFleet::kListTime);
+    fleet.DrainEndpoint();
+    fleet.Run(2 * ListingFleet::kStep);
+    REQUIRE(fleet.AllKnow(false));
+    fleet.stalled_readers = {fleet.Leader()};
+    fleet.Run(ListingFleet::kMaxDrainDelay);
+    CHECK(fleet.AllKnow(true));
+  }
+}
+
+}  // namespace jacinth::entry
--- /dev/null
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -0,0 +1,144 @@
+#include "unit_tests/support/listing_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jacinth::test {
+namespace {
+
+constexpr Duration kOneWay = 20ms;
+/// Interval of heartbeats in a fleet of 185 entries.
+constexpr Duration kHeartbeatInterval = 500ms;
+constexpr unsigned kTermShift = 32;
+
+}  // namespace
+
+ListingFleet::ListingFleet(std::uint64_t seed)
+    : cluster_(seed, {kReplicas, kReplicas, 0, 500ms, 120ms}) {
+  cluster_.loss_percent = 0;
+  cluster_.duplicate_percent = 0;
+  cluster_.on_entry_message = [this](const std::string& entry,
+                                     const protocol::Envelope& envelope) {
+    const auto* reply = std::get_if<protocol::HeartbeatReply>(&envelope);
+    if (reply != nullptr && loses && loses(entry, *reply))
+      return;
+    to_entries_.push_back({cluster_.now() + kOneWay, entry, envelope});
+  };
+  cluster_.on_list_endpoints = [this](std::size_t machine) {
+    StartReading(machine);
+  };
+  for (int i = 0; i < kEntries; ++i) {
+    entry::EntryOptions options = EntryDriver::DefaultOptions();
+    options.self.id = "e" + std::to_string(i);
+    options.heartbeat = kHeartbeatInterval;
+    options.control_timeout = 2s;
+    options.contacts.clear();
+    for (std::size_t replica = 1; replica <= kReplicas; ++replica)
+      options.contacts.push_back("c" + std::to_string(replica));
+    // Entries begin at different times.
+    entries_.push_back({std::make_unique<EntryDriver>(options),
+                        cluster_.now() + i * kHeartbeatInterval / kEntries});
+  }
+  next_reading_.resize(kReplicas, cluster_.now());
+  Run(2s);
+  control::ChangeRequested change;
+  change.operator_settings.branches = {"*"};
+  change.change.idempotency_key = "first";
+  change.change.any_revision = true;
+  change.change.changes = {{"service/s", {{"ttl_ms", "500"}}}};
+  cluster_.InjectEvent(Leader(), change);
+  Run(5s);
+}
+
+void ListingFleet::Run(Duration duration) {
+  const Time end = cluster_.now() + duration;
+  while (cluster_.now() < end) {
+    cluster_.Run(kStep);
+    for (std::size_t i = 0; i < kReplicas; ++i)
+      StepHost(i);
+    for (Entry& entry : entries_)
+      StepEntry(entry);
+  }
+}
+
+void ListingFleet::RunUntilReading() {
+  Run(next_reading_[Leader()] - cluster_.now() - 2 * kStep);
+}
+
+bool ListingFleet::AllKnow(bool draining) const {
+  return std::all_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    const auto& endpoints = entry.driver->node.session().endpoints();
+    const auto found = endpoints.find("1");
+    return found != endpoints.end() && found->second.draining == draining;
+  });
+}
+
+bool ListingFleet::AllFollowLeader() const {
+  const auto leader = cluster_.Leader();
+  if (!leader)
+    return false;
+  const std::uint64_t term = cluster_.node(*leader)->replica()->term();
+  return std::all_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    const std::uint64_t version =
+        entry.driver->node.session().endpoints_version();
+    return version >> kTermShift == term;
+  });
+}
+
+void ListingFleet::StartReading(std::size_t machine) {
+  if (readings_by_machine_.count(machine) != 0)
+    return;
+  ++readings_;
+  protocol::ListedEndpoint endpoint;
+  endpoint.id = "1";
+  endpoint.started_ms = 1;
+  endpoint.service = "s";
+  endpoint.address = "10.0.0.1:1";
+  endpoint.draining = draining_;
+  readings_by_machine_[machine] = {
+      cluster_.now(), cluster_.now() + kListTime, {endpoint}};
+}
+
+void ListingFleet::StepHost(std::size_t machine) {
+  if (!cluster_.IsUp(machine) || cluster_.IsFrozen(machine))
+    return;
+  if (cluster_.now() >= next_reading_[machine]) {
+    next_reading_[machine] = cluster_.now() + kListInterval;
+    if (cluster_.node(machine)->Leads())
+      StartReading(machine);
+  }
+  const auto reading = readings_by_machine_.find(machine);
+  if (reading == readings_by_machine_.end() ||
+      cluster_.now() < reading->second.due)
+    return;
+  if (stalled_readers.count(machine) != 0)
+    return;
+  const control::EndpointsListed listed{reading->second.list};
+  readings_by_machine_.erase(reading);
+  cluster_.InjectEvent(machine, listed);
+}
+
+void ListingFleet::StepEntry(Entry& entry) {
+  EntryDriver& driver = *entry.driver;
+  if (cluster_.now() < entry.start)
+    return;
+  driver.now = cluster_.now();
+  driver.Step(entry::Tick{});
+  std::erase_if(to_entries_, [&](const ToEntry& message) {
+    if (message.entry != driver.node.session().self().id ||
+        message.due > cluster_.now())
+      return false;
+    driver.Step(entry::MessageReceived{"", message.envelope});
+    return true;
+  });
+  for (const entry::OutgoingMessage& message :
+       std::exchange(driver.messages, {})) {
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      if (cluster_.instance(i) == message.to_instance)
+        cluster_.SendFromEntry(driver.node.session().self().id, i,
+                               message.envelope);
+    }
+  }
+}
+
+}  // namespace jacinth::test
--- /dev/null
+++ b/source/unit_tests/support/listing_fleet.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "unit_tests/support/control_cluster.h"
+#include "unit_tests/support/entry_driver.h"
+
+namespace jacinth::test {
+
+/// Entries and a control group with the timing of a deployment of 185 entries,
+/// whose replicas read the platform's list as their hosts do. The list has one
+/// endpoint.
+class ListingFleet {
+ public:
+  static constexpr Duration kStep = 10ms;
+  /// Interval at which a host reads the list, and time that a reading takes.
+  static constexpr Duration kListInterval = 1s;
+  static constexpr Duration kListTime = 300ms;
+  /// Time from the listing of a drain until no request may reach the endpoint,
+  /// less the time for a connection and for sending a request.
+  static constexpr Duration kMaxDrainDelay = 3000ms - 500ms;
+  static constexpr int kEntries = 12;
+  static constexpr std::size_t kReplicas = 5;
+
+  explicit ListingFleet(std::uint64_t seed);
+
+  /// Returns true if a message of a replica to an entry is lost.
+  std::function<bool(const std::string& entry,
+                     const protocol::HeartbeatReply& reply)>
+      loses;
+  /// Replicas whose readings of the list don't end.
+  std::set<std::size_t> stalled_readers;
+
+  void Run(Duration duration);
+  /// Runs until just before the leader's next reading.
+  void RunUntilReading();
+
+  std::size_t Leader() { return cluster_.Leader().value(); }
+  bool HasLeader() const { return cluster_.Leader().has_value(); }
+  void FreezeLeader(Duration duration) { cluster_.Freeze(Leader(), duration); }
+  void CrashLeader() { cluster_.Crash(Leader()); }
+  void DrainEndpoint() { draining_ = true; }
+
+  /// Returns true if all entries know the endpoint, and that it drains if
+  /// `draining` is true.
+  bool AllKnow(bool draining) const;
+  /// Returns true if the list of all entries is from the current leader.
+  bool AllFollowLeader() const;
+  /// Number of readings of the list so far.
+  int readings() const { return readings_; }
+
+ private:
+  struct Entry {
+    std::unique_ptr<EntryDriver> driver;
+    Time start;
+  };
+  struct ToEntry {
+    Time due;
+    std::string entry;
+    protocol::Envelope envelope;
+  };
+  struct Reading {
+    Time began;
+    Time due;
+    std::vector<protocol::ListedEndpoint> list;
+  };
+
+  void StartReading(std::size_t machine);
+  void StepHost(std::size_t machine);
+  void StepEntry(Entry& entry);
+
+  ControlCluster cluster_;
+  std::vector<Entry> entries_;
+  std::deque<ToEntry> to_entries_;
+  std::vector<Time> next_reading_;
+  std::map<std::size_t, Reading> readings_by_machine_;
+  bool draining_ = false;
+  int readings_ = 0;
+};
+
+}  // namespace jacinth::test
