Control, entry: Carry the age of the list to entries, and ask others when it is old

Cause: each answered heartbeat made an entry's list count as current, whatever version it held and however long ago the leader had read the list. So neither the entry nor any replica looked further while the leader answered: if a table was lost, until the leader sent it again after 3 s; if the leader couldn't read the list, without end.

Now each answer of the leader names the version of its list and the age of its reading. An entry that holds this version knows its list to be as current as its heartbeat's sending time less that age, and nothing else renews it. When what it knows of drains is older than half of the bound it asks two other replicas, at once, and others with each further heartbeat; a replica that is asked so reads the list although it hears from a leader, and tells how old its reading is.

Fields are optional: leaders of earlier builds renew lists as before, replicas of earlier builds read only if they hear no leader.

--- a/source/core/control/control_event.h
+++ b/source/core/control/control_event.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/common/time.h"
 #include "core/consensus/replica_actions.h"
 #include "core/protocol/command.h"
 #include "core/protocol/endpoint_list.h"
@@ -40,6 +41,8 @@
 /// A complete endpoint list was read from the platform.
 struct EndpointsListed {
   std::vector<protocol::ListedEndpoint> endpoints;
+  /// Time since the reading began.
+  Duration took{0};
 };
 
 /// The contacts, which are the instances that are probed for an existing group,
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -140,8 +140,7 @@
                    ClockReading clock);
   void AnswerSeekers(Time now);
   void ReadListForEntry(const protocol::Heartbeat& heartbeat, Time now);
-  void TellStandbyList(const std::vector<protocol::ListedEndpoint>& list,
-                       Time now);
+  void TellStandbyList(const EndpointsListed& event, Time now);
   void OnClaim(const std::string& from,
                const protocol::ClaimRequest& request,
                ClockReading clock);
@@ -250,6 +249,8 @@
   ControlState state_;
   EntryRegistry registry_;
   EndpointCatalog catalog_;
+  /// Time at which the newest reading of the list in `catalog_` began.
+  Time list_read_at_{};
   /// Used while this replica keeps no lists for entries.
   StandbyList standby_list_;
   SettingsSender settings_sender_;
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -29,8 +29,10 @@
     reply.leader_hint = LeaderInstance();
     reply.replicas = ReplicaInstances();
     const std::string digest = heartbeat.endpoint_digest.value_or("");
-    if (!digest.empty())
+    if (!digest.empty()) {
       reply.drains = standby_list_.DrainsFor(digest);
+      reply.listing = standby_list_.StateAt(clock.now);
+    }
     if (reply.leader_hint.empty() && seekers_.size() < kMaxSeekers)
       seekers_[from] = clock.now;
     SendToEntry(from, reply);
@@ -56,6 +58,7 @@
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     rate_shares_.OnReport(from, report, clock.now);
   AllocateRateShares(clock.now);
+  reply.listing = {catalog_.version(), ToMillis(clock.now - list_read_at_)};
   reply.rate_shares =
       RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
   OnCrashReports(heartbeat, clock);
@@ -69,36 +72,36 @@
     PushLists(clock);
 }
 
-// Reads the platform's list for an entry that asks this replica, unless it
-// hears from a leader, which does that.
+// Reads the platform's list for an entry that asks this replica. Unless the
+// entry knows that its list is out of date, a leader that is heard does that.
 void ControlNode::ReadListForEntry(const protocol::Heartbeat& heartbeat,
                                    Time now) {
   if (!replica_ || storage_failed_ || ServesLists(now))
     return;
-  if (HearsOtherLeader(now))
+  if (!heartbeat.asks_listing && HearsOtherLeader(now))
     return;
-  standby_list_.OnAsked(heartbeat.status.id,
-                        heartbeat.endpoint_digest.value_or(""), now);
+  standby_list_.OnAsked(heartbeat, now);
   actions_.list_endpoints |= standby_list_.TakeReading(now);
 }
 
-// Tells the entries that ask this replica which endpoints drain.
-void ControlNode::TellStandbyList(
-    const std::vector<protocol::ListedEndpoint>& list,
-    Time now) {
-  standby_list_.ApplyListing(list);
+// Tells the entries that ask this replica which endpoints drain, and how
+// current that is.
+void ControlNode::TellStandbyList(const EndpointsListed& event, Time now) {
+  const Time began = now - event.took;
+  standby_list_.ApplyListing(event.endpoints, began);
   std::size_t told = 0;
-  for (const auto& [entry, digest] : standby_list_.Askers(now)) {
+  for (const auto& [entry, asker] : standby_list_.Askers(now)) {
     protocol::HeartbeatReply reply;
+    reply.sequence = asker.sequence;
     reply.leader_hint = LeaderInstance();
-    reply.drains = standby_list_.DrainsFor(digest);
-    if (reply.drains.empty())
-      continue;
-    ++told;
+    reply.drains = standby_list_.DrainsFor(asker.digest);
+    reply.listing = standby_list_.StateAt(asker.asked);
+    told += reply.drains.empty() ? 0 : 1;
     SendToEntry(entry, std::move(reply));
   }
   LogEvent("standby_list_read")
-      .With("endpoints", list.size())
+      .With("endpoints", event.endpoints.size())
+      .With("took_ms", ToMillis(event.took))
       .With("entries_told", told);
 }
 
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -17,12 +17,13 @@
 
 void ControlNode::On(const EndpointsListed& event, ClockReading clock) {
   if (!ServesLists(clock.now)) {
-    TellStandbyList(event.endpoints, clock.now);
+    TellStandbyList(event, clock.now);
     return;
   }
   ResetListsForTerm(clock);
   LogNewDrains(event.endpoints);
   catalog_.ApplyListing(event.endpoints, clock.now);
+  list_read_at_ = clock.now - event.took;
   slices_.RetainOwners(SliceEndpoints(clock.now));
   ForgetDeparted(clock.now);
   PushLists(clock);
--- a/source/core/control/standby_list.cc
+++ b/source/core/control/standby_list.cc
@@ -13,11 +13,12 @@
 
 }  // namespace
 
-void StandbyList::OnAsked(const std::string& entry,
-                          const std::string& digest,
-                          Time now) {
-  if (askers_.size() < kMaxAskers || askers_.count(entry) != 0)
-    askers_[entry] = {now, digest};
+void StandbyList::OnAsked(const protocol::Heartbeat& heartbeat, Time now) {
+  const std::string& entry = heartbeat.status.id;
+  if (askers_.size() >= kMaxAskers && askers_.count(entry) == 0)
+    return;
+  askers_[entry] = {now, heartbeat.sequence,
+                    heartbeat.endpoint_digest.value_or("")};
 }
 
 bool StandbyList::TakeReading(Time now) {
@@ -28,7 +29,9 @@
 }
 
 void StandbyList::ApplyListing(
-    const std::vector<protocol::ListedEndpoint>& list) {
+    const std::vector<protocol::ListedEndpoint>& list,
+    Time began) {
+  read_at_ = began;
   digest_ = protocol::MakeEndpointDigest();
   drains_.clear();
   for (const protocol::ListedEndpoint& endpoint : list) {
@@ -36,14 +39,26 @@
     digest_.Add(part, protocol::EndpointItemHash(endpoint));
     // Nobody could tell when another process has taken the place of one with an
     // unknown start time.
-    if (!endpoint.draining || endpoint.started_ms == 0)
+    if (!endpoint.draining)
       continue;
+    if (endpoint.started_ms == 0) {
+      read_at_.reset();
+      continue;
+    }
     drains_.emplace_back(static_cast<int>(part),
                          protocol::DrainReport{endpoint.id, endpoint.address,
                                                endpoint.started_ms});
   }
 }
 
+std::optional<protocol::ListingState> StandbyList::StateAt(Time asked) const {
+  if (!read_at_)
+    return std::nullopt;
+  protocol::ListingState state;
+  state.age_ms = std::max<std::int64_t>(0, ToMillis(asked - *read_at_));
+  return state;
+}
+
 std::vector<protocol::DrainReport> StandbyList::DrainsFor(
     const std::string& digest) const {
   const std::vector<int> parts =
@@ -58,14 +73,11 @@
   return drains;
 }
 
-std::map<std::string, std::string> StandbyList::Askers(Time now) {
+const std::map<std::string, StandbyList::Asker>& StandbyList::Askers(Time now) {
   std::erase_if(askers_, [&](const auto& item) {
     return now > item.second.asked + kAskerMemory;
   });
-  std::map<std::string, std::string> digests;
-  for (const auto& [entry, asker] : askers_)
-    digests[entry] = asker.digest;
-  return digests;
+  return askers_;
 }
 
 }  // namespace jacinth::control
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -39,6 +39,10 @@
 constexpr std::size_t kMaxAskedContacts = 5;
 /// Number of contacts that are asked beside a leader that has not answered.
 constexpr std::size_t kStandbyContacts = 2;
+/// Age of what is known of draining endpoints after which others than the
+/// leader are asked: half of the time in which endpoints that drain must be
+/// left alone.
+constexpr Duration kMaxListingAge = 1500ms;
 /// Minimum time between a heartbeat and the next one to a leader that a contact
 /// has named.
 constexpr Duration kHintDelay = 100ms;
@@ -53,7 +57,9 @@
       timeout_(timeout) {}
 
 std::optional<Heartbeat> ControlSession::OnTick(Time now) {
-  if (now < next_heartbeat_)
+  // The first question doesn't wait for the next heartbeat.
+  const bool asks_now = questions_ == 0 && IsListingOld(now);
+  if (now < next_heartbeat_ && !asks_now)
     return std::nullopt;
   // No request can be served without settings, so a newly elected leader must
   // be found quickly.
@@ -86,11 +92,14 @@
 bool ControlSession::OnReply(const HeartbeatReply& reply, Time now) {
   for (const std::string& replica : reply.replicas)
     AddContact(replica);
+  const auto sent = FindSendTime(reply.sequence);
   if (!reply.leader) {
     OnLeaderHint(reply.leader_hint, now);
-    return ApplyDrains(reply.drains);
+    const bool changed = ApplyDrains(reply.drains);
+    if (reply.listing && sent)
+      ConfirmDrains(*sent - std::chrono::milliseconds(reply.listing->age_ms));
+    return changed;
   }
-  const auto sent = FindSendTime(reply.sequence);
   const bool confirmed = sent && now < *sent + timeout_;
   if (!confirmed && fleet_ == nullptr)
     return false;
@@ -105,8 +114,6 @@
     if (expedites_next_)
       ExpediteHeartbeat(now);
     last_leader_reply_ = now;
-    if (endpoints_version_ != 0)
-      endpoints_confirmed_at_ = now;
     const Time until = *sent + timeout_;
     changed |= until > contact_until_;
     contact_until_ = std::max(contact_until_, until);
@@ -129,13 +136,44 @@
   // What differs in parts of the list was found for the list of the heartbeat.
   const bool was_replaced =
       reply.endpoints.parts && reply.sequence <= list_replaced_after_;
-  if (!was_replaced && ApplyEndpointUpdate(reply.endpoints, now)) {
-    endpoints_confirmed_at_ = now;
-    changed = true;
-  }
+  changed |= !was_replaced && ApplyEndpointUpdate(reply.endpoints, now);
+  if (confirmed)
+    CheckListing(reply, *sent, now);
   return changed;
 }
 
+// Compares the endpoints with what the leader says of its list, after
+// everything that it had sent before has arrived.
+void ControlSession::CheckListing(const HeartbeatReply& reply,
+                                  Time sent,
+                                  Time now) {
+  if (!reply.listing) {
+    // Leaders of earlier builds don't tell.
+    if (endpoints_version_ != 0)
+      ConfirmEndpoints(now);
+    return;
+  }
+  const protocol::ListingState& listing = *reply.listing;
+  if (listing.version != 0 && endpoints_version_ == listing.version)
+    ConfirmEndpoints(sent - std::chrono::milliseconds(listing.age_ms));
+}
+
+void ControlSession::ConfirmEndpoints(Time at) {
+  endpoints_confirmed_at_ = std::max(endpoints_confirmed_at_, at);
+  ConfirmDrains(at);
+}
+
+void ControlSession::ConfirmDrains(Time at) {
+  if (at <= drains_confirmed_at_)
+    return;
+  drains_confirmed_at_ = at;
+  questions_ = 0;
+}
+
+bool ControlSession::IsListingOld(Time now) const {
+  return !endpoints_.empty() && now > drains_confirmed_at_ + kMaxListingAge;
+}
+
 void ControlSession::ExpediteHeartbeat(Time now) {
   expedites_next_ = true;
   // A leader that is slow to answer isn't asked more often.
@@ -197,10 +235,10 @@
     return contacts;
   const auto after_leader =
       std::upper_bound(contacts.begin(), contacts.end(), leader_);
-  // Others follow with each further heartbeat that is not answered.
-  const std::uint64_t missed = sequence_ - answered_sequence_;
+  // Others follow with each further question.
   const auto shift =
-      static_cast<std::uint64_t>(after_leader - contacts.begin()) + missed;
+      static_cast<std::uint64_t>(after_leader - contacts.begin()) +
+      questions_ * kStandbyContacts;
   std::rotate(
       contacts.begin(),
       contacts.begin() + static_cast<std::ptrdiff_t>(shift % contacts.size()),
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -52,9 +52,12 @@
   /// Adds a digest of endpoints() to a heartbeat, for replicas that don't lead.
   void AddEndpointDigest(protocol::Heartbeat& heartbeat) const;
 
-  /// Returns the contacts to ask for drains while the leader doesn't answer:
-  /// the same ones at all entries, so that few replicas read the list.
+  /// Returns the contacts to ask for drains while the leader doesn't answer or
+  /// has no news: the same ones at all entries, so that few replicas read the
+  /// list.
   std::vector<std::string> StandbyContacts() const;
+  /// Records that they are asked, so that others follow next time.
+  void OnStandbyAsked() { ++questions_; }
   void SetContacts(std::vector<std::string> contacts);
 
   /// Endpoints of the platform's list by id.
@@ -66,9 +69,20 @@
   /// Replaces the endpoints with a list that this instance has read from the
   /// platform.
   void ApplyEndpointList(const std::vector<protocol::ListedEndpoint>& list,
+                         Duration took,
                          Time now);
-  /// Time at which endpoints() was last known to be up to date.
+  /// Returns true if endpoints() was ever received or read.
+  bool HasEndpointList() const { return has_endpoint_list_; }
+  /// Time at which the platform's list was as endpoints() says: the beginning
+  /// of the reading, by whoever has read it, as far as it is known that nothing
+  /// of it is missing here.
   Time endpoints_confirmed_at() const { return endpoints_confirmed_at_; }
+  /// The same for the endpoints that drain, of which also replicas tell that
+  /// don't lead.
+  Time drains_confirmed_at() const { return drains_confirmed_at_; }
+  /// Returns true if drains may be missing here that the platform's list has
+  /// shown for some time, so that others than the leader are asked.
+  bool IsListingOld(Time now) const;
   /// Version of the leader's endpoint list; 0 if this instance has read the
   /// list from the platform.
   std::uint64_t endpoints_version() const { return endpoints_version_; }
@@ -141,6 +155,9 @@
                       const std::optional<std::vector<int>>& parts);
   bool ApplyMembers(const protocol::MemberList& update);
   void AddDigests(protocol::Heartbeat& heartbeat);
+  void CheckListing(const protocol::HeartbeatReply& reply, Time sent, Time now);
+  void ConfirmEndpoints(Time at);
+  void ConfirmDrains(Time at);
 
   protocol::EntryStatus self_;
   Duration heartbeat_interval_;
@@ -182,7 +199,11 @@
   /// Sequence number of the last heartbeat with a digest of the slice owners.
   std::uint64_t told_slices_with_ = 0;
   std::uint64_t endpoint_changes_ = 0;
+  bool has_endpoint_list_ = false;
   Time endpoints_confirmed_at_{};
+  Time drains_confirmed_at_{};
+  /// Questions to replicas that don't lead since drains were last confirmed.
+  std::uint64_t questions_ = 0;
 };
 
 }  // namespace jacinth::entry
--- a/source/core/entry/control_session_lists.cc
+++ b/source/core/entry/control_session_lists.cc
@@ -70,8 +70,10 @@
 
 void ControlSession::ApplyEndpointList(
     const std::vector<protocol::ListedEndpoint>& list,
+    Duration took,
     Time now) {
-  endpoints_confirmed_at_ = now;
+  has_endpoint_list_ = true;
+  ConfirmEndpoints(now - took);
   // Version 0 makes the leader send a complete list with its next update.
   endpoints_version_ = 0;
   list_replaced_after_ = sequence_;
@@ -159,6 +161,7 @@
   if (update.base != 0 && update.base != endpoints_version_)
     return false;
   endpoints_version_ = update.version;
+  has_endpoint_list_ = true;
   if (update.base == 0) {
     std::set<std::string> listed_ids;
     for (const protocol::ListedEndpoint& endpoint : update.changed)
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -104,6 +104,8 @@
 /// This instance has read the endpoint list from the platform.
 struct EndpointsListed {
   std::vector<protocol::ListedEndpoint> endpoints;
+  /// Time since the reading began.
+  Duration took{0};
 };
 
 /// The settings list other instances to contact while the leader is unknown.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -120,7 +120,7 @@
   if (session_.InContact(now) &&
       now < session_.endpoints_confirmed_at() + kMaxEndpointListAge)
     return;
-  session_.ApplyEndpointList(event.endpoints, now);
+  session_.ApplyEndpointList(event.endpoints, event.took, now);
   ApplyFleetSettings(now);
 }
 
@@ -135,16 +135,19 @@
   } else {
     actions_.messages.push_back({session_.leader(), heartbeat});
   }
+  const bool is_old = session_.IsListingOld(now);
   const bool asks_for_drains =
-      session_.MissesReply(now) && !session_.endpoints().empty();
+      is_old || (session_.MissesReply(now) && !session_.endpoints().empty());
   if (!asks_for_drains)
     return;
   protocol::Heartbeat question = heartbeat;
   question.claims.clear();
   question.uses.clear();
+  question.asks_listing = is_old;
   session_.AddEndpointDigest(question);
   for (const std::string& contact : session_.StandbyContacts())
     actions_.messages.push_back({contact, question});
+  session_.OnStandbyAsked();
 }
 
 // Reads the endpoint list from the platform while the control role provides no
@@ -167,7 +170,7 @@
   const bool is_fresh =
       session_.fleet() == nullptr ||
       (!AwaitsEndpoints() &&
-       now < session_.endpoints_confirmed_at() + kMaxEndpointListAge);
+       now < session_.drains_confirmed_at() + kMaxEndpointListAge);
   if (is_fresh) {
     endpoint_list_due_.reset();
     next_endpoint_list_ = now + kMinEndpointListInterval;
@@ -185,8 +188,7 @@
 }
 
 bool EntryNode::AwaitsEndpoints() const {
-  return options_.can_list_endpoints &&
-         session_.endpoints_confirmed_at() == Time{};
+  return options_.can_list_endpoints && !session_.HasEndpointList();
 }
 
 // Keeps callers away from an instance that can't forward their requests.
--- a/source/core/protocol/endpoint_list.h
+++ b/source/core/protocol/endpoint_list.h
@@ -40,6 +40,18 @@
   bool operator==(const DrainReport&) const = default;
 };
 
+/// How current the endpoints are that a replica tells an entry of.
+struct ListingState {
+  /// Version of the leader's list; 0 if the sender doesn't lead.
+  std::uint64_t version = 0;
+  /// Time from the beginning of the sender's newest complete reading of the
+  /// platform's list until the entry's heartbeat arrived, in milliseconds by
+  /// the sender's clock; 0 if the reading began after that.
+  std::int64_t age_ms = 0;
+
+  bool operator==(const ListingState&) const = default;
+};
+
 /// Changes that update an entry's endpoint list to `version`.
 struct EndpointUpdate {
   /// Term of the leader that created the list, in the upper 32 bits, and a
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -50,6 +50,9 @@
   /// if these are not from the current leader.
   std::optional<std::string> endpoint_digest;
   std::optional<std::string> slice_digest;
+  /// True if the entry's endpoints may be out of date, so that a replica that
+  /// is asked reads the platform's list itself, even if it hears from a leader.
+  bool asks_listing = false;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -120,6 +123,9 @@
   /// Endpoints that drain, as far as a replica knows that does not lead but has
   /// read the platform's list. Builds that don't know the field leave it empty.
   std::vector<DrainReport> drains;
+  /// Tells how current `drains`, or the leader's list, is. Empty if the sender
+  /// has not read the list, or is of a build that does not tell.
+  std::optional<ListingState> listing;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -69,6 +69,20 @@
   return out;
 }
 
+generated::ListingState ListingToWire(const protocol::ListingState& listing) {
+  generated::ListingState out;
+  out.version = static_cast<std::int64_t>(listing.version);
+  out.age_ms = listing.age_ms;
+  return out;
+}
+
+protocol::ListingState ListingFromWire(const generated::ListingState& listing) {
+  protocol::ListingState out;
+  out.version = static_cast<std::uint64_t>(listing.version);
+  out.age_ms = listing.age_ms;
+  return out;
+}
+
 }  // namespace
 
 generated::Heartbeat ToWire(const protocol::Heartbeat& heartbeat) {
@@ -103,6 +117,8 @@
     out.__set_endpoint_digest(*heartbeat.endpoint_digest);
   if (heartbeat.slice_digest)
     out.__set_slice_digest(*heartbeat.slice_digest);
+  if (heartbeat.asks_listing)
+    out.__set_asks_listing(true);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -139,6 +155,7 @@
     out.endpoint_digest = heartbeat.endpoint_digest;
   if (heartbeat.__isset.slice_digest)
     out.slice_digest = heartbeat.slice_digest;
+  out.asks_listing = heartbeat.asks_listing;
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -168,6 +185,8 @@
     out.__set_term(static_cast<std::int64_t>(reply.term));
   if (!reply.drains.empty())
     out.__set_drains(DrainsToWire(reply.drains));
+  if (reply.listing)
+    out.__set_listing(ListingToWire(*reply.listing));
   return out;
 }
 
@@ -195,6 +214,8 @@
   out.term = static_cast<std::uint64_t>(reply.term);
   if (reply.__isset.drains)
     out.drains = DrainsFromWire(reply.drains);
+  if (reply.__isset.listing && reply.listing.age_ms >= 0)
+    out.listing = ListingFromWire(reply.listing);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -66,7 +66,8 @@
   22: optional i64 suspects_version,
   30: optional list<DrainReport> drains,
   40: optional bool takes_changes, 41: optional binary endpoint_digest,
-  42: optional binary slice_digest
+  42: optional binary slice_digest,
+  51: optional bool asks_listing
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -82,6 +83,7 @@
   1: i64 version, 2: i64 base, 3: list<ListedEndpoint> changed,
   4: list<string> removed, 5: optional list<i32> parts
 }
+struct ListingState { 1: i64 version, 3: i64 age_ms }
 struct MemberList {
   1: i64 version, 2: list<EntryStatus> entries, 3: optional i64 base,
   4: optional list<string> removed
@@ -94,7 +96,8 @@
   11: optional SettingsPiece settings_piece,
   20: optional SuspectUpdate suspects,
   40: optional i64 term,
-  50: optional list<DrainReport> drains
+  50: optional list<DrainReport> drains,
+  60: optional ListingState listing
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -181,10 +181,11 @@
 }
 
 void ControlHost::ReadEndpointList() {
-  endpoint_lister_.Start(
-      [this](std::vector<protocol::ListedEndpoint> endpoints) {
-        Step(control::EndpointsListed{std::move(endpoints)});
-      });
+  endpoint_lister_.Start([this, began = MonotonicNow()](
+                             std::vector<protocol::ListedEndpoint> endpoints) {
+    Step(
+        control::EndpointsListed{std::move(endpoints), MonotonicNow() - began});
+  });
 }
 
 void ControlHost::RefreshEndpointList() {
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -455,8 +455,10 @@
     server_.RecycleConnections(actions.recycled_connections);
   if (actions.list_endpoints) {
     endpoint_lister_.Start(
-        [this](std::vector<protocol::ListedEndpoint> endpoints) {
-          Step(entry::EndpointsListed{std::move(endpoints)});
+        [this, began = MonotonicNow()](
+            std::vector<protocol::ListedEndpoint> endpoints) {
+          Step(entry::EndpointsListed{std::move(endpoints),
+                                      MonotonicNow() - began});
         });
   }
   timer_.Schedule(actions.next_tick);
--- a/source/unit_tests/control/standby_list_test.cc
+++ b/source/unit_tests/control/standby_list_test.cc
@@ -31,12 +31,18 @@
   return digest.ToBytes();
 }
 
+protocol::Heartbeat MakeQuestion(const std::string& entry) {
+  protocol::Heartbeat question;
+  question.status.id = entry;
+  return question;
+}
+
 }  // namespace
 
 // Guards against links of entries that are filled with what these know.
 TEST_CASE("An entry is told of the drains that its list lacks") {
   StandbyList standby;
-  standby.ApplyListing(MakeList(400));
+  standby.ApplyListing(MakeList(400), kNow);
   CHECK(standby.DrainsFor(DigestOf(MakeList(400))).empty());
   CHECK(standby.DrainsFor("").size() == 400);
   const auto drains = standby.DrainsFor(DigestOf(MakeList(399)));
@@ -49,14 +55,29 @@
   StandbyList standby;
   auto list = MakeList(1);
   list[0].started_ms = 0;
-  standby.ApplyListing(list);
+  standby.ApplyListing(list, kNow);
   CHECK(standby.DrainsFor("").empty());
 }
 
+// Guards against entries that take what they are told for more current than it
+// is, or for complete.
+TEST_CASE("An entry is told the age of the reading when it asked") {
+  StandbyList standby;
+  CHECK_FALSE(standby.StateAt(kNow));
+  auto list = MakeList(1);
+  standby.ApplyListing(list, kNow);
+  CHECK(standby.StateAt(kNow + 400ms)->age_ms == 400);
+  CHECK(standby.StateAt(kNow - 100ms)->age_ms == 0);
+  CHECK(standby.StateAt(kNow)->version == 0);
+  list[0].started_ms = 0;
+  standby.ApplyListing(list, kNow);
+  CHECK_FALSE(standby.StateAt(kNow));
+}
+
 TEST_CASE("Entries that asked long ago are told no more") {
   StandbyList standby;
-  standby.OnAsked("e1", "", kNow);
-  standby.OnAsked("e2", "", kNow + 2s);
+  standby.OnAsked(MakeQuestion("e1"), kNow);
+  standby.OnAsked(MakeQuestion("e2"), kNow + 2s);
   CHECK(standby.Askers(kNow + 2s).size() == 2);
   CHECK(standby.Askers(kNow + 3s).size() == 1);
   CHECK(standby.TakeReading(kNow));
--- a/source/unit_tests/entry/leader_loss_test.cc
+++ b/source/unit_tests/entry/leader_loss_test.cc
@@ -46,8 +46,11 @@
 TEST_CASE("Replicas leave the list to a leader that answers") {
   ListingFleet fleet(1);
   const int before = fleet.readings();
+  const int before_others = fleet.readings_by_others();
   fleet.Run(5s);
-  CHECK(fleet.readings() - before <= 6);
+  // The leader's own, and one that it has begun before.
+  CHECK(fleet.readings() - before <= 5s / ListingFleet::kListInterval + 1);
+  CHECK(fleet.readings_by_others() == before_others);
 }
 
 }  // namespace jacinth::entry
--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -89,6 +89,8 @@
   if (readings_by_machine_.count(machine) != 0)
     return;
   ++readings_;
+  if (!cluster_.node(machine)->Leads())
+    ++readings_by_others_;
   protocol::ListedEndpoint endpoint;
   endpoint.id = "1";
   endpoint.started_ms = 1;
@@ -113,7 +115,8 @@
     return;
   if (stalled_readers.count(machine) != 0)
     return;
-  const control::EndpointsListed listed{reading->second.list};
+  const control::EndpointsListed listed{reading->second.list,
+                                        cluster_.now() - reading->second.began};
   readings_by_machine_.erase(reading);
   cluster_.InjectEvent(machine, listed);
 }
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -21,7 +21,7 @@
  public:
   static constexpr Duration kStep = 10ms;
   /// Interval at which a host reads the list, and time that a reading takes.
-  static constexpr Duration kListInterval = 1s;
+  static constexpr Duration kListInterval = 500ms;
   static constexpr Duration kListTime = 300ms;
   /// Time from the listing of a drain until no request may reach the endpoint,
   /// less the time for a connection and for sending a request.
@@ -55,6 +55,8 @@
   bool AllFollowLeader() const;
   /// Number of readings of the list so far.
   int readings() const { return readings_; }
+  /// Those of replicas that didn't lead.
+  int readings_by_others() const { return readings_by_others_; }
 
  private:
   struct Entry {
@@ -83,6 +85,7 @@
   std::map<std::size_t, Reading> readings_by_machine_;
   bool draining_ = false;
   int readings_ = 0;
+  int readings_by_others_ = 0;
 };
 
 }  // namespace jacinth::test
