Control, entry: Tell the leader of updates of the list that are missing

Cause: a leader takes what it has sent for delivered until a timer runs out, 3 s for a table and 1 s for a change, although the entry's next heartbeat shows that it holds less. A longer-lived form of it: an entry that has read the list itself ignores a table that crosses the reading, and changes based on it.

Each answer of the leader now also names the version that the entry should hold if nothing was lost. Messages of a link arrive in order, so an entry that holds less knows that something is missing, says so in its next heartbeat, and the leader starts again from what the entry holds. Timers stay for lost heartbeats.

--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -58,7 +58,8 @@
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     rate_shares_.OnReport(from, report, clock.now);
   AllocateRateShares(clock.now);
-  reply.listing = {catalog_.version(), ToMillis(clock.now - list_read_at_)};
+  reply.listing = {catalog_.version(), delivery.endpoints.Base(clock.now),
+                   ToMillis(clock.now - list_read_at_)};
   reply.rate_shares =
       RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
   OnCrashReports(heartbeat, clock);
--- a/source/core/control/entry_backlog.cc
+++ b/source/core/control/entry_backlog.cc
@@ -24,6 +24,7 @@
   Prepend(heartbeat.drains, earlier.drains);
   Prepend(heartbeat.crashes, earlier.crashes);
   Prepend(heartbeat.acquitted, earlier.acquitted);
+  heartbeat.lacks_endpoints |= earlier.lacks_endpoints;
 }
 
 }  // namespace
--- a/source/core/control/entry_delivery.h
+++ b/source/core/control/entry_delivery.h
@@ -20,6 +20,8 @@
     }
     members.OnHeld(heartbeat.members_version, now);
     endpoints.OnHeld(heartbeat.endpoints_version, now);
+    if (heartbeat.lacks_endpoints)
+      endpoints.OnLost();
     slices.OnHeld(heartbeat.slices_version, now);
     rate_shares = heartbeat.rate_shares_version;
     suspects = heartbeat.suspects_version;
--- a/source/core/control/sent_version.h
+++ b/source/core/control/sent_version.h
@@ -26,6 +26,10 @@
     sent_ = std::max(sent_, held_);
   }
 
+  /// Records that the entry lacks what was sent, so that the next update is
+  /// based on what it holds.
+  void OnLost() { sent_ = held_; }
+
   /// Records that an update to `version` was sent, which is taken to be lost if
   /// nothing of it is confirmed after `resend_after`.
   void OnSent(std::uint64_t version, Duration resend_after, Time now) {
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -85,6 +85,9 @@
   heartbeat.rate_shares_version = rate_shares_.version;
   heartbeat.settings_position = receiver_.position();
   heartbeat.takes_changes = true;
+  heartbeat.lacks_endpoints = std::exchange(lacks_endpoints_, false);
+  if (heartbeat.lacks_endpoints)
+    told_lack_with_ = sequence_;
   AddDigests(heartbeat);
   return heartbeat;
 }
@@ -154,8 +157,16 @@
     return;
   }
   const protocol::ListingState& listing = *reply.listing;
-  if (listing.version != 0 && endpoints_version_ == listing.version)
+  if (listing.version != 0 && endpoints_version_ == listing.version) {
     ConfirmEndpoints(sent - std::chrono::milliseconds(listing.age_ms));
+    return;
+  }
+  const bool is_missing = endpoints_version_ < listing.sent_version &&
+                          reply.sequence >= told_lack_with_;
+  if (!is_missing)
+    return;
+  lacks_endpoints_ = true;
+  ExpediteHeartbeat(now);
 }
 
 void ControlSession::ConfirmEndpoints(Time at) {
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -202,6 +202,10 @@
   bool has_endpoint_list_ = false;
   Time endpoints_confirmed_at_{};
   Time drains_confirmed_at_{};
+  /// True if the next heartbeat tells the leader that an update is missing, and
+  /// the sequence number of the last heartbeat that did.
+  bool lacks_endpoints_ = false;
+  std::uint64_t told_lack_with_ = 0;
   /// Questions to replicas that don't lead since drains were last confirmed.
   std::uint64_t questions_ = 0;
 };
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -50,6 +50,9 @@
   /// if these are not from the current leader.
   std::optional<std::string> endpoint_digest;
   std::optional<std::string> slice_digest;
+  /// True if the leader's last answer shows that the entry lacks an update of
+  /// the endpoints that the leader takes for delivered.
+  bool lacks_endpoints = false;
   /// True if the entry's endpoints may be out of date, so that a replica that
   /// is asked reads the platform's list itself, even if it hears from a leader.
   bool asks_listing = false;
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -72,6 +72,7 @@
 generated::ListingState ListingToWire(const protocol::ListingState& listing) {
   generated::ListingState out;
   out.version = static_cast<std::int64_t>(listing.version);
+  out.sent_version = static_cast<std::int64_t>(listing.sent_version);
   out.age_ms = listing.age_ms;
   return out;
 }
@@ -79,6 +80,7 @@
 protocol::ListingState ListingFromWire(const generated::ListingState& listing) {
   protocol::ListingState out;
   out.version = static_cast<std::uint64_t>(listing.version);
+  out.sent_version = static_cast<std::uint64_t>(listing.sent_version);
   out.age_ms = listing.age_ms;
   return out;
 }
@@ -117,6 +119,8 @@
     out.__set_endpoint_digest(*heartbeat.endpoint_digest);
   if (heartbeat.slice_digest)
     out.__set_slice_digest(*heartbeat.slice_digest);
+  if (heartbeat.lacks_endpoints)
+    out.__set_lacks_endpoints(true);
   if (heartbeat.asks_listing)
     out.__set_asks_listing(true);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
@@ -155,6 +159,7 @@
     out.endpoint_digest = heartbeat.endpoint_digest;
   if (heartbeat.__isset.slice_digest)
     out.slice_digest = heartbeat.slice_digest;
+  out.lacks_endpoints = heartbeat.lacks_endpoints;
   out.asks_listing = heartbeat.asks_listing;
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -67,7 +67,7 @@
   30: optional list<DrainReport> drains,
   40: optional bool takes_changes, 41: optional binary endpoint_digest,
   42: optional binary slice_digest,
-  51: optional bool asks_listing
+  50: optional bool lacks_endpoints, 51: optional bool asks_listing
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -83,7 +83,7 @@
   1: i64 version, 2: i64 base, 3: list<ListedEndpoint> changed,
   4: list<string> removed, 5: optional list<i32> parts
 }
-struct ListingState { 1: i64 version, 3: i64 age_ms }
+struct ListingState { 1: i64 version, 2: i64 sent_version, 3: i64 age_ms }
 struct MemberList {
   1: i64 version, 2: list<EntryStatus> entries, 3: optional i64 base,
   4: optional list<string> removed
--- a/source/unit_tests/entry/listing_age_test.cc
+++ b/source/unit_tests/entry/listing_age_test.cc
@@ -37,6 +37,30 @@
   }
 }
 
+// Pattern: the same, seen from the leader. Guards against a leader that takes
+// what it has sent for delivered until a timer runs out, though the entry knows
+// better.
+TEST_CASE("A leader learns at once that a table didn't arrive") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    ListingFleet fleet(seed);
+    bool was_lost = false;
+    fleet.CrashLeader();
+    fleet.loses = [&](const std::string& entry, const HeartbeatReply& reply) {
+      if (was_lost || entry != "e3" || reply.endpoints.version == 0)
+        return false;
+      was_lost = true;
+      return true;
+    };
+    for (int steps = 0; !was_lost && steps < 600; ++steps)
+      fleet.Run(ListingFleet::kStep);
+    REQUIRE(was_lost);
+    // Half of the time in which drains must be known.
+    fleet.Run(ListingFleet::kMaxDrainDelay / 2);
+    CHECK(fleet.AllFollowLeader());
+  }
+}
+
 // Pattern: the same for a change of the list, without a change of leader.
 TEST_CASE("Entries know in time of a drain though the change was lost") {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
