Entry, control: Keep lists from counting as younger than they are, and asking calm

- A table for one entry answered its heartbeat without the age of the leader's reading, which an entry takes for an answer of an earlier build: the list of the leader before counted as current.
- Questions went out as early heartbeats, to the leader as well, and any progress of the age made the next one the first again.
Questions are messages of their own now, to two replicas, at most each 400 ms, and not delayed by heartbeats that a leader left unanswered before ("Others are asked as soon as what is known of drains is old").
What is known of drains is old after 1.7 s, so that a reading that takes as long as its interval makes nobody else read ("A slow reading of the list makes nobody else read it").
- An entry's own reading replaced a list whose reading began later.
- A drain of a later process at the same address was ignored.
- An entry reads the whole list itself if only replicas that don't lead have told it of drains for 5 s; before, it never did while they answered.
- Ages and versions out of range are cut or ignored.

entry_test, wire_test and control_test pass. The tests of the second point and of those after it have no run on the code before.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -180,7 +180,7 @@
   void PushLists(ClockReading clock);
   std::vector<std::vector<SliceBase>> GroupByBase(
       std::vector<SliceBase> bases) const;
-  protocol::HeartbeatReply MakeReply() const;
+  protocol::HeartbeatReply MakeReply(Time now) const;
   void AddMembers(EntryDelivery& delivery,
                   const protocol::Heartbeat& heartbeat,
                   protocol::HeartbeatReply& reply,
--- a/source/core/control/control_node_delivery.cc
+++ b/source/core/control/control_node_delivery.cc
@@ -140,7 +140,7 @@
     if (lacking.wants_members)
       delivery.members.OnSent(registry_.Version(now), kResendTableAfter, now);
   }
-  protocol::HeartbeatReply empty = MakeReply();
+  protocol::HeartbeatReply empty = MakeReply(now);
   empty.sequence = entries.size() == 1 ? lacking.sequence : 0;
   std::size_t items = 1;
   if (lacking.wants_endpoints) {
@@ -169,8 +169,11 @@
   return items;
 }
 
-protocol::HeartbeatReply ControlNode::MakeReply() const {
+protocol::HeartbeatReply ControlNode::MakeReply(Time now) const {
   protocol::HeartbeatReply reply;
+  reply.listing.emplace();
+  reply.listing->version = catalog_.version();
+  reply.listing->age_ms = ToMillis(now - list_read_at_);
   reply.leader = true;
   reply.leader_hint = LeaderInstance();
   reply.revision = state_.revision();
@@ -189,7 +192,7 @@
         RateSharesFor(entry, delivery.rate_shares, now);
     if (shares.version != 0 && !shares.unchanged) {
       delivery.rate_shares = shares.version;
-      protocol::HeartbeatReply reply = MakeReply();
+      protocol::HeartbeatReply reply = MakeReply(now);
       reply.rate_shares = std::move(shares);
       SendToEntry(entry, std::move(reply));
     }
@@ -207,7 +210,7 @@
   }
   for (auto& [other_bases, slice_bases] : bases) {
     const auto& [endpoints, suspects] = other_bases;
-    protocol::HeartbeatReply reply = MakeReply();
+    protocol::HeartbeatReply reply = MakeReply(now);
     reply.endpoints = catalog_.UpdateFor(endpoints, now);
     reply.suspects = SuspectsFor(suspects, clock);
     for (std::vector<SliceBase>& group : GroupByBase(std::move(slice_bases))) {
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -40,9 +40,9 @@
       ReadListForEntry(heartbeat, clock.now);
     return;
   }
-  protocol::HeartbeatReply reply = MakeReply();
-  reply.sequence = heartbeat.sequence;
   ResetListsForTerm(clock);
+  protocol::HeartbeatReply reply = MakeReply(clock.now);
+  reply.sequence = heartbeat.sequence;
   registry_.OnHeartbeat(heartbeat.status, clock.now);
   settings_sender_.OnHeartbeat(from, heartbeat);
   AddSettings(from, reply, clock.now);
@@ -58,8 +58,7 @@
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     rate_shares_.OnReport(from, report, clock.now);
   AllocateRateShares(clock.now);
-  reply.listing = {catalog_.version(), delivery.endpoints.Base(clock.now),
-                   ToMillis(clock.now - list_read_at_)};
+  reply.listing->sent_version = delivery.endpoints.Base(clock.now);
   reply.rate_shares =
       RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
   OnCrashReports(heartbeat, clock);
@@ -202,7 +201,7 @@
   if (pushed_revision_ == state_.revision() || !Leads())
     return;
   pushed_revision_ = state_.revision();
-  const protocol::HeartbeatReply reply = MakeReply();
+  const protocol::HeartbeatReply reply = MakeReply(clock.now);
   // Entries that hold the same revision are sent the same message.
   std::vector<Broadcast> broadcasts;
   std::vector<protocol::HeartbeatReply> replies;
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -39,10 +39,14 @@
 constexpr std::size_t kMaxAskedContacts = 5;
 /// Number of contacts that are asked beside a leader that has not answered.
 constexpr std::size_t kStandbyContacts = 2;
-/// Age of what is known of draining endpoints after which others than the
-/// leader are asked: half of the time in which endpoints that drain must be
-/// left alone.
-constexpr Duration kMaxListingAge = 1500ms;
+/// Age of what is known of drains after which others than the leader are asked.
+/// Lists are younger while the leader reads the platform's list every 500 ms
+/// and heartbeats aren't further apart; within the 3 s for which an endpoint
+/// that drains may get requests, there is time for two questions.
+constexpr Duration kMaxDrainsAge = 1700ms;
+/// Time between two questions, which a replica that has to read the list first
+/// needs to answer.
+constexpr Duration kQuestionInterval = 400ms;
 /// Minimum time between a heartbeat and the next one to a leader that a contact
 /// has named.
 constexpr Duration kHintDelay = 100ms;
@@ -57,9 +61,7 @@
       timeout_(timeout) {}
 
 std::optional<Heartbeat> ControlSession::OnTick(Time now) {
-  // The first question doesn't wait for the next heartbeat.
-  const bool asks_now = questions_ == 0 && IsListingOld(now);
-  if (now < next_heartbeat_ && !asks_now)
+  if (now < next_heartbeat_)
     return std::nullopt;
   // No request can be served without settings, so a newly elected leader must
   // be found quickly.
@@ -72,6 +74,18 @@
   sent_.push_back({sequence_, now});
   while (sent_.front().sent + timeout_ < now)
     sent_.pop_front();
+  Heartbeat heartbeat = MakeHeartbeat();
+  heartbeat.claims = slices_.TakeClaims();
+  heartbeat.uses = slices_.TakeUses();
+  heartbeat.lacks_endpoints = std::exchange(lacks_endpoints_, false);
+  if (heartbeat.lacks_endpoints)
+    told_lack_with_ = sequence_;
+  AddDigests(heartbeat);
+  return heartbeat;
+}
+
+// Returns a heartbeat that says what this instance holds.
+Heartbeat ControlSession::MakeHeartbeat() {
   Heartbeat heartbeat;
   heartbeat.status = self_;
   if (needs_whole_tree_)
@@ -80,29 +94,43 @@
   heartbeat.sequence = sequence_;
   heartbeat.endpoints_version = endpoints_version_;
   heartbeat.slices_version = slices_.version();
-  heartbeat.claims = slices_.TakeClaims();
-  heartbeat.uses = slices_.TakeUses();
   heartbeat.rate_shares_version = rate_shares_.version;
   heartbeat.settings_position = receiver_.position();
   heartbeat.takes_changes = true;
-  heartbeat.lacks_endpoints = std::exchange(lacks_endpoints_, false);
-  if (heartbeat.lacks_endpoints)
-    told_lack_with_ = sequence_;
-  AddDigests(heartbeat);
   return heartbeat;
 }
 
+std::optional<Heartbeat> ControlSession::TakeQuestion(Time now) {
+  if (!AreDrainsOld(now)) {
+    questions_ = 0;
+    return std::nullopt;
+  }
+  if (now < next_question_)
+    return std::nullopt;
+  next_question_ = now + kQuestionInterval;
+  ++sequence_;
+  ++questions_;
+  sent_questions_.push_back({sequence_, now});
+  while (sent_questions_.front().sent + timeout_ < now)
+    sent_questions_.pop_front();
+  Heartbeat question = MakeHeartbeat();
+  question.asks_listing = true;
+  AddEndpointDigest(question);
+  return question;
+}
+
 bool ControlSession::OnReply(const HeartbeatReply& reply, Time now) {
   for (const std::string& replica : reply.replicas)
     AddContact(replica);
-  const auto sent = FindSendTime(reply.sequence);
   if (!reply.leader) {
     OnLeaderHint(reply.leader_hint, now);
     const bool changed = ApplyDrains(reply.drains);
-    if (reply.listing && sent)
-      ConfirmDrains(*sent - std::chrono::milliseconds(reply.listing->age_ms));
+    const auto asked = FindQuestionTime(reply.sequence);
+    if (reply.listing && asked)
+      ConfirmDrains(*asked - std::chrono::milliseconds(reply.listing->age_ms));
     return changed;
   }
+  const auto sent = FindSendTime(reply.sequence);
   const bool confirmed = sent && now < *sent + timeout_;
   if (!confirmed && fleet_ == nullptr)
     return false;
@@ -175,14 +203,11 @@
 }
 
 void ControlSession::ConfirmDrains(Time at) {
-  if (at <= drains_confirmed_at_)
-    return;
-  drains_confirmed_at_ = at;
-  questions_ = 0;
+  drains_confirmed_at_ = std::max(drains_confirmed_at_, at);
 }
 
-bool ControlSession::IsListingOld(Time now) const {
-  return !endpoints_.empty() && now > drains_confirmed_at_ + kMaxListingAge;
+bool ControlSession::AreDrainsOld(Time now) const {
+  return !endpoints_.empty() && now > drains_confirmed_at_ + kMaxDrainsAge;
 }
 
 void ControlSession::ExpediteHeartbeat(Time now) {
@@ -246,10 +271,12 @@
     return contacts;
   const auto after_leader =
       std::upper_bound(contacts.begin(), contacts.end(), leader_);
-  // Others follow with each further question.
+  // Others follow with each further question, and with each further heartbeat
+  // that is not answered.
+  const std::uint64_t missed = sequence_ - answered_sequence_;
   const auto shift =
       static_cast<std::uint64_t>(after_leader - contacts.begin()) +
-      questions_ * kStandbyContacts;
+      (questions_ > 0 ? (questions_ - 1) * kStandbyContacts : missed);
   std::rotate(
       contacts.begin(),
       contacts.begin() + static_cast<std::ptrdiff_t>(shift % contacts.size()),
@@ -308,6 +335,15 @@
   next_heartbeat_ = Time{};
 }
 
+std::optional<Time> ControlSession::FindQuestionTime(
+    std::uint64_t sequence) const {
+  for (const SentHeartbeat& question : sent_questions_) {
+    if (question.sequence == sequence)
+      return question.sent;
+  }
+  return std::nullopt;
+}
+
 std::optional<Time> ControlSession::FindSendTime(std::uint64_t sequence) const {
   for (const SentHeartbeat& heartbeat : sent_) {
     if (heartbeat.sequence == sequence)
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -49,6 +49,10 @@
   /// each time.
   std::vector<std::string> TakeAskedContacts();
 
+  /// Returns the question to send to StandbyContacts() if drains are old and it
+  /// is time to ask.
+  std::optional<protocol::Heartbeat> TakeQuestion(Time now);
+
   /// Adds a digest of endpoints() to a heartbeat, for replicas that don't lead.
   void AddEndpointDigest(protocol::Heartbeat& heartbeat) const;
 
@@ -56,8 +60,6 @@
   /// has no news: the same ones at all entries, so that few replicas read the
   /// list.
   std::vector<std::string> StandbyContacts() const;
-  /// Records that they are asked, so that others follow next time.
-  void OnStandbyAsked() { ++questions_; }
   void SetContacts(std::vector<std::string> contacts);
 
   /// Endpoints of the platform's list by id.
@@ -71,8 +73,8 @@
   void ApplyEndpointList(const std::vector<protocol::ListedEndpoint>& list,
                          Duration took,
                          Time now);
-  /// Marks the listed processes of endpoints as draining, whoever has read that.
-  /// Returns true if that is new for any.
+  /// Marks the listed processes of endpoints as draining, whoever has read
+  /// that. Returns true if that is new for any.
   bool ApplyDrains(const std::vector<protocol::DrainReport>& drains);
   /// Returns true if endpoints() was ever received or read.
   bool HasEndpointList() const { return has_endpoint_list_; }
@@ -85,7 +87,7 @@
   Time drains_confirmed_at() const { return drains_confirmed_at_; }
   /// Returns true if drains may be missing here that the platform's list has
   /// shown for some time, so that others than the leader are asked.
-  bool IsListingOld(Time now) const;
+  bool AreDrainsOld(Time now) const;
   /// Version of the leader's endpoint list; 0 if this instance has read the
   /// list from the platform.
   std::uint64_t endpoints_version() const { return endpoints_version_; }
@@ -144,6 +146,8 @@
   };
 
   std::optional<Time> FindSendTime(std::uint64_t sequence) const;
+  std::optional<Time> FindQuestionTime(std::uint64_t sequence) const;
+  protocol::Heartbeat MakeHeartbeat();
   bool ApplySettings(const protocol::SettingsUpdate& update);
   bool ApplyPiece(const protocol::SettingsPiece& piece);
   bool ApplyEndpointUpdate(const protocol::EndpointUpdate& update, Time now);
@@ -208,8 +212,11 @@
   /// the sequence number of the last heartbeat that did.
   bool lacks_endpoints_ = false;
   std::uint64_t told_lack_with_ = 0;
-  /// Questions to replicas that don't lead since drains were last confirmed.
+  /// Questions that may still be answered, and the number of questions since
+  /// drains were last known not to be old.
+  std::deque<SentHeartbeat> sent_questions_;
   std::uint64_t questions_ = 0;
+  Time next_question_{};
 };
 
 }  // namespace jacinth::entry
--- a/source/core/entry/control_session_lists.cc
+++ b/source/core/entry/control_session_lists.cc
@@ -141,7 +141,8 @@
     if (found == endpoints_.end() || report.started_ms == 0)
       continue;
     protocol::ListedEndpoint& endpoint = found->second;
-    const bool is_new = endpoint.started_ms == report.started_ms &&
+    // A later process has taken the place of the one that is listed here.
+    const bool is_new = endpoint.started_ms <= report.started_ms &&
                         endpoint.address == report.address &&
                         !endpoint.draining;
     if (!is_new)
--- a/source/core/entry/entry_logging.cc
+++ b/source/core/entry/entry_logging.cc
@@ -30,7 +30,8 @@
       .With("left_ms", ToMillis(record.deadline - now))
       .With("load", view.load)
       .With("slots", view.slots)
-      .With("list_age_ms", ToMillis(now - session_.endpoints_confirmed_at()));
+      .With("list_age_ms", ToMillis(now - session_.endpoints_confirmed_at()))
+      .With("drains_age_ms", ToMillis(now - session_.drains_confirmed_at()));
   if (view.load_age)
     log_record.With("load_age_ms", ToMillis(*view.load_age));
   if (view.cold)
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -10,9 +10,11 @@
 
 /// Time between ticks, which bounds the delay in detecting an expired deadline.
 constexpr Duration kTickInterval = 20ms;
-/// Age of the control role's endpoint list after which an entry reads the list
-/// from the platform.
-constexpr Duration kMaxEndpointListAge = 1500ms;
+/// Age of what the control role tells of drains after which an entry reads the
+/// list from the platform.
+constexpr Duration kMaxEndpointListAge = 1700ms;
+/// The same for all other changes of the list, which may come later.
+constexpr Duration kMaxWholeListAge = 5s;
 /// Time for which an entry that has settings waits for its first list: a leader
 /// that has just been elected has to read the list first.
 constexpr Duration kFirstListWait = 3s;
@@ -80,6 +82,10 @@
     heartbeat->drains = TakeDrainReports(now);
     SendHeartbeat(*heartbeat, now);
   }
+  if (const auto question = session_.TakeQuestion(now)) {
+    for (const std::string& contact : session_.StandbyContacts())
+      actions_.messages.push_back({contact, *question});
+  }
   MaybeListEndpoints(now);
   RefuseExpired(now);
   for (auto& [name, service_state] : services_) {
@@ -122,8 +128,11 @@
     return;
   }
   // An up-to-date list from the control role takes precedence.
-  if (session_.InContact(now) &&
-      now < session_.endpoints_confirmed_at() + kMaxEndpointListAge)
+  const bool is_older = now - event.took <= session_.endpoints_confirmed_at();
+  const bool leader_is_fresh =
+      session_.InContact(now) &&
+      now < session_.endpoints_confirmed_at() + kMaxEndpointListAge;
+  if (is_older || leader_is_fresh)
     return;
   session_.ApplyEndpointList(event.endpoints, event.took, now);
   ApplyFleetSettings(now);
@@ -140,19 +149,16 @@
   } else {
     actions_.messages.push_back({session_.leader(), heartbeat});
   }
-  const bool is_old = session_.IsListingOld(now);
   const bool asks_for_drains =
-      is_old || (session_.MissesReply(now) && !session_.endpoints().empty());
+      session_.MissesReply(now) && !session_.endpoints().empty();
   if (!asks_for_drains)
     return;
   protocol::Heartbeat question = heartbeat;
   question.claims.clear();
   question.uses.clear();
-  question.asks_listing = is_old;
   session_.AddEndpointDigest(question);
   for (const std::string& contact : session_.StandbyContacts())
     actions_.messages.push_back({contact, question});
-  session_.OnStandbyAsked();
 }
 
 // Reads the endpoint list from the platform while the control role provides no
@@ -175,7 +181,8 @@
   const bool is_fresh =
       session_.fleet() == nullptr ||
       (!AwaitsEndpoints() &&
-       now < session_.drains_confirmed_at() + kMaxEndpointListAge);
+       now < session_.drains_confirmed_at() + kMaxEndpointListAge &&
+       now < session_.endpoints_confirmed_at() + kMaxWholeListAge);
   if (is_fresh) {
     endpoint_list_due_.reset();
     next_endpoint_list_ = now + kMinEndpointListInterval;
--- a/source/core/protocol/endpoint_list.h
+++ b/source/core/protocol/endpoint_list.h
@@ -50,8 +50,8 @@
 struct ListingState {
   /// Version of the leader's list; 0 if the sender doesn't lead.
   std::uint64_t version = 0;
-  /// Version that the entry holds if every update that the leader has sent it
-  /// before has arrived; 0 if none was sent.
+  /// Version that the leader assumes the entry to hold, which it does if every
+  /// update that it was sent before has arrived; 0 if the message doesn't tell.
   std::uint64_t sent_version = 0;
   /// Time from the beginning of the sender's newest complete reading of the
   /// platform's list until the entry's heartbeat arrived, in milliseconds by
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -1,8 +1,13 @@
+#include <algorithm>
+
 #include "core/wire/convert.h"
 
 namespace jacinth::wire {
 namespace {
 
+/// Longest age that is passed on, far beyond any that is told apart.
+constexpr std::int64_t kMaxListingAgeMs = 3'600'000;
+
 generated::EntryStatus StatusToWire(const protocol::EntryStatus& status) {
   generated::EntryStatus out;
   out.id = status.id;
@@ -81,7 +86,7 @@
   protocol::ListingState out;
   out.version = static_cast<std::uint64_t>(listing.version);
   out.sent_version = static_cast<std::uint64_t>(listing.sent_version);
-  out.age_ms = listing.age_ms;
+  out.age_ms = std::min(listing.age_ms, kMaxListingAgeMs);
   return out;
 }
 
@@ -219,7 +224,10 @@
   out.term = static_cast<std::uint64_t>(reply.term);
   if (reply.__isset.drains)
     out.drains = DrainsFromWire(reply.drains);
-  if (reply.__isset.listing && reply.listing.age_ms >= 0)
+  const bool has_listing = reply.__isset.listing && reply.listing.age_ms >= 0 &&
+                           reply.listing.version >= 0 &&
+                           reply.listing.sent_version >= 0;
+  if (has_listing)
     out.listing = ListingFromWire(reply.listing);
   return out;
 }
--- a/source/unit_tests/entry/control_session_test.cc
+++ b/source/unit_tests/entry/control_session_test.cc
@@ -1,6 +1,7 @@
 #include "core/entry/control_session.h"
 
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -88,4 +89,105 @@
   CHECK(session.fleet() != nullptr);
 }
 
+namespace {
+
+protocol::ListedEndpoint MakeEndpoint() {
+  protocol::ListedEndpoint endpoint;
+  endpoint.id = "i-1";
+  endpoint.started_ms = 10;
+  endpoint.service = "s";
+  endpoint.address = "10.0.0.1:1";
+  return endpoint;
+}
+
+/// Gives a session the list of version 1, which was read 100 ms before its
+/// heartbeat arrived.
+void GiveList(ControlSession& session) {
+  const auto heartbeat = session.OnTick(kStart);
+  REQUIRE(heartbeat);
+  protocol::HeartbeatReply reply = MakeReply(heartbeat->sequence, 1);
+  reply.endpoints.version = 1;
+  reply.endpoints.changed = {MakeEndpoint()};
+  reply.listing = {1, 1, 100};
+  session.OnReply(reply, kStart + 20ms);
+}
+
+}  // namespace
+
+// Guards against a list that counts as current because the leader answers.
+TEST_CASE("An answer renews the list up to the age of the leader's reading") {
+  ControlSession session = MakeSession();
+  GiveList(session);
+  CHECK(session.endpoints_confirmed_at() == kStart - 100ms);
+  const auto heartbeat = session.OnTick(kStart + 500ms);
+  protocol::HeartbeatReply reply = MakeReply(heartbeat->sequence, 1);
+  SECTION("the leader has read the list again") {
+    reply.listing = {1, 1, 50};
+    session.OnReply(reply, kStart + 520ms);
+    CHECK(session.endpoints_confirmed_at() == kStart + 450ms);
+  }
+  SECTION("the leader's list is another one") {
+    reply.listing = {2, 1, 50};
+    session.OnReply(reply, kStart + 520ms);
+    CHECK(session.endpoints_confirmed_at() == kStart - 100ms);
+  }
+  SECTION("the leader has sent another list, which hasn't arrived") {
+    reply.listing = {2, 2, 50};
+    session.OnReply(reply, kStart + 520ms);
+    CHECK(session.endpoints_confirmed_at() == kStart - 100ms);
+    const auto next = session.OnTick(kStart + 700ms);
+    REQUIRE(next);
+    CHECK(next->lacks_endpoints);
+    // An answer to an earlier heartbeat doesn't make it say so again.
+    session.OnReply(reply, kStart + 720ms);
+    CHECK_FALSE(session.OnTick(kStart + 900ms)->lacks_endpoints);
+  }
+  SECTION("an answer that comes without a heartbeat") {
+    reply.sequence = 0;
+    reply.listing = {1, 1, 0};
+    session.OnReply(reply, kStart + 520ms);
+    CHECK(session.endpoints_confirmed_at() == kStart - 100ms);
+  }
+}
+
+// Guards against a first question that comes late because a leader that didn't
+// answer was asked beside others before.
+TEST_CASE("Others are asked as soon as what is known of drains is old") {
+  ControlSession session = MakeSession();
+  GiveList(session);
+  std::vector<Time> asked;
+  for (Time now = kStart + 40ms; now < kStart + 3s; now += 20ms) {
+    session.OnTick(now);
+    const auto question = session.TakeQuestion(now);
+    if (!question)
+      continue;
+    CHECK(question->asks_listing);
+    CHECK(question->endpoint_digest.has_value());
+    asked.push_back(now);
+  }
+  REQUIRE(asked.size() >= 3);
+  CHECK(asked[0] <= kStart - 100ms + 1720ms);
+  CHECK(asked[1] - asked[0] <= 420ms);
+  SECTION("an answer of a replica that doesn't lead") {
+    const auto question = session.TakeQuestion(kStart + 4s);
+    REQUIRE(question);
+    protocol::HeartbeatReply reply;
+    reply.sequence = question->sequence;
+    reply.listing = {0, 0, 200};
+    session.OnReply(reply, kStart + 4300ms);
+    CHECK(session.drains_confirmed_at() == kStart + 3800ms);
+    CHECK(session.endpoints_confirmed_at() == kStart - 100ms);
+    CHECK_FALSE(session.TakeQuestion(kStart + 5s));
+  }
+}
+
+TEST_CASE("A drain of a later process at the same address counts") {
+  ControlSession session = MakeSession();
+  GiveList(session);
+  CHECK_FALSE(session.ApplyDrains({{"i-1", "10.0.0.1:1", 9}}));
+  CHECK_FALSE(session.ApplyDrains({{"i-1", "10.0.0.2:1", 11}}));
+  CHECK(session.ApplyDrains({{"i-1", "10.0.0.1:1", 11}}));
+  CHECK(session.endpoints().at("i-1").draining);
+}
+
 }  // namespace jacinth::entry
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -360,4 +360,18 @@
   CHECK(driver.attempts.back().endpoint == "d");
 }
 
+// Guards against endpoints that are gone and come back.
+TEST_CASE("A reading that began before the list in use was read is ignored") {
+  EntryDriver driver = MakeReadyDriver();
+  driver.AdvanceTime(4s);
+  driver.Step(EndpointsListed{{MakeListedEndpoint("d")}});
+  REQUIRE(driver.node.session().endpoints().count("d") == 1);
+  driver.AdvanceTime(3s);
+  const EndpointsListed older{
+      {MakeListedEndpoint("e")}, /*is_complete=*/true, 3500ms};
+  driver.Step(older);
+  CHECK(driver.node.session().endpoints().count("d") == 1);
+  CHECK(driver.node.session().endpoints().count("e") == 0);
+}
+
 }  // namespace jacinth::entry
--- a/source/unit_tests/entry/listing_age_test.cc
+++ b/source/unit_tests/entry/listing_age_test.cc
@@ -101,4 +101,42 @@
   }
 }
 
+// Pattern: the same after a change of leader. Guards against an entry that
+// takes the list of an earlier leader for current because the next one sends
+// messages.
+TEST_CASE("Entries know in time of a drain that the next leader can't read") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    ListingFleet fleet(seed);
+    fleet.loses = [](const std::string& /*entry*/,
+                     const HeartbeatReply& reply) {
+      // An answer without it counts as one of an earlier build.
+      const bool tells_state =
+          reply.sequence == 0 || !reply.leader || reply.listing.has_value();
+      CHECK(tells_state);
+      return false;
+    };
+    fleet.RunUntilReading();
+    fleet.Run(ListingFleet::kListTime);
+    fleet.DrainEndpoint();
+    fleet.Run(2 * ListingFleet::kStep);
+    REQUIRE(fleet.AllKnow(false));
+    fleet.leader_cannot_read = true;
+    fleet.CrashLeader();
+    fleet.Run(ListingFleet::kMaxDrainDelay);
+    CHECK(fleet.AllKnow(true));
+  }
+}
+
+// Guards against a fleet that asks and reads all the time, as a reading takes
+// as long as the interval between readings.
+TEST_CASE("A slow reading of the list makes nobody else read it") {
+  ListingFleet fleet(1);
+  fleet.list_time = ListingFleet::kListInterval;
+  fleet.Run(2s);
+  const int before = fleet.readings_by_others();
+  fleet.Run(5s);
+  CHECK(fleet.readings_by_others() == before);
+}
+
 }  // namespace jacinth::entry
--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -98,14 +98,17 @@
   endpoint.address = "10.0.0.1:1";
   endpoint.draining = draining_;
   readings_by_machine_[machine] = {
-      cluster_.now(), cluster_.now() + kListTime, {endpoint}};
+      cluster_.now(), cluster_.now() + list_time, {endpoint}};
 }
 
 void ListingFleet::StepHost(std::size_t machine) {
   if (!cluster_.IsUp(machine) || cluster_.IsFrozen(machine))
     return;
-  if (cluster_.now() >= next_reading_[machine]) {
-    next_reading_[machine] = cluster_.now() + kListInterval;
+  // A reading that is due while one is in progress begins when that ends.
+  if (cluster_.now() >= next_reading_[machine] &&
+      readings_by_machine_.count(machine) == 0) {
+    next_reading_[machine] =
+        std::max(next_reading_[machine] + kListInterval, cluster_.now());
     if (cluster_.node(machine)->Leads())
       StartReading(machine);
   }
@@ -113,7 +116,10 @@
   if (reading == readings_by_machine_.end() ||
       cluster_.now() < reading->second.due)
     return;
-  if (stalled_readers.count(machine) != 0)
+  const bool is_stalled =
+      stalled_readers.count(machine) != 0 ||
+      (leader_cannot_read && cluster_.node(machine)->Leads());
+  if (is_stalled)
     return;
   const control::EndpointsListed listed{reading->second.list,
                                         /*is_complete=*/true,
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -37,6 +37,10 @@
       loses;
   /// Replicas whose readings of the list don't end.
   std::set<std::size_t> stalled_readers;
+  /// True if that holds for whoever leads.
+  bool leader_cannot_read = false;
+  /// Time that a reading takes.
+  Duration list_time = kListTime;
 
   void Run(Duration duration);
   /// Runs until just before the leader's next reading.
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -259,6 +259,27 @@
   CHECK(ok);
 }
 
+// Guards against a list that never gets old, as another build tells an age or a
+// version out of range.
+TEST_CASE("The state of a list is unchanged by encoding, and bounded") {
+  const auto pass_on = [](std::uint64_t version, std::int64_t age_ms) {
+    protocol::HeartbeatReply reply;
+    reply.listing = {version, 3, age_ms};
+    const auto decoded = DecodeEnvelope(EncodeEnvelope(reply));
+    REQUIRE(decoded);
+    return std::get<protocol::HeartbeatReply>(*decoded).listing;
+  };
+  CHECK(pass_on(7, 250) == protocol::ListingState{7, 3, 250});
+  CHECK_FALSE(pass_on(7, -1));
+  CHECK_FALSE(pass_on(1ULL << 63U, 250));
+  CHECK(pass_on(7, std::numeric_limits<std::int64_t>::max())->age_ms <=
+        3'600'000);
+  protocol::Heartbeat heartbeat;
+  heartbeat.lacks_endpoints = true;
+  heartbeat.asks_listing = true;
+  CHECK(DecodeEnvelope(EncodeEnvelope(heartbeat)) == Envelope(heartbeat));
+}
+
 // Guards against messages that an entry or replica of an earlier build, which
 // runs beside this one during an upgrade, can't read. The bytes were written by
 // the build of commit 96d274e.
