Instance: Log readings of the endpoint list that fail or are slow

Only the first of several failed reads was logged, with the first reason and without the failure domain, its duration or what the other pages were worth, so that a drain that was learned late couldn't be traced to a read. Each failed read now writes endpoint_read_failed, and a complete one of 0.5 s or more endpoint_read_was_slow. Reads that were due while one was in progress are counted in both. No decision depends on it.

The message "Failed to read the endpoint list" is replaced.

--- a/source/jacinthroute/endpoint_lister.cc
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -1,7 +1,10 @@
 #include "jacinthroute/endpoint_lister.h"
 
+#include <array>
 #include <utility>
 
+#include "core/common/name_table.h"
+#include "core/common/process_clock.h"
 #include "core/http/status.h"
 #include "core/log/log.h"
 
@@ -13,6 +16,26 @@
 /// Limits the number of pages in case the page tokens form a loop.
 constexpr int kMaxPages = 1'000;
 
+constexpr std::array kUnansweredNames = {
+    NamedValue<http::ExchangeEnd>{http::ExchangeEnd::kNotConnected,
+                                  "no connection"},
+    NamedValue<http::ExchangeEnd>{http::ExchangeEnd::kLost, "connection lost"},
+    NamedValue<http::ExchangeEnd>{http::ExchangeEnd::kTimedOut, "timed out"},
+    NamedValue<http::ExchangeEnd>{http::ExchangeEnd::kIncomplete,
+                                  "incomplete answer"},
+    NamedValue<http::ExchangeEnd>{http::ExchangeEnd::kTooLarge,
+                                  "answer too large"},
+};
+
+// Returns why `result` has no page; empty if it has one.
+std::string FindFailure(const http::ExchangeResult& result) {
+  if (result.end != http::ExchangeEnd::kAnswered)
+    return std::string(EnumName(kUnansweredNames, result.end));
+  if (result.response.status != http::kStatusOk)
+    return "unexpected status " + std::to_string(result.response.status);
+  return "";
+}
+
 }  // namespace
 
 EndpointLister::EndpointLister(http::EventClient& client,
@@ -28,8 +51,13 @@
       reads_by_domain_(!failure_domains_.empty()) {}
 
 void EndpointLister::Start(DoneHandler on_done) {
-  if (open_requests_ != 0 || address_.empty())
+  if (address_.empty())
     return;
+  if (open_requests_ != 0) {
+    monitor_.OnStartSkipped();
+    return;
+  }
+  monitor_.OnStart(MonotonicNow());
   requested_pages_ = 0;
   skipped_endpoints_ = 0;
   failure_.clear();
@@ -52,32 +80,32 @@
   call.request = make_request_(failure_domain, page_token);
   call.limits = kPageLimits;
   call.max_idle = kMaxIdleTime;
-  client_.Start(call,
-                [this, failure_domain](const http::ExchangeResult& result) {
-                  OnPage(failure_domain, result);
-                });
+  client_.Start(call, [this, failure_domain, requested = MonotonicNow()](
+                          const http::ExchangeResult& result) {
+    OnPage(failure_domain, requested, result);
+  });
 }
 
 void EndpointLister::OnPage(const std::string& failure_domain,
+                            Time requested,
                             const http::ExchangeResult& result) {
   --open_requests_;
-  if (failure_.empty()) {
-    if (const auto added = AddPage(failure_domain, result); !added)
-      failure_ = added.error().detail;
+  std::string failure = FindFailure(result);
+  if (failure.empty() && failure_.empty()) {
+    if (const auto added = AddPage(failure_domain, result.response); !added)
+      failure = added.error().detail;
   }
+  const Time now = MonotonicNow();
+  monitor_.OnPage(failure_domain, failure, requested, now);
+  if (failure_.empty())
+    failure_ = std::move(failure);
   if (open_requests_ == 0)
-    OnReadEnd();
+    OnReadEnd(now);
 }
 
 Result<void> EndpointLister::AddPage(const std::string& failure_domain,
-                                     const http::ExchangeResult& result) {
-  if (result.end != http::ExchangeEnd::kAnswered)
-    return Fail(ErrorKind::kNoEndpoint, "no complete answer");
-  if (result.response.status != http::kStatusOk) {
-    return Fail(ErrorKind::kNoEndpoint,
-                "unexpected status " + std::to_string(result.response.status));
-  }
-  auto page = parse_page_(result.response);
+                                     const http::Response& response) {
+  auto page = parse_page_(response);
   if (!page)
     return tl::unexpected(page.error());
   for (protocol::ListedEndpoint& endpoint : page->endpoints)
@@ -91,13 +119,11 @@
   return {};
 }
 
-void EndpointLister::OnReadEnd() {
+void EndpointLister::OnReadEnd(Time now) {
+  if (const auto record = monitor_.OnEnd(now))
+    log::Write(*record);
   if (!failure_.empty()) {
-    if (!std::exchange(last_read_failed_, true)) {
-      log::Warning(log::Category::kEntry,
-                   "Failed to read the endpoint list at " + address_ + ": " +
-                       failure_ + ".");
-    }
+    last_read_failed_ = true;
     return;
   }
   if (std::exchange(last_skipped_endpoints_, skipped_endpoints_) <
--- a/source/jacinthroute/endpoint_lister.h
+++ b/source/jacinthroute/endpoint_lister.h
@@ -5,8 +5,10 @@
 #include <vector>
 
 #include "core/common/error.h"
+#include "core/common/time.h"
 #include "core/http/event_client.h"
 #include "core/protocol/endpoint_list.h"
+#include "jacinthroute/endpoint_read_monitor.h"
 #include "jacinthroute/interface_adapter.h"
 
 namespace jacinth {
@@ -40,12 +42,13 @@
   void RequestPage(const std::string& failure_domain,
                    const std::string& page_token);
   void OnPage(const std::string& failure_domain,
+              Time requested,
               const http::ExchangeResult& result);
   // Adds a page, and requests the next one if there is one. Returns why the
   // list can't be read.
   Result<void> AddPage(const std::string& failure_domain,
-                       const http::ExchangeResult& result);
-  void OnReadEnd();
+                       const http::Response& response);
+  void OnReadEnd(Time now);
 
   http::EventClient& client_;
   std::string address_;
@@ -59,6 +62,7 @@
   int requested_pages_ = 0;
   /// Why the current read has failed; empty if it hasn't.
   std::string failure_;
+  EndpointReadMonitor monitor_;
   bool last_read_failed_ = false;
   std::size_t skipped_endpoints_ = 0;
   std::size_t last_skipped_endpoints_ = 0;
--- a/source/unit_tests/http/endpoint_lister_test.cc
+++ b/source/unit_tests/http/endpoint_lister_test.cc
@@ -1,15 +1,22 @@
 #include "jacinthroute/endpoint_lister.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/http/event_server.h"
 #include "core/http/status.h"
+#include "core/log/log.h"
+#include "unit_tests/support/captured_output.h"
 #include "unit_tests/support/port_reservation.h"
 
 namespace jacinth {
@@ -107,6 +114,19 @@
   EndpointLister lister;
 };
 
+// Returns the value of a text or a whole number; empty if `record` has no such
+// field.
+std::string FieldOf(const log::Record& record, std::string_view name) {
+  for (const log::Field& field : record.fields) {
+    if (field.name != name)
+      continue;
+    if (const auto* text = std::get_if<std::string>(&field.value))
+      return *text;
+    return std::to_string(std::get<std::int64_t>(field.value));
+  }
+  return "";
+}
+
 }  // namespace
 
 // Guards against drains that are heard too late, as a list of hundreds of
@@ -141,4 +161,67 @@
   CHECK(reader.ReadOnce() == 6U);
 }
 
+TEST_CASE("Each read of the list that fails is logged with the failed page") {
+  PagedList list({"a", "b", "c"}, 2);
+  Reader reader(list);
+  list.fails_at = "/b/2";
+  std::string text;
+  {
+    test::CapturedOutput output;
+    log::Start("info", "c1");
+    reader.ReadOnce();
+    reader.ReadOnce();
+    log::Stop();
+    text = output.ReadAvailable();
+  }
+  std::istringstream lines(text);
+  for (int read = 0; read < 2; ++read) {
+    std::string line;
+    REQUIRE(std::getline(lines, line));
+    const auto record = nlohmann::json::parse(line);
+    CHECK(record["event"] == "endpoint_read_failed");
+    CHECK(record["failure_domain"] == "b");
+    CHECK(record["detail"] == "unexpected status 503");
+    CHECK(record["pages_failed"] == 1);
+    CHECK(record["pages_dropped"] == 5);
+  }
+}
+
+TEST_CASE("The log of a failed read tells its duration and its first failure") {
+  const Time start(100s);
+  EndpointReadMonitor monitor;
+  monitor.OnStart(start);
+  monitor.OnPage("a", "", start, start + 40ms);
+  monitor.OnPage("b", "timed out", start + 10ms, start + 1510ms);
+  monitor.OnPage("c", "connection lost", start, start + 1600ms);
+  const auto record = monitor.OnEnd(start + 1600ms);
+  REQUIRE(record);
+  CHECK(record->event == "endpoint_read_failed");
+  CHECK(FieldOf(*record, "took_ms") == "1600");
+  CHECK(FieldOf(*record, "failure_domain") == "b");
+  CHECK(FieldOf(*record, "detail") == "timed out");
+  CHECK(FieldOf(*record, "page_ms") == "1500");
+  CHECK(FieldOf(*record, "pages_dropped") == "1");
+  CHECK(FieldOf(*record, "pages_failed") == "2");
+}
+
+TEST_CASE("A complete read is logged only if it was slow") {
+  const Time start(100s);
+  EndpointReadMonitor monitor;
+  monitor.OnStart(start);
+  monitor.OnPage("a", "", start, start + 499ms);
+  CHECK_FALSE(monitor.OnEnd(start + 499ms));
+  monitor.OnStart(start);
+  monitor.OnPage("a", "", start, start + 600ms);
+  monitor.OnStartSkipped();
+  monitor.OnPage("b", "", start, start + 200ms);
+  const auto record = monitor.OnEnd(start + 600ms);
+  REQUIRE(record);
+  CHECK(record->event == "endpoint_read_was_slow");
+  CHECK(FieldOf(*record, "took_ms") == "600");
+  CHECK(FieldOf(*record, "pages") == "2");
+  CHECK(FieldOf(*record, "failure_domain") == "a");
+  CHECK(FieldOf(*record, "skipped_starts") == "1");
+}
+
 }  // namespace jacinth
