HTTP tests: Show that an unanswered page costs two readings of the list

A page times out after 1.5 s, and the reading that is due after 1 s is skipped, so that one unanswered page of some twenty leaves the leader without a list for two intervals. An endpoint that leaves right after the reading before it is known at the leader three intervals after the list shows it, which is the whole bound on drains.

Fails: 3,001 ms, 2,500 allowed (the bound of 3 s less the time for a connection and for sending a request, as in listing_age_test).

--- a/source/unit_tests/http/endpoint_lister_test.cc
+++ b/source/unit_tests/http/endpoint_lister_test.cc
@@ -13,6 +13,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "core/common/process_clock.h"
 #include "core/http/event_server.h"
 #include "core/http/status.h"
 #include "core/log/log.h"
@@ -37,6 +38,11 @@
         context, [this](const std::shared_ptr<http::Transaction>& transaction) {
           const std::string& target = transaction->request().target;
           requests.push_back(target);
+          if (target == stalls_once_at) {
+            stalls_once_at.clear();
+            stalled_ = transaction;
+            return;
+          }
           http::Response response;
           response.status = target == fails_at ? http::kStatusServiceUnavailable
                                                : http::kStatusOk;
@@ -75,6 +81,8 @@
 
   std::vector<std::string> requests;
   std::string fails_at;
+  /// The next request for this target isn't answered.
+  std::string stalls_once_at;
 
  private:
   std::vector<std::string> domains_;
@@ -82,6 +90,7 @@
   test::PortReservation ports_;
   std::string address_;
   std::unique_ptr<http::EventServer> server_;
+  std::shared_ptr<http::Transaction> stalled_;
 };
 
 struct Reader {
@@ -161,6 +170,32 @@
   CHECK(reader.ReadOnce() == 6U);
 }
 
+// Pattern: an endpoint leaves right after the list was read, and one page of
+// the next read isn't answered. Guards against drains that are heard too late,
+// as the read fails only after the time at which the one after it is due.
+TEST_CASE("A drain is read in time though a page wasn't answered") {
+  constexpr Duration kListInterval = 1s;
+  // The time until no request may reach the endpoint, less the time for a
+  // connection and for sending a request.
+  constexpr Duration kMaxReadDelay = 3000ms - 500ms;
+  PagedList list({"a", "b", "c"}, 2);
+  Reader reader(list);
+  CHECK(reader.ReadOnce() == 6U);
+  const Time shown = MonotonicNow();
+  list.stalls_once_at = "/b/";
+  std::optional<Time> read;
+  for (int interval = 1; !read && interval <= 5; ++interval) {
+    reader.context.restart();
+    reader.context.run_for(shown + interval * kListInterval - MonotonicNow());
+    reader.lister.Start([&](const std::vector<protocol::ListedEndpoint>&) {
+      if (!read)
+        read = MonotonicNow();
+    });
+  }
+  REQUIRE(read);
+  CHECK(ToMillis(*read - shown) <= ToMillis(kMaxReadDelay));
+}
+
 TEST_CASE("Each read of the list that fails is logged with the failed page") {
   PagedList list({"a", "b", "c"}, 2);
   Reader reader(list);
