--- a/source/jacinthroute/endpoint_lister.cc
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -11,7 +11,11 @@
 namespace jacinth {
 namespace {
 
-constexpr http::ExchangeLimits kPageLimits{500ms, 1500ms, 8UL << 20U};
+/// Limits of the first request for a page, and of the one that repeats it: a
+/// page usually takes some milliseconds, but a list must be read from a slow
+/// platform as well.
+constexpr http::ExchangeLimits kPageLimits{500ms, 700ms, 8UL << 20U};
+constexpr http::ExchangeLimits kRepeatedPageLimits{500ms, 1500ms, 8UL << 20U};
 constexpr Duration kMaxIdleTime = 5s;
 /// Number of requests for a page that gets no answer, and the time since the
 /// beginning of a reading after which none is repeated: its other pages are old
@@ -89,8 +93,9 @@
   http::ClientCall call;
   call.address = address_;
   call.request = make_request_(page.failure_domain, page.token);
-  call.limits = kPageLimits;
-  call.max_idle = page.tries == 1 ? kMaxIdleTime : Duration{0};
+  const bool is_repeated = page.tries > 1;
+  call.limits = is_repeated ? kRepeatedPageLimits : kPageLimits;
+  call.max_idle = is_repeated ? Duration{0} : kMaxIdleTime;
   client_.Start(
       call, [this, page = std::move(page),
              requested = MonotonicNow()](const http::ExchangeResult& result) {
