Forwarding tests: Show silent links that an entry with few requests notices late

Seen: platform_process_test, "An entry that reaches no endpoint serves its callers through others", fault 2 (silence), on untouched code: all requests go to the owner of their object, one at a time. The links are cut at 0 s, the first endpoint is put aside after three timeouts at 6.0 s, the second gets its first request then, the links are suspected at 7.0 s and lost at 8.5 s. The test looks up the entries 65 ms later, before the other entry has got the list of members. Both new tests fail.

--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -318,6 +318,32 @@
   CHECK(driver.answers.count(once) == 0);
 }
 
+// Guards against a quiet entry that notices silent links only when its requests
+// have gone to several endpoints in turn, each until it was put aside
+// (docs/incidents/recover.md).
+TEST_CASE("A single request shows that the links fell silent") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west")});
+  const RequestTicket ticket = driver.SendRequest("GET", "/x");
+  driver.AdvanceTime(1'100ms);
+  SECTION("if no other endpoint responds") {
+    EndProbes(driver, forwarding::LinkProbeEnd::kSilent);
+    REQUIRE(driver.snapshot->self.isolated);
+    REQUIRE(driver.relays.size() == 1);
+    CHECK(driver.relays[0].ticket == ticket);
+  }
+  SECTION("unless others respond") {
+    REQUIRE_FALSE(driver.probes.empty());
+    EndProbes(driver, forwarding::LinkProbeEnd::kConnected);
+    CHECK_FALSE(driver.snapshot->self.isolated);
+    driver.AdvanceTime(800ms);
+    CHECK(driver.probes.empty());
+    CHECK(driver.relays.empty());
+    CHECK(driver.node.active_requests() == 1);
+  }
+}
+
 TEST_CASE("A relay ends when its caller leaves") {
   EntryDriver driver = MakeIsolatedDriver();
   const RequestTicket ticket = SendOnce(driver);
--- a/source/unit_tests/forwarding/link_monitor_test.cc
+++ b/source/unit_tests/forwarding/link_monitor_test.cc
@@ -123,6 +123,35 @@
   }
 }
 
+// Guards against a quiet entry whose requests all go to one endpoint, such as
+// the owner of their object, until that one is put aside.
+TEST_CASE(
+    "An endpoint that owes an answer for a while casts doubt on the links") {
+  LinkMonitor links;
+  links.SetEndpointCount(12);
+  links.OnSent("p0", kNow);
+  links.CheckSilence(kNow + 900ms);
+  CHECK(links.state() == LinkState::kConnected);
+  SECTION("if no other has answered since") {
+    links.CheckSilence(kNow + 1s);
+    REQUIRE(links.state() == LinkState::kSuspected);
+    REQUIRE(links.WantsProbes(kNow + 1s));
+    const auto probed = links.SelectProbes(MakeCandidates(), 1, kNow + 1s);
+    links.OnProbeEnd(LinkProbeEnd::kConnected, kNow + 1s);
+    CHECK(links.state() == LinkState::kConnected);
+    for (std::size_t i = 1; i < probed.size(); ++i)
+      links.OnProbeEnd(LinkProbeEnd::kConnected, kNow + 1s);
+    // Once the links are known to work, the same request says nothing more.
+    links.CheckSilence(kNow + 10s);
+    CHECK(links.state() == LinkState::kConnected);
+  }
+  SECTION("unless another has answered since") {
+    links.OnAnswer(kNow + 900ms);
+    links.CheckSilence(kNow + 10s);
+    CHECK(links.state() == LinkState::kConnected);
+  }
+}
+
 TEST_CASE(
     "Failures long apart, or of one endpoint, don't cast doubt on links that "
     "carry answers") {
