--- /dev/null
+++ b/source/unit_tests/entry/lost_message_test.cc
@@ -0,0 +1,167 @@
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include <catch2/catch.hpp>
+
+#include "unit_tests/support/narrow_fleet.h"
+
+namespace jacinth::entry {
+namespace {
+
+using protocol::HeartbeatReply;
+using test::NarrowEntry;
+using test::NarrowFleet;
+
+/// Bounds of the users' rules: `config_propagation_ms`, and `contact_ms` + 3 s
+/// for entries that the directory names although they are gone.
+struct Deployment {
+  int entries;
+  Duration propagation;
+  Duration directory;
+};
+constexpr Deployment kSmall = {8, 2500ms, 6s};
+constexpr Deployment kLarge = {185, 3s, 7s};
+/// Time by which a group of several replicas may elect a leader later than the
+/// single replica of NarrowFleet.
+constexpr Duration kElectionTime = 500ms;
+constexpr Duration kStep = NarrowFleet::kStep;
+constexpr Duration kControlTimeout = 2s;
+/// Time between the phases of the first entry's heartbeats that are tried.
+constexpr Duration kPhase = 70ms;
+constexpr int kPhases = 5;
+
+/// A fleet whose first entry misses one message of the leader.
+class LossyFleet {
+ public:
+  using Matches = std::function<bool(const HeartbeatReply&)>;
+
+  LossyFleet(int entries, int phase) : fleet(entries) {
+    fleet.Change({{"service/s", {{"probe_interval_ms", "0"}}}});
+    fleet.Run(4s + phase * kPhase);
+  }
+
+  NarrowEntry& receiver() { return fleet.entries().front(); }
+  const ControlSession& session() { return receiver().session(); }
+
+  /// Runs until `is_done`, at most for `limit`, and loses the first message to
+  /// the entry that matches. Returns the time that passed.
+  Duration RunUntil(const std::function<bool()>& is_done,
+                    const Matches& matches,
+                    Duration limit) {
+    Duration passed{0};
+    LoseFirst(matches);
+    while (!is_done() && passed < limit) {
+      fleet.Run(kStep);
+      passed += kStep;
+      LoseFirst(matches);
+    }
+    return passed;
+  }
+
+  /// Replaces the leader and runs until the next one has answered the entry.
+  void FollowNextLeader() {
+    fleet.ReplaceLeader();
+    const Time replaced = receiver().driver->now;
+    while (session().contact_until() < replaced + kControlTimeout)
+      fleet.Run(kStep);
+  }
+
+  NarrowFleet fleet;
+  bool was_lost = false;
+
+ private:
+  void LoseFirst(const Matches& matches) {
+    auto& deliveries = receiver().deliveries;
+    const auto found = std::find_if(
+        deliveries.begin(), deliveries.end(),
+        [&](const NarrowEntry::Delivery& delivery) {
+          const auto* reply = std::get_if<HeartbeatReply>(&delivery.envelope);
+          return reply != nullptr && matches(*reply);
+        });
+    if (was_lost || found == deliveries.end())
+      return;
+    deliveries.erase(found);
+    was_lost = true;
+  }
+};
+
+bool HasSettings(const HeartbeatReply& reply) {
+  return !reply.settings_piece.bytes.empty();
+}
+
+bool HasMembers(const HeartbeatReply& reply) {
+  return reply.members.version != 0;
+}
+
+bool HasMember(const ControlSession& session, const std::string& id) {
+  const auto& members = session.members();
+  return std::any_of(
+      members.begin(), members.end(),
+      [&](const protocol::EntryStatus& member) { return member.id == id; });
+}
+
+}  // namespace
+
+// Guards against an acknowledged change, such as an evacuation, that an entry
+// lacks for too long because one message was lost.
+TEST_CASE("A change is in force in time though its message was lost") {
+  const Deployment deployment = GENERATE(kSmall, kLarge);
+  const bool new_leader = GENERATE(false, true);
+  const int phase = GENERATE(range(0, kPhases));
+  CAPTURE(deployment.entries, new_leader, phase);
+  LossyFleet test(deployment.entries, phase);
+  if (new_leader)
+    test.FollowNextLeader();
+  test.fleet.Change(
+      {{"region/west/failure_domain/west-b", {{"drain", "true"}}}});
+  test.RunUntil(
+      [&] { return test.session().self().revision == test.fleet.revision(); },
+      HasSettings, deployment.propagation);
+  REQUIRE(test.was_lost);
+  CHECK(test.session().self().revision == test.fleet.revision());
+  CHECK(test.session().fleet()->drained_failure_domains.count("west-b") == 1);
+}
+
+// Guards against a 404 from an entry that lacks a change: it must learn from
+// the next reply that there is one, or stop relying on the last reply.
+TEST_CASE("An entry knows in time that it lacks a change") {
+  const Deployment deployment = GENERATE(kSmall, kLarge);
+  const bool loses_all = GENERATE(false, true);
+  const int phase = GENERATE(range(0, kPhases));
+  CAPTURE(deployment.entries, loses_all, phase);
+  LossyFleet test(deployment.entries, phase);
+  test.receiver().is_cut = loses_all;
+  test.fleet.Change({{"service/s", {{"ttl_ms", "500"}}}});
+  const auto is_uncertain = [&] {
+    return !test.session().HasNewestSettings(test.receiver().driver->now);
+  };
+  const Duration limit =
+      loses_all ? kControlTimeout : test.session().HeartbeatInterval() + 100ms;
+  test.RunUntil(is_uncertain, HasSettings, limit);
+  CHECK(is_uncertain());
+}
+
+// Guards against look-ups that name an entry long after it has gone, as the
+// member list of a new leader was lost.
+TEST_CASE("Look-ups omit a lost entry in time though a list was lost") {
+  const Deployment deployment = GENERATE(kSmall, kLarge);
+  const bool new_leader = GENERATE(false, true);
+  const int phase = GENERATE(range(0, kPhases));
+  CAPTURE(deployment.entries, new_leader, phase);
+  LossyFleet test(deployment.entries, phase);
+  NarrowEntry& gone = test.fleet.entries().back();
+  const std::string id = gone.session().self().id;
+  REQUIRE(HasMember(test.session(), id));
+  // None of its heartbeats arrives.
+  gone.link_delay = std::chrono::hours(1);
+  if (new_leader)
+    test.fleet.ReplaceLeader();
+  test.RunUntil([&] { return !HasMember(test.session(), id); }, HasMembers,
+                deployment.directory - kElectionTime);
+  REQUIRE(test.was_lost);
+  CHECK_FALSE(HasMember(test.session(), id));
+}
+
+}  // namespace jacinth::entry
