Entry tests: Show a drain that is sent late after a list of a new leader

An endpoint leaves while an entry has got a new leader's list and not confirmed it yet, and the message with this change is lost. SentVersion keeps the longest time that anything unconfirmed was given, here the 3 s of the list, and counts them anew when the list is confirmed.

--- a/source/unit_tests/entry/lost_message_test.cc
+++ b/source/unit_tests/entry/lost_message_test.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -26,6 +28,9 @@
 /// Time by which a group of several replicas may elect a leader later than the
 /// single replica of NarrowFleet.
 constexpr Duration kElectionTime = 500ms;
+/// Time from the listing of a drain until no request may reach the endpoint,
+/// less the time for a connection and for sending a request.
+constexpr Duration kDrainTime = 3000ms - 500ms;
 constexpr Duration kStep = NarrowFleet::kStep;
 constexpr Duration kControlTimeout = 2s;
 /// Time between the phases of the first entry's heartbeats that are tried.
@@ -91,6 +96,10 @@
   return !reply.settings_piece.bytes.empty();
 }
 
+bool HasEndpoints(const HeartbeatReply& reply) {
+  return reply.endpoints.version != 0;
+}
+
 bool HasMembers(const HeartbeatReply& reply) {
   return reply.members.version != 0;
 }
@@ -164,4 +173,37 @@
   CHECK_FALSE(HasMember(test.session(), id));
 }
 
+// Pattern: an endpoint leaves between the list of a new leader and the
+// heartbeat that confirms it, and that change is lost. Guards against a change
+// that is given as much time as the whole list before it.
+TEST_CASE(
+    "Entries know in time of a drain though a change after a list is lost") {
+  const Deployment deployment = GENERATE(kSmall, kLarge);
+  const Duration later = GENERATE(20ms, 60ms, 100ms);
+  CAPTURE(deployment.entries, later.count());
+  LossyFleet test(deployment.entries, 0);
+  std::vector<protocol::ListedEndpoint> endpoints(1);
+  endpoints[0].id = "1";
+  endpoints[0].started_ms = 1;
+  endpoints[0].service = "s";
+  endpoints[0].address = "10.0.0.1:1";
+  test.fleet.ListEndpoints(endpoints);
+  test.fleet.Run(2s);
+  const std::uint64_t before = test.session().endpoints_version();
+  REQUIRE(before != 0);
+  test.fleet.ReplaceLeader();
+  while (test.session().endpoints_version() == before)
+    test.fleet.Run(kStep);
+  REQUIRE(test.receiver().deliveries.empty());
+  test.fleet.Run(later - 20ms);
+  endpoints[0].draining = true;
+  test.fleet.ListEndpoints(endpoints);
+  const auto is_known = [&] {
+    return test.session().endpoints().at("1").draining;
+  };
+  test.RunUntil(is_known, HasEndpoints, kDrainTime);
+  REQUIRE(test.was_lost);
+  CHECK(is_known());
+}
+
 }  // namespace jacinth::entry
