--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -75,7 +75,7 @@
     // system.
     options.may_create_group = machine.starts == 0 && now_ == kStart;
     options.replica.target_voters = layout_.target_voters;
-    options.replica.replace_after = kReplaceAfter;
+    options.replica.replace_after = layout_.replace_after;
   }
   options.entry_timeout = 500ms;
   options.snapshot_entries = kSnapshotEntries;
--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -45,6 +45,7 @@
     std::size_t target_voters = 0;
     Duration election_timeout = kElectionTimeout;
     Duration heartbeat = kHeartbeat;
+    Duration replace_after = kReplaceAfter;
   };
 
   explicit ControlCluster(std::uint64_t seed);
