Control tests: Show groups whose disks are slower than a lease

Callers see 503 for as long as syncs take 450 ms or more: no change is acknowledged, no read answered.

--- /dev/null
+++ b/source/unit_tests/control/slow_disk_test.cc
@@ -0,0 +1,120 @@
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <catch2/catch.hpp>
+
+#include "unit_tests/support/control_cluster.h"
+
+namespace jacinth::control {
+namespace {
+
+using test::ControlCluster;
+
+/// The replicas' times on the platform.
+constexpr ControlCluster::Layout kLayout{5, 3, 5, 500ms, 120ms, 2'500ms};
+/// The platform's bounds: time after the last disturbance from which the group
+/// counts as stable, and time within which it must acknowledge a change then.
+constexpr Duration kContact = 4s;
+constexpr Duration kMaxAck = 4s;
+/// Interval at which an operator sends an unanswered change again.
+constexpr Duration kPatience = 1s;
+constexpr std::uint64_t kSeeds = 20;
+
+ControlCluster MakeCluster(std::uint64_t seed, Duration sync_time) {
+  ControlCluster cluster(seed, kLayout);
+  cluster.loss_percent = 0;
+  cluster.duplicate_percent = 0;
+  cluster.Run(5s);
+  cluster.sync_time = sync_time;
+  return cluster;
+}
+
+ChangeRequested MakeChange(const std::string& key, AdminTicket ticket) {
+  ChangeRequested request;
+  request.ticket = ticket;
+  request.operator_settings.branches = {"*"};
+  request.change.idempotency_key = key;
+  request.change.any_revision = true;
+  request.change.changes = {{"service/" + key, {{"ttl_ms", "500"}}}};
+  return request;
+}
+
+/// Sends a change to the leader again and again until it is acknowledged, for
+/// 20 s at most. Returns the time that this takes.
+std::optional<Duration> AcknowledgeChange(ControlCluster& cluster,
+                                          const std::string& key) {
+  bool acknowledged = false;
+  cluster.on_admin_reply = [&](const AdminReply& reply) {
+    acknowledged |= std::holds_alternative<ChangeAccepted>(reply.body);
+  };
+  const Time sent = cluster.now();
+  Time next_attempt = sent;
+  AdminTicket ticket = 0;
+  while (!acknowledged && cluster.now() < sent + 20s) {
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+      if (cluster.now() < next_attempt || !cluster.IsUp(i))
+        continue;
+      if (!cluster.node(i)->Leads())
+        continue;
+      next_attempt = cluster.now() + kPatience;
+      cluster.InjectEvent(i, MakeChange(key, ++ticket));
+    }
+    cluster.Run(5ms);
+  }
+  cluster.on_admin_reply = nullptr;
+  if (!acknowledged)
+    return std::nullopt;
+  return cluster.now() - sent;
+}
+
+std::uint64_t Term(const ControlCluster& cluster) {
+  std::uint64_t term = 0;
+  for (std::size_t i = 0; i < cluster.size(); ++i) {
+    if (cluster.IsUp(i))
+      term = std::max(term, cluster.node(i)->replica()->term());
+  }
+  return term;
+}
+
+}  // namespace
+
+// Guards against a leader that takes the time which its followers' disks need
+// for their silence, so that each write ends its term.
+TEST_CASE("A leader outlasts syncs that are longer than its lease") {
+  const Duration sync_time = GENERATE(Duration{450ms}, Duration{700ms});
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(ToMillis(sync_time), seed);
+    ControlCluster cluster = MakeCluster(seed, sync_time);
+    const std::uint64_t term = Term(cluster);
+    for (int i = 0; i < 5; ++i) {
+      const auto took = AcknowledgeChange(cluster, "s" + std::to_string(i));
+      REQUIRE(took);
+      CHECK(*took <= kMaxAck);
+      CHECK(cluster.Leader());
+    }
+    CHECK(Term(cluster) == term);
+  }
+}
+
+// Guards against elections that begin anew before the votes of the last one
+// are on disk, so that nobody is ever elected.
+TEST_CASE("A leader is elected with syncs longer than an election timeout") {
+  const Duration sync_time = GENERATE(Duration{450ms}, Duration{700ms});
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(ToMillis(sync_time), seed);
+    ControlCluster cluster = MakeCluster(seed, sync_time);
+    const std::size_t leader = cluster.Leader().value();
+    cluster.Crash(leader);
+    cluster.Run(200ms);
+    cluster.Restart(leader);
+    cluster.Run(kContact);
+    const auto took = AcknowledgeChange(cluster, "s");
+    REQUIRE(took);
+    CHECK(*took <= kMaxAck);
+  }
+}
+
+}  // namespace jacinth::control
--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -207,10 +207,8 @@
         machine.writes.empty() || machine.writes.back().request.id < write.id;
     if (!in_order)
       throw std::logic_error("writes out of order");
-    const Time earliest =
-        machine.writes.empty() ? now_ : machine.writes.back().due;
-    machine.writes.push_back(
-        {std::move(write), earliest + RandomDelay(kMaxSyncMs)});
+    const Time due = NextSyncDue(machine);
+    machine.writes.push_back({std::move(write), due});
   }
   for (control::OutgoingMessage& message : actions.messages) {
     const auto to = std::find_if(
@@ -297,6 +295,18 @@
   storage::OverwriteEntries(disk.entries, request.batch.entries);
 }
 
+Time ControlCluster::NextSyncDue(const Machine& machine) {
+  const auto& writes = machine.writes;
+  if (!sync_time) {
+    const Time earliest = writes.empty() ? now_ : writes.back().due;
+    return earliest + RandomDelay(kMaxSyncMs);
+  }
+  if (writes.empty())
+    return now_ + *sync_time;
+  const bool next_is_queued = writes.back().due > writes.front().due;
+  return next_is_queued ? writes.back().due : writes.back().due + *sync_time;
+}
+
 bool ControlCluster::RandomChance(int percent) {
   return static_cast<int>(random_() % 100) < percent;
 }
--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -60,6 +60,11 @@
   int loss_percent = 2;
   int duplicate_percent = 2;
 
+  /// Time that a sync of the disk takes. Writes that are queued meanwhile share
+  /// the next one, as with the product's writer. Without it, each write takes a
+  /// random time of a few milliseconds.
+  std::optional<Duration> sync_time;
+
   /// Advances the virtual time by `duration`.
   void Run(Duration duration);
 
@@ -138,6 +143,7 @@
                          const consensus::WriteRequest& request);
   bool RandomChance(int percent);
   Duration RandomDelay(std::int64_t max_ms);
+  Time NextSyncDue(const Machine& machine);
 
   std::mt19937_64 random_;
   Layout layout_;
