--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -45,6 +45,7 @@
     std::size_t target_voters = 0;
     Duration election_timeout = kElectionTimeout;
     Duration heartbeat = kHeartbeat;
+    Duration replace_after = kReplaceAfter;
   };
 
   explicit ControlCluster(std::uint64_t seed);
@@ -59,6 +60,11 @@
   int loss_percent = 2;
   int duplicate_percent = 2;
 
+  /// Time that a sync of the disk takes. Writes that are queued meanwhile share
+  /// the next one, as with the product's writer. Without it, each write takes a
+  /// random time of a few milliseconds.
+  std::optional<Duration> sync_time;
+
   /// Advances the virtual time by `duration`.
   void Run(Duration duration);
 
@@ -137,6 +143,7 @@
                          const consensus::WriteRequest& request);
   bool RandomChance(int percent);
   Duration RandomDelay(std::int64_t max_ms);
+  Time NextSyncDue(const Machine& machine);
 
   std::mt19937_64 random_;
   Layout layout_;
