Instance: Log messages of entries that wait long at a replica

A replica serves the messages of entries in slices between its ticks, so that neither tick_was_late nor step_was_slow shows that entries wait. entries_wait tells how long the next message has waited and how many wait, from 250 ms on, once per second. No decision depends on it.

In a trial with a frozen leader and 22 endpoints a second that leave, the next leader answers entries up to 2 s late, with no line that says why.

Run: control_test "*acklog*", http_test "Messages of entries*".

--- a/source/core/control/entry_backlog.cc
+++ b/source/core/control/entry_backlog.cc
@@ -28,12 +28,12 @@
 
 }  // namespace
 
-bool EntryBacklog::Add(MessageReceived message) {
+bool EntryBacklog::Add(MessageReceived message, Time now) {
   auto* heartbeat = std::get_if<Heartbeat>(&message.envelope);
   if (heartbeat != nullptr) {
     const auto waiting = heartbeats_.find(message.from);
     if (waiting != heartbeats_.end()) {
-      auto& earlier = std::get<Heartbeat>(waiting->second->envelope);
+      auto& earlier = std::get<Heartbeat>(waiting->second->message.envelope);
       AddReports(*heartbeat, earlier);
       earlier = std::move(*heartbeat);
       return true;
@@ -42,14 +42,14 @@
   if (messages_.size() >= kMaxMessages)
     return false;
   const bool is_heartbeat = heartbeat != nullptr;
-  messages_.push_back(std::move(message));
+  messages_.push_back({std::move(message), now});
   if (is_heartbeat)
-    heartbeats_[messages_.back().from] = std::prev(messages_.end());
+    heartbeats_[messages_.back().message.from] = std::prev(messages_.end());
   return true;
 }
 
 MessageReceived EntryBacklog::TakeOldest() {
-  MessageReceived message = std::move(messages_.front());
+  MessageReceived message = std::move(messages_.front().message);
   messages_.pop_front();
   if (std::holds_alternative<Heartbeat>(message.envelope))
     heartbeats_.erase(message.from);
--- a/source/core/control/entry_backlog.h
+++ b/source/core/control/entry_backlog.h
@@ -27,7 +27,7 @@
   static constexpr std::size_t kMaxMessages = 4'096;
 
   /// Adds a message. Returns false if the backlog is full.
-  bool Add(MessageReceived message);
+  bool Add(MessageReceived message, Time now);
 
   /// Calls `handle` with the oldest messages until the slice is over, as told
   /// by `read_now`, or none is left.
@@ -42,13 +42,22 @@
   }
 
   bool empty() const { return messages_.empty(); }
+  std::size_t size() const { return messages_.size(); }
+  /// Returns when the message that is next was added, or the earliest
+  /// heartbeat that it stands for. The backlog must not be empty.
+  Time oldest() const { return messages_.front().added; }
 
  private:
+  struct WaitingMessage {
+    MessageReceived message;
+    Time added;
+  };
+
   MessageReceived TakeOldest();
 
-  std::list<MessageReceived> messages_;
+  std::list<WaitingMessage> messages_;
   /// The waiting heartbeat of each entry.
-  std::map<std::string, std::list<MessageReceived>::iterator> heartbeats_;
+  std::map<std::string, std::list<WaitingMessage>::iterator> heartbeats_;
 };
 
 }  // namespace jacinth::control
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -237,7 +237,7 @@
     Step(message);
     return;
   }
-  if (!entry_backlog_.Add(std::move(message))) {
+  if (!entry_backlog_.Add(std::move(message), MonotonicNow())) {
     log::Warning(log::Category::kControl,
                  "Dropped a message of an entry: too many wait.");
     return;
@@ -250,6 +250,9 @@
     return;
   asio::post(context_, [this] {
     backlog_scheduled_ = false;
+    if (const auto record = monitor_.OnBacklog(
+            entry_backlog_.oldest(), entry_backlog_.size(), MonotonicNow()))
+      log::Write(*record);
     entry_backlog_.ServeSlice(
         [this](const control::MessageReceived& message) { Step(message); },
         MonotonicNow);
--- a/source/jacinthroute/step_monitor.cc
+++ b/source/jacinthroute/step_monitor.cc
@@ -10,6 +10,10 @@
 /// last, the replica sends no heartbeats, which are due every 120 ms.
 constexpr Duration kSlowStep = 100ms;
 constexpr Duration kLateTick = 100ms;
+/// Wait of a message of an entry from which it is logged, and the shortest time
+/// between two such records.
+constexpr Duration kLongWait = 250ms;
+constexpr Duration kBacklogRecordInterval = 1s;
 
 log::Record MakeRecord(std::string_view event) {
   return {log::Level::kInfo, log::Category::kControl, event, {}};
@@ -69,4 +73,15 @@
   return record;
 }
 
+std::optional<log::Record> StepMonitor::OnBacklog(Time oldest,
+                                                  std::size_t waiting,
+                                                  Time now) {
+  if (now - oldest < kLongWait || now < next_backlog_record_)
+    return std::nullopt;
+  next_backlog_record_ = now + kBacklogRecordInterval;
+  log::Record record = MakeRecord("entries_wait");
+  record.With("waited_ms", ToMillis(now - oldest)).With("messages", waiting);
+  return record;
+}
+
 }  // namespace jacinth
--- a/source/jacinthroute/step_monitor.h
+++ b/source/jacinthroute/step_monitor.h
@@ -29,6 +29,12 @@
   /// before it if it is late.
   std::optional<log::Record> OnTick(Time due, Time now);
 
+  /// Records that `waiting` messages of entries wait, the next one since
+  /// `oldest`. Returns a log record if that is long, at most once per second.
+  std::optional<log::Record> OnBacklog(Time oldest,
+                                       std::size_t waiting,
+                                       Time now);
+
  private:
   struct Total {
     std::size_t count = 0;
@@ -37,6 +43,7 @@
 
   /// By the index of the event's type, since the last tick.
   std::array<Total, std::variant_size_v<control::ControlEvent>> totals_;
+  Time next_backlog_record_{};
 };
 
 }  // namespace jacinth
--- a/source/unit_tests/control/entry_backlog_test.cc
+++ b/source/unit_tests/control/entry_backlog_test.cc
@@ -29,7 +29,7 @@
 TEST_CASE("A backlog of entries' messages leaves time in between") {
   EntryBacklog backlog;
   for (int i = 0; i < kEntries; ++i)
-    REQUIRE(backlog.Add(MakeMessage(i)));
+    REQUIRE(backlog.Add(MakeMessage(i), Time{}));
   Time now{1000s};
   std::vector<std::string> handled;
   Duration longest{0};
@@ -52,8 +52,8 @@
 
 TEST_CASE("A slow message ends the slice after itself") {
   EntryBacklog backlog;
-  backlog.Add(MakeMessage(1));
-  backlog.Add(MakeMessage(2));
+  backlog.Add(MakeMessage(1), Time{});
+  backlog.Add(MakeMessage(2), Time{});
   Time now{1000s};
   int handled = 0;
   backlog.ServeSlice(
@@ -86,7 +86,7 @@
       for (int i = 0; i < kEntries; ++i) {
         MessageReceived message = MakeMessage(i);
         std::get<protocol::Heartbeat>(message.envelope).sequence = round;
-        const bool added = backlog.Add(std::move(message));
+        const bool added = backlog.Add(std::move(message), now);
         REQUIRE(added);
       }
     }
@@ -121,9 +121,11 @@
   auto& later = std::get<protocol::Heartbeat>(second.envelope);
   later.sequence = 2;
   later.claims[0].owner.endpoint = "b";
-  backlog.Add(first);
-  backlog.Add(MakeMessage(2));
-  backlog.Add(second);
+  backlog.Add(first, Time{1s});
+  backlog.Add(MakeMessage(2), Time{});
+  backlog.Add(second, Time{2s});
+  CHECK(backlog.oldest() == Time{1s});
+  CHECK(backlog.size() == 2);
   std::vector<protocol::Heartbeat> handled;
   backlog.ServeSlice(
       [&](const MessageReceived& message) {
@@ -145,9 +147,9 @@
 TEST_CASE("A full backlog takes no message of a further entry") {
   EntryBacklog backlog;
   for (std::size_t i = 0; i < EntryBacklog::kMaxMessages; ++i)
-    REQUIRE(backlog.Add(MakeMessage(static_cast<int>(i))));
-  CHECK(!backlog.Add(MakeMessage(-1)));
-  CHECK(backlog.Add(MakeMessage(0)));
+    REQUIRE(backlog.Add(MakeMessage(static_cast<int>(i)), Time{}));
+  CHECK(!backlog.Add(MakeMessage(-1), Time{}));
+  CHECK(backlog.Add(MakeMessage(0), Time{}));
 }
 
 }  // namespace jacinth::control
