Instance: Log what handling takes while messages of entries wait

entries_wait also tells how many messages were handled, how long that took, and how much of it was deciding; the rest is encoding and sending.

--- a/source/jacinthroute/step_monitor.cc
+++ b/source/jacinthroute/step_monitor.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <utility>
+#include <variant>
 
 namespace jacinth {
 namespace {
@@ -38,6 +39,11 @@
   Total& total = totals_.at(event.index());
   ++total.count;
   total.time += took;
+  if (std::holds_alternative<control::MessageReceived>(event)) {
+    ++messages_.count;
+    messages_.time += took;
+    messages_.decision_time += decided - started;
+  }
   if (took < kSlowStep)
     return std::nullopt;
   log::Record record = MakeRecord("step_was_slow");
@@ -76,11 +82,20 @@
 std::optional<log::Record> StepMonitor::OnBacklog(Time oldest,
                                                   std::size_t waiting,
                                                   Time now) {
-  if (now - oldest < kLongWait || now < next_backlog_record_)
+  if (now < next_backlog_record_)
+    return std::nullopt;
+  if (now - oldest < kLongWait) {
+    messages_ = {};
     return std::nullopt;
+  }
   next_backlog_record_ = now + kBacklogRecordInterval;
+  const Total handled = std::exchange(messages_, {});
   log::Record record = MakeRecord("entries_wait");
-  record.With("waited_ms", ToMillis(now - oldest)).With("messages", waiting);
+  record.With("waited_ms", ToMillis(now - oldest))
+      .With("messages", waiting)
+      .With("handled", handled.count)
+      .With("handled_ms", ToMillis(handled.time))
+      .With("decided_ms", ToMillis(handled.decision_time));
   return record;
 }
 
--- a/source/jacinthroute/step_monitor.h
+++ b/source/jacinthroute/step_monitor.h
@@ -39,10 +39,15 @@
   struct Total {
     std::size_t count = 0;
     Duration time{0};
+    /// The part of `time` until it was decided what to do.
+    Duration decision_time{0};
   };
 
   /// By the index of the event's type, since the last tick.
   std::array<Total, std::variant_size_v<control::ControlEvent>> totals_;
+  /// Messages handled since the last record of waiting entries, and when that
+  /// was due.
+  Total messages_;
   Time next_backlog_record_{};
 };
 
