--- a/source/jacinthroute/step_monitor.cc
+++ b/source/jacinthroute/step_monitor.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <utility>
+#include <variant>
 
 namespace jacinth {
 namespace {
@@ -10,6 +11,10 @@
 /// last, the replica sends no heartbeats, which are due every 120 ms.
 constexpr Duration kSlowStep = 100ms;
 constexpr Duration kLateTick = 100ms;
+/// Wait of a message of an entry from which it is logged, and the shortest time
+/// between two such records.
+constexpr Duration kLongWait = 250ms;
+constexpr Duration kBacklogRecordInterval = 1s;
 
 log::Record MakeRecord(std::string_view event) {
   return {log::Level::kInfo, log::Category::kControl, event, {}};
@@ -34,6 +39,11 @@
   Total& total = totals_.at(event.index());
   ++total.count;
   total.time += took;
+  if (std::holds_alternative<control::MessageReceived>(event)) {
+    ++messages_.count;
+    messages_.time += took;
+    messages_.decision_time += decided - started;
+  }
   if (took < kSlowStep)
     return std::nullopt;
   log::Record record = MakeRecord("step_was_slow");
@@ -69,4 +79,24 @@
   return record;
 }
 
+std::optional<log::Record> StepMonitor::OnBacklog(Time oldest,
+                                                  std::size_t waiting,
+                                                  Time now) {
+  if (now < next_backlog_record_)
+    return std::nullopt;
+  if (now - oldest < kLongWait) {
+    messages_ = {};
+    return std::nullopt;
+  }
+  next_backlog_record_ = now + kBacklogRecordInterval;
+  const Total handled = std::exchange(messages_, {});
+  log::Record record = MakeRecord("entries_wait");
+  record.With("waited_ms", ToMillis(now - oldest))
+      .With("messages", waiting)
+      .With("handled", handled.count)
+      .With("handled_ms", ToMillis(handled.time))
+      .With("decided_ms", ToMillis(handled.decision_time));
+  return record;
+}
+
 }  // namespace jacinth
