Control: Acknowledge the first change with a full group

Callers lost their configuration for good, and the system answered 503 ever after, if two replicas lost their disks while the group was young, though the group is to outlast the loss of two disks.

Cause: three contacts found the group, which then grows to five voters. What it acknowledged meanwhile was on two of three disks.

Change: a leader whose group has accepted nothing yet keeps changes waiting until the group has all its voters, for 4 s at most from its first commit on, as some machines may not have started.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -133,6 +133,8 @@
     AbandonProposals(/*keep_changes=*/true, clock.now);
     return;
   }
+  if (!Leads())
+    led_since_ = clock.now;
   if (clock.now >= next_admission_) {
     next_admission_ = clock.now + kAdmissionInterval;
     const std::vector<std::string> learners =
@@ -182,6 +184,7 @@
     if (replica_->role() == ReplicaRole::kLeader &&
         registry_term_ != replica_->term()) {
       registry_term_ = replica_->term();
+      led_since_ = clock.now;
       registry_.Reset(registry_term_, clock.now);
       catalog_.Reset(registry_term_);
       settings_sender_.Reset();
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -232,6 +232,7 @@
   void On(const ChangeRequested& event, ClockReading clock);
   void On(const ViewRequested& event, ClockReading clock);
   bool CanServe(const WaitingCall& waiting, Time now) const;
+  bool IsGrowing(Time now) const;
   void ServeOrWait(WaitingCall waiting, ClockReading clock);
   void ServeChange(const ChangeRequested& event,
                    Time deadline,
@@ -267,6 +268,8 @@
   Time next_table_{};
   /// Term for which `registry_` and `catalog_` were reset.
   std::uint64_t registry_term_ = 0;
+  /// Time since which this replica has led, if it does.
+  Time led_since_{};
   std::uint64_t last_proposal_ = 0;
   /// By proposal id.
   std::map<std::uint64_t, PendingProposal> pending_proposals_;
--- a/source/core/control/control_node_calls.cc
+++ b/source/core/control/control_node_calls.cc
@@ -16,6 +16,10 @@
 /// to be gone.
 constexpr int kMaxMissedHeartbeats = 3;
 
+/// Time for which a new leader waits for a group that has accepted nothing yet
+/// to grow: some machines may not have started.
+constexpr Duration kMaxGrowth = 4s;
+
 AdminTicket TicketOf(const std::variant<ChangeRequested, ViewRequested>& call) {
   return std::visit([](const auto& event) { return event.ticket; }, call);
 }
@@ -36,9 +40,21 @@
     return true;
   // The log decides whether a change still applies, without the lease.
   const bool is_change = view == nullptr || view->for_change;
+  if (is_change && IsGrowing(now))
+    return false;
   return is_change && !waiting.needs_lease ? Leads() : HasLeaderLease(now);
 }
 
+// Returns true if this replica leads a new group that has fewer voters than it
+// will have. What it acknowledged would be lost with fewer disks than the full
+// group can lose.
+bool ControlNode::IsGrowing(Time now) const {
+  return Leads() && state_.revision() == 0 &&
+         replica_->configuration().voters.size() <
+             options_.replica.target_voters &&
+         now < led_since_ + kMaxGrowth;
+}
+
 // Serves a call, redirects it to another leader, or keeps it until one of these
 // is possible, at most until its deadline: a refusal would make the operator
 // pause, for longer each time.
