Consensus: Answer at once that entries are missing

A replica that joined beside a slow disk, or that lacked entries, was taken to be silent until the term that it had learned was synced: each heartbeat that it couldn't follow waited for that sync. Such an answer promises nothing that has to be on disk, so it is sent at once.

--- a/source/core/consensus/replica_follower.cc
+++ b/source/core/consensus/replica_follower.cc
@@ -32,7 +32,8 @@
     // the leader's.
     const std::uint64_t hint =
         std::max(commit_index_, std::min(previous_index, log_.last_index()));
-    ReplyToAppend(message, /*accepted=*/false, hint);
+    // Promises nothing that would have to be on disk.
+    ReplyToAppend(message, /*accepted=*/false, hint, /*wait_for_sync=*/false);
     return;
   }
   bool configuration_changed = false;
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -266,6 +266,20 @@
   CHECK(answer().message.index == 2);
 }
 
+TEST_CASE("A follower that lacks entries tells so before its term is synced") {
+  Replica replica(Options("a#1"), GroupStart(), kStart);
+  PeerMessage append = Message(PeerMessageKind::kAppend, "b#1", "a#1", 2);
+  append.index = 5;
+  append.log_term = 2;
+  replica.OnMessage(append, kLater);
+  const ReplicaActions actions = replica.TakeActions();
+  const auto* reply = FindMessage(actions, PeerMessageKind::kAppendReply);
+  CHECK_FALSE(reply->message.granted);
+  CHECK(reply->message.index == 1);
+  CHECK(reply->after_sync == 0);
+  CHECK(actions.writes.size() == 1);
+}
+
 TEST_CASE("A snapshot that isn't synced isn't acknowledged by heartbeats") {
   Replica replica(Options("a#1"),
                   GroupStart({{2, 1, LogEntryKind::kCommand, "x"},
