Consensus: Give new learners the time to answer

A leader that had led for longer than replace_after removed a learner on its next tick after it was added, unless the learner had answered by then: the start of the term counted as its last contact. Groups beside slow disks, or over links that are opened only when needed, grew late or not at all.

Change: the time of silence begins when the learner is added, also for one that has been a learner before.

Evidence: the test failed before, both the first and the second time that the learner is added.

--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -116,6 +116,8 @@
     std::uint64_t next = 1;
     std::uint64_t match = 0;
     std::size_t inflight = 0;
+    /// Time from which messages are sent to this replica.
+    Time added{};
     /// Time since which no reply has confirmed further entries, while some are
     /// sent and unconfirmed.
     Time waiting_since{};
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -36,6 +36,8 @@
              protocol::InstanceFromReplicaId(id);
     });
     next.learners.push_back(id);
+    // What is known of it is from before it was removed.
+    progress_.erase(id);
     ChangeConfiguration(next, now);
     return;
   }
@@ -89,7 +91,12 @@
   if (!ConfigurationSettled())
     return;
   for (const std::string& learner : configuration_.learners) {
-    if (now < lease_->LastContact(learner) + options_.replace_after)
+    // One that was added lately hasn't had the time to answer.
+    const auto progress = progress_.find(learner);
+    const Time added =
+        progress == progress_.end() ? now : progress->second.added;
+    const Time contact = std::max(lease_->LastContact(learner), added);
+    if (now < contact + options_.replace_after)
       continue;
     Configuration next = configuration_;
     std::erase(next.learners, learner);
@@ -156,6 +163,7 @@
   if (added) {
     progress.next = log_.last_index() + 1;
     progress.waiting_since = now;
+    progress.added = now;
     even_if_empty = true;
   }
   const bool snapshot_in_flight =
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -280,6 +280,31 @@
   CHECK(actions.writes.size() == 1);
 }
 
+// Guards against learners that are removed as soon as they are added, because
+// the leader has led for longer than it waits for silent ones.
+TEST_CASE("A learner has the time to answer after it was added") {
+  ReplicaOptions options = Options("a#1");
+  options.replace_after = 500ms;
+  Replica replica(options, GroupStart(), kStart);
+  SyncAll(replica, Elect(replica, kLater), kLater);
+  replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), kLater);
+  const auto settle = [&](Time now) {
+    SyncAll(replica, replica.TakeActions(), now);
+    replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), now);
+    REQUIRE(replica.ConfigurationSettled());
+  };
+  // The second time, it has been a learner before.
+  for (const Time added : {kLater + 2s, kLater + 4s}) {
+    replica.AdmitReplica("d#1", added);
+    settle(added);
+    replica.DropSilentLearner(added + 499ms);
+    CHECK(replica.configuration().IsLearner("d#1"));
+    replica.DropSilentLearner(added + 501ms);
+    CHECK_FALSE(replica.configuration().IsLearner("d#1"));
+    settle(added + 501ms);
+  }
+}
+
 TEST_CASE("A snapshot that isn't synced isn't acknowledged by heartbeats") {
   Replica replica(Options("a#1"),
                   GroupStart({{2, 1, LogEntryKind::kCommand, "x"},
