Control tests: Show the weak moment while a silent voter is replaced

A voter that is silent for replace_after is removed before a learner takes its place. Until that is committed the group has four voters, of which it can lose one disk, although the disk of the frozen voter is sound.

--- a/source/unit_tests/control/power_loss_test.cc
+++ b/source/unit_tests/control/power_loss_test.cc
@@ -125,6 +125,30 @@
     REQUIRE(cluster_.Leader());
   }
 
+  /// Freezes a voter, and ends when it has been removed to be replaced.
+  void RunUntilVoterRemoved() {
+    const std::size_t leader = cluster_.Leader().value();
+    const auto voters = [&] {
+      return cluster_.node(leader)->replica()->configuration().voters;
+    };
+    const std::vector<std::string> before = voters();
+    std::size_t frozen = leader;
+    for (std::size_t i = 0; i < cluster_.size(); ++i) {
+      const std::string& id = cluster_.node(i)->replica_id();
+      if (i != leader &&
+          std::find(before.begin(), before.end(), id) != before.end())
+        frozen = i;
+    }
+    cluster_.Freeze(frozen, 5s);
+    const Time end = cluster_.now() + 5s;
+    while (voters() == before && cluster_.now() < end)
+      cluster_.Run(5ms);
+    REQUIRE(voters() != before);
+    while (!cluster_.node(leader)->replica()->ConfigurationSettled())
+      cluster_.Run(5ms);
+    is_grown_ = false;
+  }
+
   const ControlState& state() const {
     return cluster_.node(cluster_.Leader().value())->state();
   }
@@ -167,6 +191,21 @@
   }
 }
 
+// Guards against a group that is weaker for a moment, because a voter that is
+// silent, but whose disk is sound, is removed before another takes its place.
+TEST_CASE("Settings outlive these losses while a frozen voter is replaced") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    Group group(seed);
+    group.Change("service/a", {{"ttl_ms", "500"}});
+    group.RunUntilVoterRemoved();
+    group.LosePowerAndDisks();
+    const auto* values = group.state().tree().Find("service/a");
+    REQUIRE(values != nullptr);
+    CHECK(values->at("ttl_ms") == "500");
+  }
+}
+
 // The same for evacuations of failure domains.
 TEST_CASE("Evacuations outlive a loss of two disks and of all power") {
   const std::string domain = "region/west/failure_domain/west-a";
