Entry: Log by which settings and regions a request was sent

The log couldn't tell whether a request went to another region because the entry's settings were old, because the request had waited since an older revision, or because another entry had decided.

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -159,6 +159,8 @@
     changed |= ApplySettings(reply.update);
   if (reply.settings_piece.position.revision > self_.revision)
     changed |= ApplyPiece(reply.settings_piece);
+  if (confirmed && self_.revision >= reply.revision)
+    settings_confirmed_at_ = std::max(settings_confirmed_at_, *sent);
   changed |= ApplyMembers(reply.members);
   // What differs in parts was found for the digest of the heartbeat.
   if (!reply.slices.parts || reply.sequence == told_slices_with_)
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -125,6 +125,12 @@
   /// Returns true if a leader has named a newer revision.
   bool IsOutdated() const { return self_.revision < newest_revision_; }
 
+  /// Time at which the settings in force were the newest ones: when the last
+  /// heartbeat was sent that a leader has answered without naming newer ones.
+  Time settings_confirmed_at() const { return settings_confirmed_at_; }
+  /// Newest revision that a leader has named.
+  std::uint64_t newest_revision() const { return newest_revision_; }
+
   /// Settings in force; null until the first ones have been received.
   const std::shared_ptr<const settings::FleetSettings>& fleet() const {
     return fleet_;
@@ -182,6 +188,7 @@
   std::uint64_t leader_term_ = 0;
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision_ = 0;
+  Time settings_confirmed_at_{};
   SettingsReceiver receiver_;
   /// True if an update couldn't be applied, so that the whole tree is needed.
   bool needs_whole_tree_ = false;
--- a/source/core/entry/entry_logging.cc
+++ b/source/core/entry/entry_logging.cc
@@ -1,8 +1,20 @@
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "core/entry/entry_node.h"
 
 namespace jacinth::entry {
+namespace {
+
+std::string JoinNames(const std::vector<std::string>& names) {
+  std::string joined;
+  for (const std::string& name : names)
+    joined += (joined.empty() ? "" : ",") + name;
+  return joined;
+}
+
+}  // namespace
 
 log::Record& EntryNode::AddLogRecord(std::string_view event) {
   log::Record log_record;
@@ -24,7 +36,10 @@
       .With("ticket", record.arrival.ticket)
       .With("route", record.kind.name)
       .With("service", record.service)
+      .With("path", record.arrival.path)
       .With("revision", fleet_revision_)
+      .With("newest_revision", session_.newest_revision())
+      .With("settings_age_ms", ToMillis(now - session_.settings_confirmed_at()))
       .With("endpoint", record.endpoint)
       .With("number", record.attempts)
       .With("left_ms", ToMillis(record.deadline - now))
@@ -32,6 +47,13 @@
       .With("slots", view.slots)
       .With("list_age_ms", ToMillis(now - session_.endpoints_confirmed_at()))
       .With("drains_age_ms", ToMillis(now - session_.drains_confirmed_at()));
+  if (!record.kind.regions.empty()) {
+    log_record.With("regions", JoinNames(record.kind.regions))
+        .With("endpoint_region",
+              service_state.endpoints.Find(record.endpoint)->region);
+  }
+  if (record.arrival.relayed)
+    log_record.With("relayed", true);
   if (view.load_age)
     log_record.With("load_age_ms", ToMillis(*view.load_age));
   if (view.cold)
@@ -92,6 +114,7 @@
       .With("host", arrival.host)
       .With("path", arrival.path)
       .With("revision", fleet_revision_)
+      .With("newest_revision", session_.newest_revision())
       .With("attempts", 0)
       .With("error", GetErrorKindInfo(refusal.error.kind).name)
       .With("detail", refusal.error.detail)
