Control: Send entries the suspects that have changed

What callers saw: on the large deployment settings, drains and members reached entries seconds late while endpoints reset connections, and after a power loss of all machines, so that requests went by old settings, to old regions among others.

Cause: each request that turns suspect made the leader send each entry all suspects, up to 256, encoded anew for each, and again with each heartbeat until the entry confirmed them. Dozens turn suspect in a second when endpoints reset connections. Messages of entries then wait for the control thread, those that confirm a piece of settings among them.

Change: the leader keeps the version of each change (SuspectTable) and sends what has changed since the version that an entry holds or has been sent. Entries of earlier builds still get whole lists, from the queue as well.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -150,7 +150,7 @@
   if (!ServesLists(clock.now))
     return;
   ResetListsForTerm(clock);
-  ServeTableQueue(clock.now);
+  ServeTableQueue(clock);
   if (clock.now >= next_push_) {
     next_push_ = clock.now +
                  std::max(kMinPushInterval, static_cast<int>(registry_.size()) *
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -192,10 +192,10 @@
                    EntryDelivery& delivery,
                    const protocol::Heartbeat& heartbeat,
                    Time now);
-  void ServeTableQueue(Time now);
+  void ServeTableQueue(ClockReading clock);
   std::size_t SendTables(const EntryDelivery& lacking,
                          const std::vector<std::string>& entries,
-                         Time now);
+                         ClockReading clock);
   bool ServesLists(Time now) const;
   void ResetListsForTerm(ClockReading clock);
   void ForgetDeparted(Time now);
@@ -210,7 +210,12 @@
   void RecordSliceOwners(ClockReading clock);
   void OnCrashReports(const protocol::Heartbeat& heartbeat, ClockReading clock);
   void RecordSuspects(ClockReading clock);
-  protocol::SuspectUpdate SuspectsFor(std::uint64_t held_version,
+  std::uint64_t SuspectsVersion() const;
+  bool KeepsSuspectsSince(std::uint64_t version) const;
+  void AddSuspects(EntryDelivery& delivery,
+                   protocol::HeartbeatReply& reply,
+                   ClockReading clock);
+  protocol::SuspectUpdate SuspectsFor(std::uint64_t base,
                                       ClockReading clock) const;
   bool IsFailureDomainDrained(const std::string& region,
                               const std::string& domain) const;
--- a/source/core/control/control_node_delivery.cc
+++ b/source/core/control/control_node_delivery.cc
@@ -82,6 +82,10 @@
   delivery.wants_members =
       registry_.Version(now) != 0 && heartbeat.takes_changes &&
       !registry_.KeepsChangesSince(delivery.members.Base(now));
+  const std::uint64_t suspects = delivery.suspects.Base(now);
+  delivery.wants_suspects =
+      suspects != SuspectsVersion() &&
+      !(delivery.takes_suspect_changes && KeepsSuspectsSince(suspects));
   if (!delivery.WantsAny())
     return;
   delivery.sequence = heartbeat.sequence;
@@ -94,7 +98,8 @@
 // Sends whole tables, or what differs in them, to the entries that wait for
 // them: not to all at once, so that a fleet that starts anew leaves the leader
 // time for its replicas.
-void ControlNode::ServeTableQueue(Time now) {
+void ControlNode::ServeTableQueue(ClockReading clock) {
+  const Time now = clock.now;
   while (!table_queue_.empty() && now >= next_table_) {
     const std::string first = std::move(table_queue_.front());
     table_queue_.pop_front();
@@ -114,7 +119,7 @@
         return true;
       });
     }
-    const std::size_t items = SendTables(lacking, entries, now);
+    const std::size_t items = SendTables(lacking, entries, clock);
     const auto receivers = static_cast<int>(entries.size());
     next_table_ =
         std::max(next_table_, now - kTableBurst) +
@@ -126,19 +131,23 @@
 // with them, requests can be served. Returns the number of items.
 std::size_t ControlNode::SendTables(const EntryDelivery& lacking,
                                     const std::vector<std::string>& entries,
-                                    Time now) {
+                                    ClockReading clock) {
+  const Time now = clock.now;
   for (const std::string& entry : entries) {
     EntryDelivery& delivery = deliveries_.at(entry);
     delivery.is_queued = false;
     delivery.wants_endpoints = false;
     delivery.wants_slices = false;
     delivery.wants_members = false;
+    delivery.wants_suspects = false;
     if (lacking.wants_endpoints)
       delivery.endpoints.OnSent(catalog_.version(), kResendTableAfter, now);
     if (lacking.wants_slices)
       delivery.slices.OnSent(slices_.version(), kResendTableAfter, now);
     if (lacking.wants_members)
       delivery.members.OnSent(registry_.Version(now), kResendTableAfter, now);
+    if (lacking.wants_suspects)
+      delivery.suspects.OnSent(SuspectsVersion(), kResendTableAfter, now);
   }
   protocol::HeartbeatReply empty = MakeReply(now);
   empty.sequence = entries.size() == 1 ? lacking.sequence : 0;
@@ -152,8 +161,10 @@
     items += reply.endpoints.changed.size();
     actions_.broadcasts.push_back({entries, std::move(reply)});
   }
-  if (lacking.wants_slices || lacking.wants_members) {
+  if (lacking.wants_slices || lacking.wants_members || lacking.wants_suspects) {
     protocol::HeartbeatReply reply = std::move(empty);
+    if (lacking.wants_suspects)
+      reply.suspects = SuspectsFor(0, clock);
     if (lacking.wants_slices) {
       reply.slices = lacking.slice_digest.empty()
                          ? slices_.UpdateFor(0)
@@ -163,7 +174,8 @@
       reply.members = registry_.Members(now);
       reply.replicas = ReplicaInstances();
     }
-    items += reply.slices.changed.size() + reply.members.entries.size();
+    items += reply.slices.changed.size() + reply.members.entries.size() +
+             reply.suspects.requests.size();
     actions_.broadcasts.push_back({entries, std::move(reply)});
   }
   return items;
@@ -206,7 +218,12 @@
       delivery.slices.OnSent(slices_.version(), kResendAfter, now);
     else
       slices = slices_.version();
-    bases[{endpoints, delivery.suspects}].push_back({slices, &entry});
+    std::uint64_t suspects = delivery.suspects.Base(now);
+    if (delivery.takes_suspect_changes && KeepsSuspectsSince(suspects))
+      delivery.suspects.OnSent(SuspectsVersion(), kResendAfter, now);
+    else
+      suspects = SuspectsVersion();
+    bases[{endpoints, suspects}].push_back({slices, &entry});
   }
   for (auto& [other_bases, slice_bases] : bases) {
     const auto& [endpoints, suspects] = other_bases;
@@ -219,10 +236,8 @@
           reply.suspects.unchanged)
         continue;
       std::vector<std::string> entries;
-      for (const SliceBase& item : group) {
-        deliveries_.at(*item.entry).suspects = reply.suspects.version;
+      for (const SliceBase& item : group)
         entries.push_back(*item.entry);
-      }
       actions_.broadcasts.push_back({std::move(entries), reply});
     }
   }
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -62,12 +62,11 @@
   reply.rate_shares =
       RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
   OnCrashReports(heartbeat, clock);
-  reply.suspects = SuspectsFor(heartbeat.suspects_version, clock);
+  AddSuspects(delivery, reply, clock);
   delivery.rate_shares = reply.rate_shares.version;
-  delivery.suspects = reply.suspects.version;
   SendToEntry(from, std::move(reply));
   QueueTables(from, delivery, heartbeat, clock.now);
-  ServeTableQueue(clock.now);
+  ServeTableQueue(clock);
   if (new_drains)
     PushLists(clock);
 }
--- a/source/core/control/control_node_lists.cc
+++ b/source/core/control/control_node_lists.cc
@@ -92,8 +92,8 @@
   slices_.Reset(lists_term_, state_.SliceOwners());
   rate_shares_.Reset(lists_term_);
   std::vector<protocol::SuspectRequest> recorded;
-  for (const auto& [fingerprint, request] : state_.suspects())
-    recorded.push_back(request);
+  for (const auto& [fingerprint, item] : state_.suspects().items())
+    recorded.push_back(item.request);
   suspects_.Reset(recorded, clock);
 }
 
--- a/source/core/control/control_node_suspects.cc
+++ b/source/core/control/control_node_suspects.cc
@@ -7,6 +7,8 @@
 
 /// Versions of lists hold the leader's term in the upper 32 bits.
 constexpr unsigned kTermShift = 32;
+/// Time after which unconfirmed changes are taken to be lost.
+constexpr Duration kResendSuspectsAfter = 1s;
 
 }  // namespace
 
@@ -29,17 +31,51 @@
     ProposeCommand(PendingSuspects{}, std::move(record), clock);
 }
 
-protocol::SuspectUpdate ControlNode::SuspectsFor(std::uint64_t held_version,
+std::uint64_t ControlNode::SuspectsVersion() const {
+  return (registry_term_ << kTermShift) + state_.suspects().version();
+}
+
+// Returns true if an entry that holds `version` can be sent what has changed.
+bool ControlNode::KeepsSuspectsSince(std::uint64_t version) const {
+  return version >> kTermShift == registry_term_ &&
+         state_.suspects().KeepsChangesSince(
+             static_cast<std::uint32_t>(version));
+}
+
+// Adds the suspects that have changed. An entry that needs the whole list waits
+// for its turn in the table queue.
+void ControlNode::AddSuspects(EntryDelivery& delivery,
+                              protocol::HeartbeatReply& reply,
+                              ClockReading clock) {
+  const std::uint64_t base = delivery.suspects.Base(clock.now);
+  const bool sends_changes =
+      delivery.takes_suspect_changes && KeepsSuspectsSince(base);
+  reply.suspects = SuspectsFor(sends_changes ? base : SuspectsVersion(), clock);
+  if (!reply.suspects.unchanged)
+    delivery.suspects.OnSent(SuspectsVersion(), kResendSuspectsAfter,
+                             clock.now);
+}
+
+protocol::SuspectUpdate ControlNode::SuspectsFor(std::uint64_t base,
                                                  ClockReading clock) const {
   protocol::SuspectUpdate update;
-  update.version = (registry_term_ << kTermShift) + state_.suspect_changes();
-  update.unchanged = update.version == held_version;
+  update.version = SuspectsVersion();
+  update.unchanged = update.version == base;
   if (update.unchanged)
     return update;
-  for (const auto& [fingerprint, request] : state_.suspects()) {
-    const std::int64_t left_ms = request.expires_ms - clock.wall_ms;
-    if (left_ms > 0)
-      update.requests.push_back({fingerprint, request.endpoints, left_ms});
+  const SuspectTable& suspects = state_.suspects();
+  std::uint32_t since = 0;
+  if (KeepsSuspectsSince(base)) {
+    update.base = base;
+    since = static_cast<std::uint32_t>(base);
+    update.removed = suspects.RemovedSince(since);
+  }
+  for (const auto& [fingerprint, item] : suspects.items()) {
+    const std::int64_t left_ms = item.request.expires_ms - clock.wall_ms;
+    const bool is_listed =
+        left_ms > 0 && (update.base == 0 || item.changed > since);
+    if (is_listed)
+      update.requests.push_back({fingerprint, item.request.endpoints, left_ms});
   }
   return update;
 }
--- a/source/core/control/control_state.cc
+++ b/source/core/control/control_state.cc
@@ -26,8 +26,6 @@
 constexpr std::size_t kMaxRecentChanges = 256;
 /// Number of accepted changes that are kept in the audit trail.
 constexpr std::size_t kMaxAuditRecords = 10'000;
-/// Number of suspect requests that are kept; those that expire first go first.
-constexpr std::size_t kMaxSuspects = 256;
 
 std::string BranchList(const ChangeSettings& change) {
   std::string text;
@@ -46,7 +44,7 @@
   // decrease.
   log_time_ = std::max(log_time_, command.wall_ms);
   ledger_.Prune(log_time_, Retention());
-  PruneSuspects();
+  suspects_.Expire(log_time_);
   if (const auto* change = std::get_if<ChangeSettings>(&command.body))
     return ApplyChange(*change, command.wall_ms);
   if (const auto* claim = std::get_if<ClaimRequest>(&command.body))
@@ -57,7 +55,7 @@
   }
   if (const auto* suspects =
           std::get_if<protocol::RecordSuspects>(&command.body)) {
-    ApplySuspects(*suspects);
+    suspects_.Apply(*suspects);
     return SuspectsRecorded{};
   }
   ledger_.Finish(std::get<FinishRequest>(command.body), log_time_);
@@ -123,31 +121,6 @@
   }
 }
 
-void ControlState::ApplySuspects(const protocol::RecordSuspects& record) {
-  for (const protocol::SuspectRequest& request : record.requests) {
-    if (request.endpoints.empty())
-      suspects_.erase(request.fingerprint);
-    else
-      suspects_[request.fingerprint] = request;
-  }
-  while (suspects_.size() > kMaxSuspects) {
-    suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(),
-                                     [](const auto& left, const auto& right) {
-                                       return left.second.expires_ms <
-                                              right.second.expires_ms;
-                                     }));
-  }
-  ++suspect_changes_;
-}
-
-void ControlState::PruneSuspects() {
-  const auto removed = std::erase_if(suspects_, [&](const auto& item) {
-    return item.second.expires_ms <= log_time_;
-  });
-  if (removed != 0)
-    ++suspect_changes_;
-}
-
 bool ControlState::MeetsPrecondition(const ChangeSettings& change) const {
   if (change.version_step) {
     return change.version_step->base == operator_version_ &&
@@ -220,16 +193,17 @@
   for (const ResultKey& key : result_order_)
     snapshot.results.push_back(results_.at(key));
   snapshot.slice_owners = SliceOwners();
-  for (const auto& [fingerprint, request] : suspects_)
-    snapshot.suspects.push_back(request);
+  for (const auto& [fingerprint, item] : suspects_.items())
+    snapshot.suspects.push_back(item.request);
   snapshot.audit.assign(audit_.begin(), audit_.end());
   return wire::EncodeControlSnapshot(snapshot);
 }
 
 Result<void> ControlState::Load(const std::string& bytes) {
-  const std::uint32_t suspect_changes = suspect_changes_;
+  SuspectTable suspects = std::move(suspects_);
   *this = ControlState();
-  suspect_changes_ = suspect_changes + 1;
+  suspects_ = std::move(suspects);
+  suspects_.Replace({});
   if (bytes.empty())
     return {};
   auto snapshot = wire::DecodeControlSnapshot(bytes);
@@ -251,7 +225,7 @@
     result_order_.push_back(key);
   }
   ApplyOwners({std::move(snapshot->slice_owners)});
-  ApplySuspects({std::move(snapshot->suspects)});
+  suspects_.Replace(snapshot->suspects);
   audit_.assign(snapshot->audit.begin(), snapshot->audit.end());
   return {};
 }
--- a/source/core/control/control_state.h
+++ b/source/core/control/control_state.h
@@ -11,6 +11,7 @@
 
 #include "core/common/error.h"
 #include "core/control/ledger.h"
+#include "core/control/suspect_table.h"
 #include "core/protocol/command.h"
 #include "core/protocol/control_snapshot.h"
 #include "core/settings/tree.h"
@@ -83,12 +84,8 @@
   /// Returns the slice owners as last recorded.
   std::vector<protocol::SliceOwner> SliceOwners() const;
 
-  /// Requests that crash endpoints, by fingerprint.
-  const std::map<std::uint64_t, protocol::SuspectRequest>& suspects() const {
-    return suspects_;
-  }
-  /// Number of changes to suspects() since this replica started.
-  std::uint32_t suspect_changes() const { return suspect_changes_; }
+  /// Requests that crash endpoints.
+  const SuspectTable& suspects() const { return suspects_; }
 
   /// Serializes the state for a snapshot.
   std::string Save() const;
@@ -105,8 +102,6 @@
                             WallMillis wall_ms);
   bool MeetsPrecondition(const protocol::ChangeSettings& change) const;
   void ApplyOwners(const protocol::RecordOwners& record);
-  void ApplySuspects(const protocol::RecordSuspects& record);
-  void PruneSuspects();
   void RecordChangedBranches(const protocol::ChangeSettings& change);
   void StoreResult(const protocol::ChangeSettings& change,
                    const ChangeOutcome& outcome);
@@ -122,8 +117,7 @@
   std::deque<ResultKey> result_order_;
   std::deque<protocol::AuditRecord> audit_;
   std::map<SliceKey, std::string> slice_owners_;
-  std::map<std::uint64_t, protocol::SuspectRequest> suspects_;
-  std::uint32_t suspect_changes_ = 0;
+  SuspectTable suspects_;
   /// Names of the branches that each of the latest revisions changed, oldest
   /// first.
   std::deque<std::vector<std::string>> recent_changes_;
--- a/source/core/control/entry_delivery.h
+++ b/source/core/control/entry_delivery.h
@@ -24,22 +24,25 @@
       endpoints.OnLost();
     slices.OnHeld(heartbeat.slices_version, now);
     rate_shares = heartbeat.rate_shares_version;
-    suspects = heartbeat.suspects_version;
+    suspects.OnHeld(heartbeat.suspects_version, now);
+    takes_suspect_changes = heartbeat.takes_suspect_changes;
   }
 
   std::uint64_t incarnation = 0;
   SentVersion members;
   SentVersion endpoints;
   SentVersion slices;
-  /// Versions that were last sent. If that message is lost, the versions in the
-  /// entry's next heartbeat replace these.
+  SentVersion suspects;
+  bool takes_suspect_changes = false;
+  /// Version that was last sent. If that message is lost, the version in the
+  /// entry's next heartbeat replaces it.
   std::uint64_t rate_shares = 0;
-  std::uint64_t suspects = 0;
   /// True while the entry waits for whole tables.
   bool is_queued = false;
   bool wants_endpoints = false;
   bool wants_slices = false;
   bool wants_members = false;
+  bool wants_suspects = false;
   /// Sequence number of the heartbeat that told what the entry holds.
   std::uint64_t sequence = 0;
   /// TableDigest of the lists that it holds; empty if it holds none or doesn't
@@ -48,7 +51,7 @@
   std::string slice_digest;
 
   bool WantsAny() const {
-    return wants_endpoints || wants_slices || wants_members;
+    return wants_endpoints || wants_slices || wants_members || wants_suspects;
   }
   /// Returns true if the entry holds a part of what it wants.
   bool WantsParts() const {
@@ -60,7 +63,8 @@
     return !WantsParts() && !other.WantsParts() &&
            wants_endpoints == other.wants_endpoints &&
            wants_slices == other.wants_slices &&
-           wants_members == other.wants_members;
+           wants_members == other.wants_members &&
+           wants_suspects == other.wants_suspects;
   }
 };
 
--- a/source/core/entry/entry_quarantine.cc
+++ b/source/core/entry/entry_quarantine.cc
@@ -55,6 +55,7 @@
 void EntryNode::AddQuarantineReports(protocol::Heartbeat& heartbeat, Time now) {
   quarantine_.Expire(now);
   heartbeat.suspects_version = quarantine_.version();
+  heartbeat.takes_suspect_changes = true;
   heartbeat.crashes = quarantine_.TakeReports(heartbeat.sequence, now);
   heartbeat.acquitted = quarantine_.TakeAcquittals(heartbeat.sequence, now);
 }
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -56,6 +56,9 @@
   /// True if the entry's endpoints may be out of date, so that a replica that
   /// is asked reads the platform's list itself, even if it hears from a leader.
   bool asks_listing = false;
+  /// True if the entry takes changes of the suspect requests instead of the
+  /// whole list.
+  bool takes_suspect_changes = false;
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/source/core/protocol/suspect_request.h
+++ b/source/core/protocol/suspect_request.h
@@ -43,7 +43,8 @@
   bool operator==(const SuspectNotice&) const = default;
 };
 
-/// All suspect requests that the leader knows.
+/// All suspect requests that the leader knows, or those that have changed since
+/// `base`.
 struct SuspectUpdate {
   /// Term of the leader, in the upper 32 bits, and a counter in the lower ones;
   /// 0 if the sender doesn't keep suspects.
@@ -52,6 +53,10 @@
   /// omitted.
   bool unchanged = false;
   std::vector<SuspectNotice> requests;
+  /// Version that the changes are based on; 0 if `requests` is the whole list.
+  std::uint64_t base = 0;
+  /// Fingerprints of the requests that are no longer suspected since `base`.
+  std::vector<std::uint64_t> removed;
 
   bool operator==(const SuspectUpdate&) const = default;
 };
--- a/source/core/quarantine/request_quarantine.cc
+++ b/source/core/quarantine/request_quarantine.cc
@@ -91,6 +91,10 @@
   });
   if (update.unchanged || update.version == version_)
     return;
+  // Changes apply to what this entry holds, or begin earlier.
+  const bool is_whole = update.base == 0;
+  if (!is_whole && (new_term || update.base > version_))
+    return;
   version_ = update.version;
   std::set<std::uint64_t> listed;
   for (const protocol::SuspectNotice& notice : update.requests) {
@@ -110,9 +114,12 @@
   // A new leader may not know all suspects; see docs/design/quarantine.md.
   if (new_term)
     return;
+  const std::set<std::uint64_t> removed(update.removed.begin(),
+                                        update.removed.end());
   std::erase_if(records_, [&](const auto& item) {
-    return item.second.counted_until() != Time::min() &&
-           listed.count(item.first) == 0;
+    const bool is_withdrawn = is_whole ? listed.count(item.first) == 0
+                                       : removed.count(item.first) != 0;
+    return item.second.counted_until() != Time::min() && is_withdrawn;
   });
 }
 
--- a/source/core/wire/convert_suspects.cc
+++ b/source/core/wire/convert_suspects.cc
@@ -3,14 +3,14 @@
 namespace jacinth::wire {
 namespace {
 
-std::vector<std::uint64_t> EndpointsFromWire(
-    const std::vector<std::int64_t>& endpoints) {
-  return {endpoints.begin(), endpoints.end()};
+std::vector<std::uint64_t> HashesFromWire(
+    const std::vector<std::int64_t>& hashes) {
+  return {hashes.begin(), hashes.end()};
 }
 
-std::vector<std::int64_t> EndpointsToWire(
-    const std::vector<std::uint64_t>& endpoints) {
-  return {endpoints.begin(), endpoints.end()};
+std::vector<std::int64_t> HashesToWire(
+    const std::vector<std::uint64_t>& hashes) {
+  return {hashes.begin(), hashes.end()};
 }
 
 }  // namespace
@@ -33,14 +33,14 @@
 generated::SuspectRequest ToWire(const protocol::SuspectRequest& request) {
   generated::SuspectRequest out;
   out.fingerprint = static_cast<std::int64_t>(request.fingerprint);
-  out.endpoints = EndpointsToWire(request.endpoints);
+  out.endpoints = HashesToWire(request.endpoints);
   out.expires_ms = request.expires_ms;
   return out;
 }
 
 protocol::SuspectRequest FromWire(const generated::SuspectRequest& request) {
   return {static_cast<std::uint64_t>(request.fingerprint),
-          EndpointsFromWire(request.endpoints), request.expires_ms};
+          HashesFromWire(request.endpoints), request.expires_ms};
 }
 
 generated::SuspectUpdate ToWire(const protocol::SuspectUpdate& update) {
@@ -50,9 +50,13 @@
   for (const protocol::SuspectNotice& notice : update.requests) {
     generated::SuspectNotice& wire_notice = out.requests.emplace_back();
     wire_notice.fingerprint = static_cast<std::int64_t>(notice.fingerprint);
-    wire_notice.endpoints = EndpointsToWire(notice.endpoints);
+    wire_notice.endpoints = HashesToWire(notice.endpoints);
     wire_notice.left_ms = notice.left_ms;
   }
+  if (update.base != 0) {
+    out.__set_base(static_cast<std::int64_t>(update.base));
+    out.__set_removed(HashesToWire(update.removed));
+  }
   return out;
 }
 
@@ -62,9 +66,10 @@
   out.unchanged = update.unchanged;
   for (const generated::SuspectNotice& notice : update.requests) {
     out.requests.push_back({static_cast<std::uint64_t>(notice.fingerprint),
-                            EndpointsFromWire(notice.endpoints),
-                            notice.left_ms});
+                            HashesFromWire(notice.endpoints), notice.left_ms});
   }
+  out.base = static_cast<std::uint64_t>(update.base);
+  out.removed = HashesFromWire(update.removed);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -50,7 +50,8 @@
 }
 struct SuspectNotice { 1: i64 fingerprint, 2: list<i64> endpoints, 3: i64 left_ms }
 struct SuspectUpdate {
-  1: i64 version, 2: bool unchanged, 3: list<SuspectNotice> requests
+  1: i64 version, 2: bool unchanged, 3: list<SuspectNotice> requests,
+  4: optional i64 base, 5: optional list<i64> removed
 }
 struct SuspectRequest {
   1: i64 fingerprint, 2: list<i64> endpoints, 3: i64 expires_ms
@@ -63,7 +64,7 @@
   9: list<RateLimitReport> rate_limits,
   10: optional SettingsPosition settings_position,
   20: optional list<CrashReport> crashes, 21: optional list<i64> acquitted,
-  22: optional i64 suspects_version,
+  22: optional i64 suspects_version, 23: optional bool takes_suspect_changes,
   30: optional list<DrainReport> drains,
   40: optional bool takes_changes, 41: optional binary endpoint_digest,
   42: optional binary slice_digest,
--- a/source/unit_tests/control/control_state_test.cc
+++ b/source/unit_tests/control/control_state_test.cc
@@ -21,6 +21,13 @@
   return std::get<ChangeOutcome>(state.Apply(command));
 }
 
+std::vector<protocol::SuspectRequest> Requests(const SuspectTable& table) {
+  std::vector<protocol::SuspectRequest> requests;
+  for (const auto& [fingerprint, item] : table.items())
+    requests.push_back(item.request);
+  return requests;
+}
+
 }  // namespace
 
 TEST_CASE("Only one of two changes to the same revision is accepted") {
@@ -154,11 +161,11 @@
        protocol::RecordSuspects{{{7, {1, 2, 3}, 5'000}, {8, {1, 2}, 2'000}}}});
   ControlState copy;
   REQUIRE(copy.Load(state.Save()));
-  CHECK(copy.suspects() == state.suspects());
+  CHECK(Requests(copy.suspects()) == Requests(state.suspects()));
   copy.Apply({2'000, 2, protocol::RecordSuspects{}});
   CHECK(copy.suspects().size() == 1);
   copy.Apply({3'000, 3, protocol::RecordSuspects{{{7, {}, 0}}}});
-  CHECK(copy.suspects().empty());
+  CHECK(copy.suspects().size() == 0);
 }
 
 TEST_CASE("The number of suspect requests is bounded") {
@@ -168,7 +175,7 @@
                  protocol::RecordSuspects{
                      {{i, {1, 2}, static_cast<WallMillis>(5'000 + i)}}}});
   CHECK(state.suspects().size() == 256);
-  CHECK(state.suspects().count(2'999) == 1);
+  CHECK(state.suspects().items().count(2'999) == 1);
 }
 
 }  // namespace jacinth::control
--- a/source/unit_tests/quarantine/request_quarantine_test.cc
+++ b/source/unit_tests/quarantine/request_quarantine_test.cc
@@ -130,4 +130,36 @@
   CHECK(quarantine.size() == 0);
 }
 
+// Guards against a leader that has to send all suspects with each new one.
+TEST_CASE("Changes of the leader's list apply to what an entry holds") {
+  RequestQuarantine quarantine;
+  const Time now{100s};
+  quarantine.ApplyUpdate(Update(kTerm1 + 5), 0, now);
+  protocol::SuspectUpdate changes;
+  changes.version = kTerm1 + 7;
+  changes.requests = {{kRequest + 1, {1, 2, 3}, 60'000}};
+  SECTION("from the version held") {
+    changes.base = kTerm1 + 5;
+    quarantine.ApplyUpdate(changes, 0, now);
+    CHECK(quarantine.Judge(kRequest) == Verdict::kBlocked);
+    CHECK(quarantine.Judge(kRequest + 1) == Verdict::kBlocked);
+    CHECK(quarantine.version() == kTerm1 + 7);
+  }
+  SECTION("from an earlier version, with a removal") {
+    changes.base = kTerm1 + 2;
+    changes.removed = {kRequest};
+    quarantine.ApplyUpdate(changes, 0, now);
+    CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+    CHECK(quarantine.Judge(kRequest + 1) == Verdict::kBlocked);
+  }
+  SECTION("from a version that was missed, or of another term") {
+    changes.base = GENERATE(kTerm1 + 6, kTerm2 + 1);
+    if (changes.base > kTerm2)
+      changes.version = kTerm2 + 2;
+    quarantine.ApplyUpdate(changes, 0, now);
+    CHECK(quarantine.version() == kTerm1 + 5);
+    CHECK(quarantine.Judge(kRequest + 1) == Verdict::kClear);
+  }
+}
+
 }  // namespace jacinth::quarantine
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -209,6 +209,15 @@
   }
 }
 
+TEST_CASE("Changes of suspects are encoded and decoded") {
+  protocol::HeartbeatReply reply;
+  reply.suspects = {8, false, {{9, {10, 11}, 12}}, 7, {13, 14}};
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(reply));
+  REQUIRE(decoded);
+  CHECK(std::get<protocol::HeartbeatReply>(*decoded).suspects ==
+        reply.suspects);
+}
+
 // Guards against stopping the replicas of a build without suspect requests,
 // which run beside this one during an upgrade (docs/incidents/deadly.md).
 TEST_CASE("A build without suspects takes their record for one of no owners") {
