--- a/source/unit_tests/entry/lost_message_test.cc
+++ b/source/unit_tests/entry/lost_message_test.cc
@@ -197,6 +197,29 @@
   CHECK_FALSE(HasMember(test.session(), id));
 }
 
+// Guards against look-ups that name an entry long after it has gone, as two
+// messages in a row were lost.
+TEST_CASE("Look-ups omit a lost entry in time though two lists were lost") {
+  const Deployment deployment = GENERATE(kSmall, kLarge);
+  const bool new_leader = GENERATE(false, true);
+  const int phase = GENERATE(range(0, kPhases));
+  CAPTURE(deployment.entries, new_leader, phase);
+  LossyFleet test(deployment.entries, phase, 2);
+  NarrowEntry& gone = test.fleet.entries().back();
+  const std::string id = gone.session().self().id;
+  REQUIRE(HasMember(test.session(), id));
+  // None of its heartbeats arrives.
+  gone.link_delay = std::chrono::hours(1);
+  if (new_leader)
+    test.fleet.ReplaceLeader();
+  const Duration passed =
+      test.RunUntil([&] { return !HasMember(test.session(), id); }, HasMembers,
+                    deployment.directory - kElectionTime);
+  CAPTURE(ToMillis(passed));
+  REQUIRE(test.losses_left == 0);
+  CHECK_FALSE(HasMember(test.session(), id));
+}
+
 // Pattern: an endpoint leaves between the list of a new leader and the
 // heartbeat that confirms it, and that change is lost. Guards against a change
 // that is given as much time as the whole list before it.
