Entry, control: Tell the leader of settings that were lost

What callers saw: a request could be sent by the region and service of a route that a change had replaced for longer than config_propagation_ms.

Cause: the leader takes settings that it has sent for delivered until a timer of 1 s runs out, although the answers that follow show the entry that they are missing. Two losses in a row take longer than the bound of 2,500 ms.

Messages of a link arrive in order. An answer that names a newer revision and brings no piece, to a heartbeat that said what the entry still holds, means that the piece was lost. The entry says so in its next heartbeat, which it expedites, and the leader sends again at once. An answer to a heartbeat before that one doesn't make it say so again, nor a piece that changed nothing, so that an update that can't be applied is still repeated by the timer only.

--- a/source/core/control/entry_backlog.cc
+++ b/source/core/control/entry_backlog.cc
@@ -25,6 +25,8 @@
   Prepend(heartbeat.crashes, earlier.crashes);
   Prepend(heartbeat.acquitted, earlier.acquitted);
   heartbeat.lacks_endpoints |= earlier.lacks_endpoints;
+  heartbeat.lacks_settings |= earlier.lacks_settings;
+  heartbeat.lacks_members |= earlier.lacks_members;
 }
 
 }  // namespace
--- a/source/core/control/settings_sender.cc
+++ b/source/core/control/settings_sender.cc
@@ -39,6 +39,8 @@
   EntryState& state = entries_[entry];
   const bool is_unchanged = state.held_revision == heartbeat.status.revision &&
                             state.position == heartbeat.settings_position;
+  if (heartbeat.lacks_settings)
+    state.sent.reset();
   if (is_unchanged)
     return;
   state.incarnation = heartbeat.status.incarnation;
--- a/source/core/control/settings_sender.h
+++ b/source/core/control/settings_sender.h
@@ -31,7 +31,7 @@
   /// Forgets the entries that aren't listed.
   void RetainEntries(const std::set<std::string>& entries);
 
-  /// Records what an entry holds and has received.
+  /// Records what an entry holds, has received and lacks.
   void OnHeartbeat(const std::string& entry,
                    const protocol::Heartbeat& heartbeat);
 
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -72,7 +72,7 @@
       now + (seeks_leader ? SearchInterval() : HeartbeatInterval());
   expedites_next_ = false;
   ++sequence_;
-  sent_.push_back({sequence_, now});
+  sent_.push_back({sequence_, now, ToldRevision(), receiver_.position()});
   while (sent_.front().sent + timeout_ < now)
     sent_.pop_front();
   Heartbeat heartbeat = MakeHeartbeat();
@@ -81,6 +81,9 @@
   heartbeat.lacks_endpoints = std::exchange(lacks_endpoints_, false);
   if (heartbeat.lacks_endpoints)
     told_lack_with_ = sequence_;
+  heartbeat.lacks_settings = std::exchange(lacks_settings_, false);
+  if (heartbeat.lacks_settings)
+    told_settings_lack_with_ = sequence_;
   AddDigests(heartbeat);
   return heartbeat;
 }
@@ -89,8 +92,7 @@
 Heartbeat ControlSession::MakeHeartbeat() {
   Heartbeat heartbeat;
   heartbeat.status = self_;
-  if (needs_whole_tree_)
-    heartbeat.status.revision = 0;
+  heartbeat.status.revision = ToldRevision();
   heartbeat.members_version = members_.version;
   heartbeat.sequence = sequence_;
   heartbeat.endpoints_version = endpoints_version_;
@@ -101,6 +103,11 @@
   return heartbeat;
 }
 
+// Revision that this instance tells the leader to hold.
+std::uint64_t ControlSession::ToldRevision() const {
+  return needs_whole_tree_ ? 0 : self_.revision;
+}
+
 std::optional<Heartbeat> ControlSession::TakeQuestion(Time now) {
   if (!AreDrainsOld(now)) {
     questions_ = 0;
@@ -111,7 +118,7 @@
   next_question_ = now + kQuestionInterval;
   ++sequence_;
   ++questions_;
-  sent_questions_.push_back({sequence_, now});
+  sent_questions_.push_back({sequence_, now, 0, {}});
   while (sent_questions_.front().sent + timeout_ < now)
     sent_questions_.pop_front();
   Heartbeat question = MakeHeartbeat();
@@ -131,13 +138,14 @@
       ConfirmDrains(*asked - std::chrono::milliseconds(reply.listing->age_ms));
     return changed;
   }
-  const auto sent = FindSendTime(reply.sequence);
-  const bool confirmed = sent && now < *sent + timeout_;
+  const SentHeartbeat* answered = FindSent(reply.sequence);
+  const bool confirmed = answered != nullptr && now < answered->sent + timeout_;
   if (!confirmed && fleet_ == nullptr)
     return false;
   bool changed = false;
   // Look-ups depend on whether newer settings are known.
   changed |= reply.revision > newest_revision_;
+  ignored_piece_ &= reply.revision <= newest_revision_;
   newest_revision_ = std::max(newest_revision_, reply.revision);
   if (confirmed) {
     leader_ = reply.leader_hint;
@@ -146,7 +154,7 @@
     if (expedites_next_)
       ExpediteHeartbeat(now);
     last_leader_reply_ = now;
-    const Time until = *sent + timeout_;
+    const Time until = answered->sent + timeout_;
     changed |= until > contact_until_;
     contact_until_ = std::max(contact_until_, until);
     if (reply.term > leader_term_) {
@@ -157,10 +165,15 @@
   }
   if (reply.update.revision > self_.revision)
     changed |= ApplySettings(reply.update);
-  if (reply.settings_piece.position.revision > self_.revision)
+  if (reply.settings_piece.position.revision > self_.revision) {
+    const std::uint64_t told_before = ToldRevision();
+    const protocol::SettingsPosition position_before = receiver_.position();
     changed |= ApplyPiece(reply.settings_piece);
+    ignored_piece_ = told_before == ToldRevision() &&
+                     position_before == receiver_.position();
+  }
   if (confirmed && self_.revision >= reply.revision)
-    settings_confirmed_at_ = std::max(settings_confirmed_at_, *sent);
+    settings_confirmed_at_ = std::max(settings_confirmed_at_, answered->sent);
   changed |= ApplyMembers(reply.members);
   // What differs in parts was found for the digest of the heartbeat.
   if (!reply.slices.parts || reply.sequence == told_slices_with_)
@@ -171,11 +184,33 @@
   const bool was_replaced =
       reply.endpoints.parts && reply.sequence <= list_replaced_after_;
   changed |= !was_replaced && ApplyEndpointUpdate(reply.endpoints, now);
-  if (confirmed)
-    CheckListing(reply, *sent, now);
+  if (confirmed) {
+    CheckSettings(reply, *answered, now);
+    CheckListing(reply, answered->sent, now);
+  }
   return changed;
 }
 
+// Finds that a piece of settings was lost: the leader names a newer revision
+// but sends nothing, so it takes a piece to be on its way that must have
+// arrived before this answer, and what is held is still what the heartbeat
+// said.
+void ControlSession::CheckSettings(const HeartbeatReply& reply,
+                                   const SentHeartbeat& answered,
+                                   Time now) {
+  const bool brings_settings =
+      reply.update.revision != 0 || reply.settings_piece.position.revision != 0;
+  const bool is_unchanged = answered.revision == ToldRevision() &&
+                            answered.position == receiver_.position();
+  const bool is_missing = reply.revision > self_.revision && !brings_settings &&
+                          is_unchanged && !ignored_piece_ &&
+                          reply.sequence >= told_settings_lack_with_;
+  if (!is_missing)
+    return;
+  lacks_settings_ = true;
+  ExpediteHeartbeat(now);
+}
+
 // Compares the endpoints with what the leader says of its list, after
 // everything that it had sent before has arrived.
 void ControlSession::CheckListing(const HeartbeatReply& reply,
@@ -347,12 +382,13 @@
   return std::nullopt;
 }
 
-std::optional<Time> ControlSession::FindSendTime(std::uint64_t sequence) const {
+const ControlSession::SentHeartbeat* ControlSession::FindSent(
+    std::uint64_t sequence) const {
   for (const SentHeartbeat& heartbeat : sent_) {
     if (heartbeat.sequence == sequence)
-      return heartbeat.sent;
+      return &heartbeat;
   }
-  return std::nullopt;
+  return nullptr;
 }
 
 // Adds a piece of an update, and applies the update if it is complete. Returns
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -149,9 +149,12 @@
   struct SentHeartbeat {
     std::uint64_t sequence;
     Time sent;
+    /// What it said of the settings held.
+    std::uint64_t revision = 0;
+    protocol::SettingsPosition position;
   };
 
-  std::optional<Time> FindSendTime(std::uint64_t sequence) const;
+  const SentHeartbeat* FindSent(std::uint64_t sequence) const;
   std::optional<Time> FindQuestionTime(std::uint64_t sequence) const;
   protocol::Heartbeat MakeHeartbeat();
   bool ApplySettings(const protocol::SettingsUpdate& update);
@@ -168,6 +171,10 @@
   bool ApplyMembers(const protocol::MemberList& update);
   void AddDigests(protocol::Heartbeat& heartbeat);
   void CheckListing(const protocol::HeartbeatReply& reply, Time sent, Time now);
+  void CheckSettings(const protocol::HeartbeatReply& reply,
+                     const SentHeartbeat& answered,
+                     Time now);
+  std::uint64_t ToldRevision() const;
   void ConfirmEndpoints(Time at);
   void ConfirmDrains(Time at);
 
@@ -189,6 +196,9 @@
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision_ = 0;
   Time settings_confirmed_at_{};
+  /// True if the last piece of settings changed nothing, so that an answer
+  /// without a piece doesn't mean that one was lost.
+  bool ignored_piece_ = false;
   SettingsReceiver receiver_;
   /// True if an update couldn't be applied, so that the whole tree is needed.
   bool needs_whole_tree_ = false;
@@ -219,6 +229,9 @@
   /// the sequence number of the last heartbeat that did.
   bool lacks_endpoints_ = false;
   std::uint64_t told_lack_with_ = 0;
+  /// The same for the settings.
+  bool lacks_settings_ = false;
+  std::uint64_t told_settings_lack_with_ = 0;
   /// Questions that may still be answered, and the number of questions since
   /// drains were last known not to be old.
   std::deque<SentHeartbeat> sent_questions_;
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -56,6 +56,10 @@
   /// True if the entry's endpoints may be out of date, so that a replica that
   /// is asked reads the platform's list itself, even if it hears from a leader.
   bool asks_listing = false;
+  /// The same as `lacks_endpoints` for an update of the settings and of the
+  /// member list.
+  bool lacks_settings = false;
+  bool lacks_members = false;
 
   bool operator==(const Heartbeat&) const = default;
 };
@@ -129,6 +133,10 @@
   /// Tells how current `drains`, or the leader's list, is. Empty if the sender
   /// has not read the list, or is of a build that does not tell.
   std::optional<ListingState> listing;
+  /// Version of the member list that the entry holds if every update that the
+  /// leader has sent it before has arrived; 0 if none was sent or the leader
+  /// doesn't tell.
+  std::uint64_t sent_members_version = 0;
 
   bool operator==(const HeartbeatReply&) const = default;
 };
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -128,6 +128,10 @@
     out.__set_lacks_endpoints(true);
   if (heartbeat.asks_listing)
     out.__set_asks_listing(true);
+  if (heartbeat.lacks_settings)
+    out.__set_lacks_settings(true);
+  if (heartbeat.lacks_members)
+    out.__set_lacks_members(true);
   out.sequence = static_cast<std::int64_t>(heartbeat.sequence);
   return out;
 }
@@ -166,6 +170,8 @@
     out.slice_digest = heartbeat.slice_digest;
   out.lacks_endpoints = heartbeat.lacks_endpoints;
   out.asks_listing = heartbeat.asks_listing;
+  out.lacks_settings = heartbeat.lacks_settings;
+  out.lacks_members = heartbeat.lacks_members;
   out.sequence = static_cast<std::uint64_t>(heartbeat.sequence);
   return out;
 }
@@ -197,6 +203,10 @@
     out.__set_drains(DrainsToWire(reply.drains));
   if (reply.listing)
     out.__set_listing(ListingToWire(*reply.listing));
+  if (reply.sent_members_version != 0) {
+    out.__set_sent_members_version(
+        static_cast<std::int64_t>(reply.sent_members_version));
+  }
   return out;
 }
 
@@ -229,6 +239,8 @@
                            reply.listing.sent_version >= 0;
   if (has_listing)
     out.listing = ListingFromWire(reply.listing);
+  out.sent_members_version =
+      static_cast<std::uint64_t>(reply.sent_members_version);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -67,7 +67,8 @@
   30: optional list<DrainReport> drains,
   40: optional bool takes_changes, 41: optional binary endpoint_digest,
   42: optional binary slice_digest,
-  50: optional bool lacks_endpoints, 51: optional bool asks_listing
+  50: optional bool lacks_endpoints, 51: optional bool asks_listing,
+  52: optional bool lacks_settings, 53: optional bool lacks_members
 }
 struct BranchChange { 1: string branch, 2: map<string, string> entries }
 struct SettingsUpdate {
@@ -97,7 +98,7 @@
   20: optional SuspectUpdate suspects,
   40: optional i64 term,
   50: optional list<DrainReport> drains,
-  60: optional ListingState listing
+  60: optional ListingState listing, 61: optional i64 sent_members_version
 }
 
 struct ClaimKey { 1: string caller, 2: string key }
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -278,6 +278,13 @@
   heartbeat.lacks_endpoints = true;
   heartbeat.asks_listing = true;
   CHECK(DecodeEnvelope(EncodeEnvelope(heartbeat)) == Envelope(heartbeat));
+  heartbeat.lacks_settings = true;
+  CHECK(DecodeEnvelope(EncodeEnvelope(heartbeat)) == Envelope(heartbeat));
+  heartbeat.lacks_members = true;
+  CHECK(DecodeEnvelope(EncodeEnvelope(heartbeat)) == Envelope(heartbeat));
+  protocol::HeartbeatReply reply;
+  reply.sent_members_version = 7;
+  CHECK(DecodeEnvelope(EncodeEnvelope(reply)) == Envelope(reply));
 }
 
 // Guards against messages that an entry or replica of an earlier build, which
