Entry, control: Tell the leader of members that were lost

What callers saw: look-ups that name an entry long after it has gone.

Cause: the leader takes a message with members for delivered until a timer of 1 s (changes) or 3 s (the whole list) runs out. With a new leader and two losses in a row, that takes longer than contact_ms + 3 s.

Each answer of the leader now names the version of the members that the entry should hold if nothing was lost, as for endpoints. An entry that holds an earlier one says so in its next heartbeat, and the leader starts again from what the entry holds.

--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -58,6 +58,7 @@
   for (const protocol::RateLimitReport& report : heartbeat.rate_limits)
     rate_shares_.OnReport(from, report, clock.now);
   AllocateRateShares(clock.now);
+  reply.sent_members_version = delivery.members.Base(clock.now);
   reply.listing->sent_version = delivery.endpoints.Base(clock.now);
   reply.rate_shares =
       RateSharesFor(from, heartbeat.rate_shares_version, clock.now);
--- a/source/core/control/entry_delivery.h
+++ b/source/core/control/entry_delivery.h
@@ -19,6 +19,8 @@
       incarnation = heartbeat.status.incarnation;
     }
     members.OnHeld(heartbeat.members_version, now);
+    if (heartbeat.lacks_members)
+      members.OnLost();
     endpoints.OnHeld(heartbeat.endpoints_version, now);
     if (heartbeat.lacks_endpoints)
       endpoints.OnLost();
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -84,6 +84,9 @@
   heartbeat.lacks_settings = std::exchange(lacks_settings_, false);
   if (heartbeat.lacks_settings)
     told_settings_lack_with_ = sequence_;
+  heartbeat.lacks_members = std::exchange(lacks_members_, false);
+  if (heartbeat.lacks_members)
+    told_members_lack_with_ = sequence_;
   AddDigests(heartbeat);
   return heartbeat;
 }
@@ -186,6 +189,7 @@
   changed |= !was_replaced && ApplyEndpointUpdate(reply.endpoints, now);
   if (confirmed) {
     CheckSettings(reply, *answered, now);
+    CheckMembers(reply, now);
     CheckListing(reply, answered->sent, now);
   }
   return changed;
@@ -211,6 +215,17 @@
   ExpediteHeartbeat(now);
 }
 
+// Finds that a message with members was lost: the leader has sent more than
+// what is held, before this answer.
+void ControlSession::CheckMembers(const HeartbeatReply& reply, Time now) {
+  const bool is_missing = members_.version < reply.sent_members_version &&
+                          reply.sequence >= told_members_lack_with_;
+  if (!is_missing)
+    return;
+  lacks_members_ = true;
+  ExpediteHeartbeat(now);
+}
+
 // Compares the endpoints with what the leader says of its list, after
 // everything that it had sent before has arrived.
 void ControlSession::CheckListing(const HeartbeatReply& reply,
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -174,6 +174,7 @@
   void CheckSettings(const protocol::HeartbeatReply& reply,
                      const SentHeartbeat& answered,
                      Time now);
+  void CheckMembers(const protocol::HeartbeatReply& reply, Time now);
   std::uint64_t ToldRevision() const;
   void ConfirmEndpoints(Time at);
   void ConfirmDrains(Time at);
@@ -229,9 +230,11 @@
   /// the sequence number of the last heartbeat that did.
   bool lacks_endpoints_ = false;
   std::uint64_t told_lack_with_ = 0;
-  /// The same for the settings.
+  /// The same for the settings and the member list.
   bool lacks_settings_ = false;
   std::uint64_t told_settings_lack_with_ = 0;
+  bool lacks_members_ = false;
+  std::uint64_t told_members_lack_with_ = 0;
   /// Questions that may still be answered, and the number of questions since
   /// drains were last known not to be old.
   std::deque<SentHeartbeat> sent_questions_;
