Entry test: Follow the age of settings through a series of changes

Fails on the present code in both checks: the time at which the settings in force are known to have been the newest ones stays that of the first answer, as each later answer names a revision that arrives only after it.

--- a/source/unit_tests/entry/control_session_test.cc
+++ b/source/unit_tests/entry/control_session_test.cc
@@ -89,6 +89,28 @@
   CHECK(session.fleet() != nullptr);
 }
 
+// Guards against settings that count as old while changes follow one another,
+// as each answer names one that hasn't arrived yet.
+TEST_CASE("Settings are as current as the last answer that named them") {
+  ControlSession session = MakeSession();
+  const auto first = session.OnTick(kStart);
+  session.OnReply(MakeReply(first->sequence, 5), kStart + 20ms);
+  CHECK(session.settings_confirmed_at() == kStart);
+  const auto second = session.OnTick(kStart + 200ms);
+  const auto third = session.OnTick(kStart + 400ms);
+  protocol::HeartbeatReply names_next = MakeReply(second->sequence, 6);
+  names_next.update = {};
+  session.OnReply(names_next, kStart + 420ms);
+  CHECK(session.settings_confirmed_at() == kStart);
+  protocol::HeartbeatReply names_another = MakeReply(third->sequence, 6);
+  names_another.revision = 7;
+  session.OnReply(names_another, kStart + 440ms);
+  CHECK(session.self().revision == 6);
+  CHECK(session.settings_confirmed_at() == kStart + 200ms);
+  session.OnReply(MakeReply(0, 7), kStart + 460ms);
+  CHECK(session.settings_confirmed_at() == kStart + 400ms);
+}
+
 namespace {
 
 protocol::ListedEndpoint MakeEndpoint() {
