Entry: Test that requests follow changes of their route's regions

A request keeps a copy of its route's settings from its arrival on (`RequestRecord::kind`). If it waits for a slot, is repeated, is sent again after a refusal, or is handed to another entry after a change, it goes to the regions that the route allowed before.

--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -219,6 +219,34 @@
   }
 }
 
+// Guards against handing requests to entries in regions that their route
+// doesn't allow any more (docs/incidents/home.md).
+TEST_CASE("A hand-over is repeated by the newest regions of the route") {
+  EntryDriver driver = MakeIsolatedDriver();
+  const auto set_regions = [&](const std::string& regions) {
+    driver.ApplySettings(SettingsText() + "regions = " + regions + "\n");
+    SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west"),
+                        MakeMember("e3", "west"), MakeMember("e4", "east")});
+  };
+  set_regions("west");
+  const RequestTicket ticket = SendOnce(driver);
+  REQUIRE(driver.relays.size() == 1);
+  REQUIRE(driver.relays[0].entry != "e4");
+  SECTION("which are others") {
+    set_regions("east");
+    EndRelay(driver, driver.relays[0], AttemptEnd::kRefused);
+    REQUIRE(driver.relays.size() == 2);
+    CHECK(driver.relays[1].entry == "e4");
+  }
+  SECTION("or ends if no entry is in them") {
+    set_regions("north");
+    EndRelay(driver, driver.relays[0], AttemptEnd::kRefused);
+    CHECK(driver.relays.size() == 1);
+    REQUIRE(driver.FindRefusal(ticket) != nullptr);
+    CHECK(driver.FindRefusal(ticket)->outcome == Outcome::kNotRun);
+  }
+}
+
 // Guards against sending requests to an entry that an operator has drained.
 TEST_CASE("Requests are not handed to drained entries") {
   EntryDriver driver = MakeIsolatedDriver();
