Entry: Send requests by the newest regions of their route

Callers' requests that were under way during a change went to the regions that their route had allowed before, however long ago that was: those that waited for a slot, that were repeated or sent again after a refusal, and that were handed to another entry. Each request kept a copy of its route's settings from its arrival on.

Before an endpoint or an entry is chosen, AllowedRegions() now looks up the newest route that matches the request. It is the only source of regions, for first tries, repeats, owners of objects, requeued requests and hand-overs. Requests that no change has overtaken need no second look-up. All else of a request's route (service, limits, rank) stays as admitted, because its places in the queue, the retry budget and the claims belong to that service. Requests whose route is gone are completed by their old route; if the service is gone as well, they are refused as before.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -53,7 +53,7 @@
   forwarding::EndpointCriteria endpoint_criteria;
   endpoint_criteria.home_region = options_.self.region;
   endpoint_criteria.excluded_endpoints = record.excluded_endpoints;
-  endpoint_criteria.regions = record.kind.regions;
+  endpoint_criteria.regions = AllowedRegions(record);
   endpoint_criteria.random_value =
       Hash64(options_.self.id, record.arrival.ticket * 16 +
                                    static_cast<std::uint64_t>(record.attempts));
--- a/source/core/entry/entry_logging.cc
+++ b/source/core/entry/entry_logging.cc
@@ -47,8 +47,8 @@
       .With("slots", view.slots)
       .With("list_age_ms", ToMillis(now - session_.endpoints_confirmed_at()))
       .With("drains_age_ms", ToMillis(now - session_.drains_confirmed_at()));
-  if (!record.kind.regions.empty()) {
-    log_record.With("regions", JoinNames(record.kind.regions))
+  if (!endpoint_criteria.regions.empty()) {
+    log_record.With("regions", JoinNames(endpoint_criteria.regions))
         .With("endpoint_region",
               service_state.endpoints.Find(record.endpoint)->region);
   }
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -161,6 +161,8 @@
   // Arrival and admission of requests.
   void On(const RequestArrived& event, Time now);
   Result<RequestRecord> Resolve(const RequestArrived& event);
+  const std::vector<std::string>& AllowedRegions(
+      const RequestRecord& record) const;
   std::optional<Error> CheckArrival(const RequestArrived& event,
                                     Time now) const;
   std::optional<Error> CheckService(const RequestRecord& record,
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -73,6 +73,7 @@
   std::vector<const EntryStatus*> local;
   std::vector<const EntryStatus*> all;
   std::size_t members_in_region = 0;
+  const std::vector<std::string>& regions = AllowedRegions(record);
   for (const EntryStatus& entry : session_.members()) {
     const bool in_region = entry.region == options_.self.region;
     members_in_region += in_region ? 1 : 0;
@@ -80,7 +81,7 @@
     const bool usable =
         entry.id != options_.self.id && !entry.isolated && !entry.draining &&
         session_.fleet()->drained_entries.count(entry.id) == 0 &&
-        IsAllowedRegion(record.kind.regions, entry.region) &&
+        IsAllowedRegion(regions, entry.region) &&
         record.tried_entries.count(entry.id) == 0 &&
         (avoided == avoided_entries_.end() || now >= avoided->second);
     if (!usable)
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -131,6 +131,7 @@
 Result<RequestRecord> EntryNode::Resolve(const RequestArrived& event) {
   RequestRecord record;
   record.arrival = event;
+  record.revision = session_.fleet()->revision;
   if (!event.host.empty()) {
     const auto* route = session_.fleet()->FindRoute(event.host, event.path);
     if (route == nullptr) {
@@ -157,6 +158,19 @@
   return record;
 }
 
+// Returns the regions that may serve the request by the settings in force,
+// which may be newer than those that it was admitted by; an empty list allows
+// all. If no route matches any more, the request is completed by its old route.
+const std::vector<std::string>& EntryNode::AllowedRegions(
+    const RequestRecord& record) const {
+  const settings::FleetSettings& fleet = *session_.fleet();
+  if (record.revision == fleet.revision || record.arrival.host.empty())
+    return record.kind.regions;
+  const settings::RouteSettings* route =
+      fleet.FindRoute(record.arrival.host, record.arrival.path);
+  return route == nullptr ? record.kind.regions : route->kind.regions;
+}
+
 std::optional<Error> EntryNode::CheckArrival(const RequestArrived& event,
                                              Time now) const {
   if (stop_ && now >= stop_->intake_end)
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -28,6 +28,9 @@
   /// Identifies the request and its resends in the quarantine.
   std::uint64_t suspect_id = 0;
   settings::KindSettings kind;
+  /// Revision of the settings that `kind` comes from. The regions in it bind
+  /// only until the next one; see EntryNode::AllowedRegions().
+  std::uint64_t revision = 0;
   /// Service that the request was assigned to; for a route, one of its shares.
   std::string service;
   Time arrived{};
