Entry: Test that hand-overs are decided by settings that aren't older

Tests, and the fields that they need, without logic. An entry that reaches no endpoint hands requests to another one, which resolves them by its own settings. If these are older, the request runs by a route, service or regions that the first entry knows to be replaced.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -54,6 +54,8 @@
   std::string entry;
   /// Address at which it serves callers.
   std::string address;
+  /// Revision of the settings by which this entry decides.
+  std::uint64_t revision = 0;
   Execution execution = Execution::kRepeatable;
   Duration connect_timeout{0};
   /// Time limit of the whole relay.
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -61,6 +61,9 @@
   /// True if another entry has handed the request to this one, which must not
   /// hand it to a third.
   bool relayed = false;
+  /// Revision of the settings by which that entry decided; 0 if it doesn't say,
+  /// like those of earlier builds.
+  std::uint64_t relay_revision = 0;
 };
 
 /// An attempt ended.
@@ -94,6 +97,9 @@
   forwarding::AttemptEnd end = forwarding::AttemptEnd::kConnectionLost;
   /// Size of the answer on the wire, in bytes; 0 if there was none.
   std::size_t answer_bytes = 0;
+  /// True if the other entry refused because it holds older settings than this
+  /// one, which it replaces shortly.
+  bool has_older_settings = false;
 };
 
 /// The caller closed its connection before it received an answer.
--- a/source/unit_tests/entry/entry_relay_test.cc
+++ b/source/unit_tests/entry/entry_relay_test.cc
@@ -247,6 +247,73 @@
   }
 }
 
+// Guards against decisions by older settings than those of the entry that a
+// request was sent to (docs/incidents/home.md).
+TEST_CASE("A hand-over is refused by an entry with older settings") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText());
+  driver.AdvanceTime(120ms);
+  driver.AnswerHeartbeat();
+  RequestArrived arrival;
+  arrival.ticket = 1;
+  arrival.host = "h";
+  arrival.method = "GET";
+  arrival.path = "/x";
+  arrival.relayed = true;
+  SECTION("as not ready and not run") {
+    arrival.relay_revision = driver.revision + 1;
+    driver.Step(arrival);
+    CHECK(driver.attempts.empty());
+    REQUIRE(driver.FindRefusal(1) != nullptr);
+    CHECK(driver.FindRefusal(1)->error.kind == ErrorKind::kNotReady);
+    CHECK(driver.FindRefusal(1)->outcome == Outcome::kNotRun);
+  }
+  SECTION("but not while no leader can send it newer ones") {
+    arrival.relay_revision = driver.revision + 1;
+    driver.AdvanceTime(1'200ms);
+    driver.Step(arrival);
+    CHECK(driver.attempts.size() == 1);
+  }
+  SECTION("but not by one with the same or newer ones") {
+    arrival.relay_revision = GENERATE(0, 1);
+    driver.Step(arrival);
+    CHECK(driver.attempts.size() == 1);
+    driver.ApplySettings(SettingsText());
+    arrival.ticket = 2;
+    driver.Step(arrival);
+    CHECK(driver.attempts.size() == 2);
+  }
+}
+
+// Guards against hand-overs that another entry decides by older settings
+// (docs/incidents/home.md).
+TEST_CASE("A hand-over names the revision of the settings") {
+  EntryDriver driver = MakeIsolatedDriver();
+  driver.ApplySettings(SettingsText());
+  SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west"),
+                      MakeMember("e3", "east")});
+  SendOnce(driver);
+  REQUIRE(driver.relays.size() == 1);
+  CHECK(driver.relays[0].revision == driver.revision);
+}
+
+// Guards against refusing callers for seconds because the other entries got new
+// settings a moment later than this one.
+TEST_CASE("An entry that refused for its older settings is asked again") {
+  EntryDriver driver = MakeIsolatedDriver();
+  SetMembers(driver, {MakeMember("e1", "west"), MakeMember("e2", "west")});
+  const bool has_older_settings = GENERATE(true, false);
+  const RequestTicket first = SendOnce(driver);
+  REQUIRE(driver.relays.size() == 1);
+  driver.Step(RelayEnded{first, AttemptEnd::kRefused, 0, has_older_settings});
+  // The same request isn't sent there twice.
+  CHECK(driver.relays.size() == 1);
+  REQUIRE(driver.FindRefusal(first) != nullptr);
+  CHECK(driver.FindRefusal(first)->outcome == Outcome::kNotRun);
+  SendOnce(driver);
+  CHECK(driver.relays.size() == (has_older_settings ? 2 : 1));
+}
+
 // Guards against sending requests to an entry that an operator has drained.
 TEST_CASE("Requests are not handed to drained entries") {
   EntryDriver driver = MakeIsolatedDriver();
