--- a/source/jacinthroute/tick_timer.cc
+++ b/source/jacinthroute/tick_timer.cc
@@ -15,7 +15,7 @@
   if (due_ > now && due_ <= wake)
     return;
   due_ = std::max(wake, now);
-  timer_.expires_at(due_);
+  timer_.expires_after(due_ - now);
   timer_.async_wait([this](asio::error_code error) {
     if (!error)
       on_tick_();
