Settings: Test that a list that is set has items

A list of commas has no fault:

REQUIRE( parsed.faults.size() == 1 ) 0 == 1 value := ","

A list of regions without items allows all of them.

--- a/source/unit_tests/settings/tree_validation_test.cc
+++ b/source/unit_tests/settings/tree_validation_test.cc
@@ -34,6 +34,21 @@
         "must be true or false");
 }
 
+// Guards against a list of regions that was meant to name some, reads as none,
+// and so opens the route to all.
+TEST_CASE("A list that is set and has no items is a fault") {
+  const std::string route =
+      "[service/s]\nttl_ms = 500\n[route/r]\nhost = h\npath_prefix = /\n"
+      "service = s\n";
+  CHECK(ParseTree(route).faults.empty());
+  CHECK(ParseTree(route + "regions = west\n").faults.empty());
+  for (const std::string value : {"", ",", " , ,"}) {
+    CAPTURE(value);
+    CHECK(OnlyFault(route + "regions = " + value + "\n").reason ==
+          "must not be empty");
+  }
+}
+
 TEST_CASE("ParseTree reports settings that contradict each other") {
   CHECK(OnlyFault("[service/a]\nnormal_share_percent = 60\n"
                   "background_share_percent = 50\n")
