Settings: Refuse lists that are set and have no items

A route with 'regions = ,' had no fault and was open to all regions. A list of white space passed the replica's check, but not the entries', which read it from text without the spaces: they would have refused all settings with it.

Change: a list must have an item after trimming, as its readers count them.

--- a/source/core/settings/setting_spec.cc
+++ b/source/core/settings/setting_spec.cc
@@ -118,10 +118,13 @@
     case SettingType::kBlockList:
       return CheckBlocks(value);
     case SettingType::kText:
-    case SettingType::kList:
       if (value.empty())
         return "must not be empty";
       return std::nullopt;
+    case SettingType::kList:
+      if (SplitList(value).empty())
+        return "must not be empty";
+      return std::nullopt;
   }
   return std::nullopt;
 }
