Control: Test losses at any moment of a voter's replacement

The test that was red loses the disks at one moment only. This one freezes a voter and then loses two disks and all power at a moment between 0.6 and 1 s after that, every 10 ms, and wants five voters all the time.

--- a/source/unit_tests/control/power_loss_test.cc
+++ b/source/unit_tests/control/power_loss_test.cc
@@ -125,6 +125,12 @@
     REQUIRE(cluster_.Leader());
   }
 
+  /// Freezes a voter that doesn't lead, and runs on for `duration`.
+  void RunWithFrozenVoter(Duration duration) {
+    FreezeVoter();
+    cluster_.Run(duration);
+  }
+
   /// Freezes a voter, and ends when it has been removed to be replaced.
   void RunUntilVoterRemoved() {
     const std::size_t leader = cluster_.Leader().value();
@@ -132,14 +138,7 @@
       return cluster_.node(leader)->replica()->configuration().voters;
     };
     const std::vector<std::string> before = voters();
-    std::size_t frozen = leader;
-    for (std::size_t i = 0; i < cluster_.size(); ++i) {
-      const std::string& id = cluster_.node(i)->replica_id();
-      if (i != leader &&
-          std::find(before.begin(), before.end(), id) != before.end())
-        frozen = i;
-    }
-    cluster_.Freeze(frozen, 5s);
+    FreezeVoter();
     const Time end = cluster_.now() + 5s;
     while (voters() == before && cluster_.now() < end)
       cluster_.Run(5ms);
@@ -154,6 +153,20 @@
   }
 
  private:
+  void FreezeVoter() {
+    const std::size_t leader = cluster_.Leader().value();
+    const std::vector<std::string>& voters =
+        cluster_.node(leader)->replica()->configuration().voters;
+    std::size_t frozen = leader;
+    for (std::size_t i = 0; i < cluster_.size(); ++i) {
+      const std::string& id = cluster_.node(i)->replica_id();
+      if (i != leader &&
+          std::find(voters.begin(), voters.end(), id) != voters.end())
+        frozen = i;
+    }
+    cluster_.Freeze(frozen, 5s);
+  }
+
   ControlCluster cluster_;
   std::mt19937_64 random_;
   bool is_grown_;
@@ -206,6 +219,26 @@
   }
 }
 
+// The same at all moments of a replacement: the group has its full number of
+// voters all the time.
+TEST_CASE("Settings outlive these losses at any moment of a replacement") {
+  constexpr Duration kInterval = 10ms;
+  constexpr Duration kReplaced = ControlCluster::kReplaceAfter + 400ms;
+  std::uint64_t seed = 0;
+  for (Duration moment = ControlCluster::kReplaceAfter; moment < kReplaced;
+       moment += kInterval) {
+    ++seed;
+    CAPTURE(seed, ToMillis(moment));
+    Group group(seed);
+    group.Change("service/a", {{"ttl_ms", "500"}});
+    group.RunWithFrozenVoter(moment);
+    group.LosePowerAndDisks();
+    const auto* values = group.state().tree().Find("service/a");
+    REQUIRE(values != nullptr);
+    CHECK(values->at("ttl_ms") == "500");
+  }
+}
+
 // The same for evacuations of failure domains.
 TEST_CASE("Evacuations outlive a loss of two disks and of all power") {
   const std::string domain = "region/west/failure_domain/west-a";
