Control: Test that a group begins with all its voters

A group begins with its contacts, three of five voters, and needs four changes of its configuration, one after the other, to grow. In a trace in virtual time with syncs of 1 s there is a leader 5.1 s after the start, and five voters only after 10.5 s. Until then one disk may be lost, or none, not two.

--- a/source/unit_tests/control/control_membership_test.cc
+++ b/source/unit_tests/control/control_membership_test.cc
@@ -99,6 +99,23 @@
   }
 }
 
+// Guards against a group that begins with its contacts alone and grows by one
+// change of its configuration after the other. Beside slow disks that takes
+// seconds, for which one disk less may be lost than later.
+TEST_CASE("A group begins with all its voters") {
+  constexpr ControlCluster::Layout kEightMachines{8, 3, 5};
+  for (const ControlCluster::Layout& layout : {kFiveReplicas, kEightMachines}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      INFO("seed " << seed << ", machines " << layout.machines);
+      Group group(seed, layout);
+      const Time until = group.cluster.now() + 5s;
+      while (!group.cluster.Leader() && group.cluster.now() < until)
+        group.cluster.Run(5ms);
+      CHECK(group.Voters().size() == 5);
+    }
+  }
+}
+
 // Pattern: a leader is lost, or all machines start again. Guards against
 // entries that find the next leader only with their next heartbeats.
 TEST_CASE("Entries that asked without a leader are told who is elected") {
