Consensus: Add a successor before a silent voter is removed

Callers would have lost all control, for good: a group that replaced a voter which was only frozen had four voters for a moment, three of which must be left, and then lost two disks.

Cause: a silent voter was removed before its successor was added, although its own disk is sound.

Change: a learner that has caught up and has answered lately is added first, from five voters to six, and then the voter that has been silent for longest is removed. If it answers again meanwhile, any other is removed.

--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -59,11 +59,16 @@
   Result<std::uint64_t> Propose(std::string payload, Time now);
 
   /// Adds a replica as a learner and, once it has caught up, promotes it to a
-  /// voter. It replaces any other replica of the same instance or, if the group
-  /// is full, the voter that has been silent for longest. Takes one step of
-  /// this per call, so it must be called repeatedly.
+  /// voter. It replaces any other replica of the same instance. If the group is
+  /// full, it is added only while a voter is silent for `replace_after`, which
+  /// DropSurplusVoter() then removes. Takes one step of this per call, so it
+  /// must be called repeatedly.
   void AdmitReplica(const std::string& id, Time now);
 
+  /// Removes the voter that has been silent for longest from a group that has
+  /// more than `target_voters`.
+  void DropSurplusVoter(Time now);
+
   /// Removes a learner that has been silent for `replace_after`. The learner
   /// requests admission again when it returns.
   void DropSilentLearner(Time now);
@@ -163,7 +168,10 @@
   void OnAppendReply(const protocol::PeerMessage& message, Time now);
   void AdvanceCommit();
   void LeaderTick(Time now);
-  std::string VoterToReplace(const std::string& learner, Time now) const;
+  std::string PreviousIncarnation(const std::string& learner) const;
+  bool NeedsVoter(Time now) const;
+  std::string LongestSilentVoter() const;
+  bool IsSilent(const std::string& id, Duration duration, Time now) const;
   void ChangeConfiguration(const protocol::Configuration& configuration,
                            Time now);
 
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -44,47 +44,79 @@
   const auto progress = progress_.find(id);
   if (progress == progress_.end() || progress->second.match < commit_index_)
     return;
-  // Changes one voter at a time: the replaced voter is removed before the new
-  // one is added.
-  const std::string replaced = VoterToReplace(id, now);
-  const bool group_full = options_.target_voters != 0 &&
-                          next.voters.size() >= options_.target_voters;
+  // Changes one voter at a time. A replaced incarnation has lost its disk and
+  // counts for nothing, so it is removed before the new one is added. A silent
+  // voter may still hold what others lose, so it is removed afterwards.
+  const std::string replaced = PreviousIncarnation(id);
+  if (replaced == options_.id)
+    return;
   if (!replaced.empty()) {
-    if (replaced == options_.id)
-      return;
     std::erase(next.voters, replaced);
-  } else if (group_full) {
-    return;
-  } else {
+  } else if (NeedsVoter(now) && !IsSilent(id, options_.election_timeout, now)) {
     std::erase(next.learners, id);
     next.voters.push_back(id);
     std::sort(next.voters.begin(), next.voters.end());
+  } else {
+    return;
   }
   ChangeConfiguration(next, now);
 }
 
-// Returns the voter that `learner` replaces, or an empty string.
-std::string Replica::VoterToReplace(const std::string& learner,
-                                    Time now) const {
+// Returns the voter of the same instance as `learner`, or an empty string.
+std::string Replica::PreviousIncarnation(const std::string& learner) const {
   for (const std::string& voter : configuration_.voters) {
     if (protocol::InstanceFromReplicaId(voter) ==
         protocol::InstanceFromReplicaId(learner))
       return voter;
   }
-  if (options_.target_voters == 0 ||
-      configuration_.voters.size() < options_.target_voters)
-    return "";
+  return "";
+}
+
+// Returns true if the group isn't full, or has one voter to be replaced.
+bool Replica::NeedsVoter(Time now) const {
+  const std::size_t size = configuration_.voters.size();
+  if (options_.target_voters == 0 || size < options_.target_voters)
+    return true;
+  return size == options_.target_voters &&
+         IsSilent(LongestSilentVoter(), options_.replace_after, now);
+}
+
+// Returns the other voter whose last reply is oldest; empty if there is none.
+std::string Replica::LongestSilentVoter() const {
   std::string longest_silent;
-  Time oldest_contact = now - options_.replace_after;
   for (const std::string& voter : configuration_.voters) {
-    if (voter == options_.id || lease_->LastContact(voter) >= oldest_contact)
+    if (voter == options_.id)
       continue;
-    oldest_contact = lease_->LastContact(voter);
-    longest_silent = voter;
+    if (longest_silent.empty() ||
+        lease_->LastContact(voter) < lease_->LastContact(longest_silent))
+      longest_silent = voter;
   }
   return longest_silent;
 }
 
+bool Replica::IsSilent(const std::string& id,
+                       Duration duration,
+                       Time now) const {
+  return !id.empty() && now > lease_->LastContact(id) + duration;
+}
+
+void Replica::DropSurplusVoter(Time now) {
+  if (role_ != ReplicaRole::kLeader || halted_ || transfer_started_)
+    return;
+  const bool is_surplus = options_.target_voters != 0 &&
+                          configuration_.voters.size() > options_.target_voters;
+  if (!is_surplus || !ConfigurationSettled())
+    return;
+  const std::string dropped = LongestSilentVoter();
+  // Waits while it may still be a busy one that falls silent.
+  if (IsSilent(dropped, options_.election_timeout, now) &&
+      !IsSilent(dropped, options_.replace_after, now))
+    return;
+  Configuration next = configuration_;
+  std::erase(next.voters, dropped);
+  ChangeConfiguration(next, now);
+}
+
 void Replica::DropSilentLearner(Time now) {
   if (role_ != ReplicaRole::kLeader || halted_ || transfer_started_)
     return;
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -141,6 +141,7 @@
         replica_->configuration().learners;
     for (const std::string& learner : learners)
       replica_->AdmitReplica(learner, clock.now);
+    replica_->DropSurplusVoter(clock.now);
     if (options_.open_membership)
       replica_->DropSilentLearner(clock.now);
   }
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -305,6 +305,74 @@
   }
 }
 
+// Guards against a group that may lose fewer disks while a voter is replaced
+// that is only silent, and whose disk others may still need.
+TEST_CASE("A silent voter is removed after its successor was added") {
+  ReplicaOptions options = Options("a#1");
+  options.replace_after = 500ms;
+  options.target_voters = 3;
+  Replica replica(options, GroupStart(), kStart);
+  SyncAll(replica, Elect(replica, kLater), kLater);
+  // All of `voices` answer the leader's next heartbeats.
+  const auto answer = [&](const std::vector<std::string>& voices, Time now) {
+    for (int round = 0; round < 2; ++round) {
+      now += 20ms;
+      replica.OnTick(now);
+      const ReplicaActions actions = replica.TakeActions();
+      SyncAll(replica, actions, now);
+      for (const std::string& voice : voices) {
+        replica.OnMessage(Ack(voice, replica.term(), replica.last_index(),
+                              LastRound(actions)),
+                          now);
+      }
+    }
+    REQUIRE(replica.ConfigurationSettled());
+    return now;
+  };
+  const auto voters = [&] { return replica.configuration().voters; };
+  using Ids = std::vector<std::string>;
+  Time now = answer({"b#1", "c#1"}, kLater);
+  replica.AdmitReplica("d#1", now);
+  now = answer({"b#1", "c#1", "d#1"}, now);
+  replica.AdmitReplica("d#1", now);
+  replica.DropSurplusVoter(now);
+  CHECK(voters() == Ids{"a#1", "b#1", "c#1"});
+  const Time silent_since = now;
+  while (now <= silent_since + 540ms)
+    now = answer({"b#1", "d#1"}, now);
+  replica.AdmitReplica("d#1", now);
+  CHECK(voters() == Ids{"a#1", "b#1", "c#1", "d#1"});
+  replica.DropSurplusVoter(now);
+  CHECK(voters().size() == 4);
+  SECTION("it stays silent") {
+    now = answer({"b#1", "d#1"}, now);
+    replica.DropSurplusVoter(now);
+    CHECK(voters() == Ids{"a#1", "b#1", "d#1"});
+  }
+  SECTION("it answers again") {
+    now = answer({"b#1", "d#1", "c#1"}, now);
+    now = answer({"b#1", "d#1", "c#1"}, now);
+    replica.DropSurplusVoter(now);
+    CHECK(voters().size() == 3);
+  }
+  SECTION("another falls silent as well") {
+    const Time both_since = now;
+    now = answer({"b#1", "d#1", "c#1"}, now);
+    while (now <= both_since + 2 * kElectionTimeout)
+      now = answer({"b#1", "d#1"}, now);
+    replica.DropSurplusVoter(now);
+    CHECK(voters().size() == 4);
+    while (now <= both_since + 600ms)
+      now = answer({"b#1", "d#1"}, now);
+    replica.DropSurplusVoter(now);
+    CHECK(voters() == Ids{"a#1", "b#1", "d#1"});
+  }
+  now = answer({"b#1", "d#1"}, now);
+  CHECK(voters().size() == 3);
+  replica.DropSurplusVoter(now);
+  CHECK(voters().size() == 3);
+}
+
 TEST_CASE("A snapshot that isn't synced isn't acknowledged by heartbeats") {
   Replica replica(Options("a#1"),
                   GroupStart({{2, 1, LogEntryKind::kCommand, "x"},
