Entry: Keep the age of settings through a series of changes

Cause: the time at which the settings in force were the newest ones advanced only with an answer that named no newer revision at that moment. While changes follow one another, each answer may, although the settings in force are only a fraction of a second old.

The session keeps the time of the last answer for each revision named that isn't held yet, and takes the newest one that is held.

Test: "Settings are as current as the last answer that named them" failed and passes.

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -175,8 +175,11 @@
     ignored_piece_ = told_before == ToldRevision() &&
                      position_before == receiver_.position();
   }
-  if (confirmed && self_.revision >= reply.revision)
-    settings_confirmed_at_ = std::max(settings_confirmed_at_, answered->sent);
+  if (confirmed) {
+    Time& named = named_revisions_[reply.revision];
+    named = std::max(named, answered->sent);
+  }
+  ConfirmSettings();
   changed |= ApplyMembers(reply.members);
   // What differs in parts was found for the digest of the heartbeat.
   if (!reply.slices.parts || reply.sequence == told_slices_with_)
@@ -250,6 +253,13 @@
   ExpediteHeartbeat(now);
 }
 
+void ControlSession::ConfirmSettings() {
+  const auto newer = named_revisions_.upper_bound(self_.revision);
+  for (auto named = named_revisions_.begin(); named != newer; ++named)
+    settings_confirmed_at_ = std::max(settings_confirmed_at_, named->second);
+  named_revisions_.erase(named_revisions_.begin(), newer);
+}
+
 void ControlSession::ConfirmEndpoints(Time at) {
   endpoints_confirmed_at_ = std::max(endpoints_confirmed_at_, at);
   ConfirmDrains(at);
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -126,7 +126,8 @@
   bool IsOutdated() const { return self_.revision < newest_revision_; }
 
   /// Time at which the settings in force were the newest ones: when the last
-  /// heartbeat was sent that a leader has answered without naming newer ones.
+  /// heartbeat was sent that a leader has answered by naming their revision or
+  /// an earlier one.
   Time settings_confirmed_at() const { return settings_confirmed_at_; }
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision() const { return newest_revision_; }
@@ -176,6 +177,7 @@
                      Time now);
   void CheckMembers(const protocol::HeartbeatReply& reply, Time now);
   std::uint64_t ToldRevision() const;
+  void ConfirmSettings();
   void ConfirmEndpoints(Time at);
   void ConfirmDrains(Time at);
 
@@ -197,6 +199,9 @@
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision_ = 0;
   Time settings_confirmed_at_{};
+  /// Last time at which each revision that isn't held yet was the newest one:
+  /// when the heartbeat was sent whose answer named it.
+  std::map<std::uint64_t, Time> named_revisions_;
   /// True if the last piece of settings changed nothing, so that an answer
   /// without a piece doesn't mean that one was lost.
   bool ignored_piece_ = false;
