Entry test: Refuse requests that replaced settings would decide

Fails on the present code: 2,600 ms after the settings in force were last the newest ones, an entry that hears from a leader that has named newer ones sends a request by them; the bound is 2,500 ms. "An update that can't be applied stops no entry" passes and guards what must stay. The bound's field isn't read yet.

--- a/source/core/settings/fleet_limits.h
+++ b/source/core/settings/fleet_limits.h
@@ -24,6 +24,9 @@
   /// Time after which the platform ends a process that it has asked to stop;
   /// zero if it doesn't say.
   Duration stop_grace{0};
+  /// Time after the acknowledgement of a change by which each instance must
+  /// apply it; zero if the interface states none.
+  Duration settings_bound{0};
 };
 
 }  // namespace jacinth::settings
--- a/source/unit_tests/entry/settings_delivery_test.cc
+++ b/source/unit_tests/entry/settings_delivery_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/common/hash.h"
+#include "core/wire/settings_packing.h"
 #include "unit_tests/support/narrow_fleet.h"
 
 namespace jacinth::entry {
@@ -229,4 +230,76 @@
   }
 }
 
+// Guards against a request that is sent to the region of a route that was
+// replaced for longer than changes may take.
+TEST_CASE("Settings that were replaced long ago decide no request") {
+  const bool has_bound = GENERATE(true, false);
+  EntryOptions options = EntryDriver::DefaultOptions();
+  options.limits.settings_bound = has_bound ? kPropagation : Duration{0};
+  EntryDriver driver(options);
+  driver.ApplySettings(test::ServiceSettingsText());
+  const Time confirmed = driver.node.session().settings_confirmed_at();
+  const auto is_refused = [&] {
+    const auto* refusal = driver.FindRefusal(driver.SendRequest("GET", "/"));
+    const bool is_not_ready =
+        refusal != nullptr && refusal->error.kind == ErrorKind::kNotReady;
+    return is_not_ready;
+  };
+  // Lets the leader name the next revision, whose settings don't arrive.
+  const auto run_until = [&](Time end) {
+    while (driver.now < end) {
+      driver.AdvanceTime(20ms);
+      protocol::HeartbeatReply reply;
+      reply.sequence = driver.last_heartbeat.sequence;
+      reply.leader = true;
+      reply.leader_hint = "c1";
+      reply.revision = driver.revision + 1;
+      driver.Step(MessageReceived{"c1", reply});
+    }
+  };
+  run_until(confirmed + kPropagation);
+  CHECK_FALSE(is_refused());
+  run_until(confirmed + kPropagation + 100ms);
+  CHECK(is_refused() == has_bound);
+  SECTION("the settings arrive") {
+    driver.ApplySettings(test::ServiceSettingsText("max_attempts = 2\n"));
+    CHECK_FALSE(is_refused());
+  }
+  SECTION("no leader answers any more") {
+    driver.AdvanceTime(options.control_timeout);
+    REQUIRE_FALSE(driver.node.session().InContact(driver.now));
+    CHECK_FALSE(is_refused());
+  }
+}
+
+// Guards against an entry that refuses all requests because of a change that it
+// can't apply, as during an upgrade.
+TEST_CASE("An update that can't be applied stops no entry") {
+  EntryOptions options = EntryDriver::DefaultOptions();
+  options.limits.settings_bound = kPropagation;
+  EntryDriver driver(options);
+  driver.ApplySettings(test::ServiceSettingsText());
+  protocol::SettingsUpdate update;
+  update.revision = driver.revision + 1;
+  update.text = "[service/s]\nslots = 2\n";
+  update.checksum = Hash64(update.text) + 1;
+  const std::string packed = wire::PackSettings(update);
+  const Time end = driver.now + kPropagation + 1s;
+  while (driver.now < end) {
+    driver.AdvanceTime(20ms);
+    protocol::HeartbeatReply reply;
+    reply.sequence = driver.last_heartbeat.sequence;
+    reply.leader = true;
+    reply.leader_hint = "c1";
+    reply.revision = update.revision;
+    reply.settings_piece.position.revision = update.revision;
+    reply.settings_piece.position.checksum = Hash64(packed);
+    reply.settings_piece.total_bytes = packed.size();
+    reply.settings_piece.bytes = packed;
+    driver.Step(MessageReceived{"c1", reply});
+  }
+  REQUIRE(driver.node.session().IsOutdated());
+  CHECK(driver.FindRefusal(driver.SendRequest("GET", "/")) == nullptr);
+}
+
 }  // namespace jacinth::entry
