Entry: Let no entry decide a hand-over by older settings

A caller of an entry that reaches no endpoint could be served by the route, service or regions of a revision that its entry knew to be replaced: the entry that the request was handed to resolved it by its own settings, which may be older.

A hand-over names the revision by which it was decided, in the value of Jacinth-Relayed, of which earlier builds only test whether it is there. Without contact it serves as it does its own callers: nobody is refused because the control group is away. No revision, from an earlier build, binds nothing.

ProcessFleet::SendToEntry is public for it.

--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -112,6 +112,7 @@
   relay.ticket = record.arrival.ticket;
   relay.entry = entry->id;
   relay.address = entry->address;
+  relay.revision = session_.fleet()->revision;
   relay.execution = record.kind.execution;
   relay.timeout = record.deadline - now;
   relay.connect_timeout = std::min(
@@ -120,6 +121,7 @@
       .With("request", record.arrival.request_id)
       .With("ticket", record.arrival.ticket)
       .With("entry", relay.entry)
+      .With("revision", relay.revision)
       .With("number", record.attempts)
       .With("links", forwarding::LinkStateName(links_.state()))
       .With("left_ms", ToMillis(relay.timeout));
@@ -143,7 +145,7 @@
   }
   const bool unavailable = event.end == AttemptEnd::kRefused ||
                            event.end == AttemptEnd::kNotConnected;
-  if (unavailable)
+  if (unavailable && !event.has_older_settings)
     avoided_entries_[entry] = now + kAvoidEntryTime;
   const Outcome outcome = forwarding::OutcomeOf(event.end);
   record.may_have_run |= outcome != Outcome::kNotRun;
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -181,6 +181,14 @@
                  "no settings received from the control role yet"};
   if (AwaitsEndpoints())
     return Error{ErrorKind::kNotReady, "no endpoint list received yet"};
+  // Without contact to a leader, the newer settings may not come for long, and
+  // all callers are served by those that are held.
+  if (event.relay_revision > session_.fleet()->revision &&
+      session_.InContact(now)) {
+    return Error{ErrorKind::kNotReady,
+                 "the settings are older than those of the instance that "
+                 "handed the request over"};
+  }
   if (event.budget < Duration{0})
     return Error{ErrorKind::kDeadlineExceeded,
                  "the deadline had passed when the request arrived"};
--- a/source/jacinthroute/entry_host_impl.h
+++ b/source/jacinthroute/entry_host_impl.h
@@ -23,6 +23,7 @@
 #include "jacinthroute/endpoint_lister.h"
 #include "jacinthroute/entry_host.h"
 #include "jacinthroute/interface_adapter.h"
+#include "jacinthroute/relay_tag.h"
 #include "jacinthroute/tick_timer.h"
 
 namespace jacinth {
@@ -51,11 +52,12 @@
 /// Limit on request bodies until the first settings are received.
 inline constexpr std::size_t kInitialMaxBodyBytes = 64UL << 20U;
 
-/// Header of a request that another entry has handed to this one; names that
-/// entry.
+/// Header of a request that another entry has handed to this one; the RelayTag
+/// of that entry.
 inline constexpr std::string_view kRelayedHeader = "Jacinth-Relayed";
 /// Header of a refusal of such a request that other entries may be able to
-/// serve; names the entry that refused.
+/// serve; the RelayTag of the entry that refused, with the revision only if it
+/// refused because it isn't ready.
 inline constexpr std::string_view kUnavailableHeader = "Jacinth-Unavailable";
 
 /// An EntryHost that uses the interface of `Adapter` with callers and
@@ -102,7 +104,7 @@
   void BeginSpan(const http::Request& request, PendingRequest& pending);
   void StartAttempt(const entry::StartAttempt& attempt);
   void StartRelay(const entry::StartRelay& relay);
-  void OnRelayEnd(entry::RequestTicket ticket, http::ExchangeResult result);
+  void OnRelayEnd(const entry::StartRelay& relay, http::ExchangeResult result);
   void OnExchangeEnd(const entry::StartAttempt& attempt,
                      std::int64_t started_unix_ns,
                      http::ExchangeResult result);
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -159,9 +159,10 @@
   pending.started = MonotonicNow();
   pending.forwarded = std::move(forwarded);
   pending.forwarded.arrival.ticket = ticket;
-  pending.forwarded.arrival.relayed =
-      !http::HeaderValue(transaction->request().headers, kRelayedHeader)
-           .empty();
+  const std::string_view relay_tag =
+      http::HeaderValue(transaction->request().headers, kRelayedHeader);
+  pending.forwarded.arrival.relayed = !relay_tag.empty();
+  pending.forwarded.arrival.relay_revision = ParseRelayTag(relay_tag).revision;
   pending.forwarded.arrival.message_bytes =
       http::MessageSize(transaction->request());
   std::erase_if(pending.forwarded.outgoing.headers, [](const auto& field) {
@@ -257,8 +258,8 @@
   http::ClientCall client_call;
   client_call.address = relay.address;
   client_call.request = adapter_.MakeRelayRequest(pending.forwarded, relay);
-  client_call.request.headers.emplace_back(kRelayedHeader,
-                                           settings_.LinkName());
+  client_call.request.headers.emplace_back(
+      kRelayedHeader, FormatRelayTag({settings_.LinkName(), relay.revision}));
   client_call.limits = {relay.connect_timeout, relay.timeout,
                         server_.limits().max_body_bytes};
   client_call.max_idle = relay.execution == Execution::kRepeatable
@@ -270,28 +271,34 @@
         return request != pending_requests_.end() &&
                adapter_.IsAnswerTo(request->second.forwarded, response);
       };
-  pending.exchange = client_.Start(
-      client_call, [this, ticket = relay.ticket](http::ExchangeResult result) {
-        OnRelayEnd(ticket, std::move(result));
+  pending.exchange =
+      client_.Start(client_call, [this, relay](http::ExchangeResult result) {
+        OnRelayEnd(relay, std::move(result));
       });
 }
 
 template <InterfaceAdapter Adapter>
-void EntryHostImpl<Adapter>::OnRelayEnd(entry::RequestTicket ticket,
+void EntryHostImpl<Adapter>::OnRelayEnd(const entry::StartRelay& relay,
                                         http::ExchangeResult result) {
-  const auto found = pending_requests_.find(ticket);
+  const auto found = pending_requests_.find(relay.ticket);
   if (found == pending_requests_.end())
     return;
   PendingRequest& pending = found->second;
   pending.exchange = 0;
-  entry::RelayEnded ended{ticket, ToAttemptEnd(result.end), 0};
+  entry::RelayEnded ended;
+  ended.ticket = relay.ticket;
+  ended.end = ToAttemptEnd(result.end);
   if (result.end == http::ExchangeEnd::kAnswered) {
+    const std::string_view refusal_tag =
+        http::HeaderValue(result.response.headers, kUnavailableHeader);
     ended.answer_bytes = http::MessageSize(result.response);
-    if (!adapter_.IsAnswerTo(pending.forwarded, result.response))
+    if (!adapter_.IsAnswerTo(pending.forwarded, result.response)) {
       ended.end = forwarding::AttemptEnd::kAnswerIncomplete;
-    else if (!http::HeaderValue(result.response.headers, kUnavailableHeader)
-                  .empty())
+    } else if (!refusal_tag.empty()) {
+      const std::uint64_t held = ParseRelayTag(refusal_tag).revision;
       ended.end = forwarding::AttemptEnd::kRefused;
+      ended.has_older_settings = held != 0 && held < relay.revision;
+    }
   }
   metrics_.Count(metrics::FormatSeries(
       "jacinth_relays_total", "end",
@@ -374,8 +381,14 @@
       adapter_.MakeRefusalResponse(pending.forwarded, refusal);
   if (pending.forwarded.arrival.relayed &&
       refusal.outcome == Outcome::kNotRun &&
-      entry::IsEntryUnavailable(refusal.error.kind))
-    response.headers.emplace_back(kUnavailableHeader, settings_.LinkName());
+      entry::IsEntryUnavailable(refusal.error.kind)) {
+    const bool names_revision = refusal.error.kind == ErrorKind::kNotReady &&
+                                snapshot_ != nullptr &&
+                                snapshot_->fleet != nullptr;
+    const RelayTag tag{settings_.LinkName(),
+                       names_revision ? snapshot_->fleet->revision : 0};
+    response.headers.emplace_back(kUnavailableHeader, FormatRelayTag(tag));
+  }
   return response;
 }
 
--- a/source/unit_tests/process/entry_process_test.cc
+++ b/source/unit_tests/process/entry_process_test.cc
@@ -102,6 +102,32 @@
   CHECK(other.status == 422);
 }
 
+// Guards against decisions by older settings than those of the entry that a
+// request was sent to, and against refusing what entries of earlier builds hand
+// over (docs/incidents/home.md).
+TEST_CASE("A request from an entry with newer settings is refused as not run") {
+  struct Case {
+    std::string tag;
+    std::string outcome;
+    int runs;
+  };
+  const Case test_case =
+      GENERATE(Case{"e9@x", "ran", 1}, Case{"e9@x;revision=1", "ran", 1},
+               Case{"e9@x;revision=999", "not-run", 0});
+  ProcessFleet fleet(1, 2);
+  fleet.StartAll();
+  fleet.ApplySettingsTree();
+  http::Request request;
+  request.method = "POST";
+  request.target = "/v1/services/s/order";
+  request.headers = {{"Idempotency-Key", "key"},
+                     {"Jacinth-Relayed", test_case.tag}};
+  request.body = "body";
+  const CallerAnswer answer = fleet.SendToEntry(0, request);
+  CHECK(answer.outcome == test_case.outcome);
+  CHECK(fleet.ExecutionCount("key") == test_case.runs);
+}
+
 TEST_CASE(
     "A request repeated after its entry was killed has an unknown outcome") {
   ProcessFleet fleet(2, 2);
--- a/source/unit_tests/support/process_fleet.h
+++ b/source/unit_tests/support/process_fleet.h
@@ -86,6 +86,8 @@
   CallerAnswer Get(int entry, const std::string& path);
   /// Sends a POST request with the idempotency key `key` for the service `s`.
   CallerAnswer Post(int entry, const std::string& path, const std::string& key);
+  /// Sends any request to the entry with index `entry`.
+  CallerAnswer SendToEntry(int entry, const http::Request& request);
 
   /// Returns how many requests with this key all endpoints executed.
   int ExecutionCount(const std::string& key) const;
@@ -103,7 +105,6 @@
  private:
   void WriteSettingsFile(const std::string& id);
   std::string SettingsTreeText() const;
-  CallerAnswer SendToEntry(int entry, const http::Request& request);
 
   TemporaryFolder folder_;
   int entry_count_;
