--- a/source/unit_tests/support/narrow_fleet.cc
+++ b/source/unit_tests/support/narrow_fleet.cc
@@ -130,6 +130,8 @@
 }
 
 void NarrowFleet::StepEntry(NarrowEntry& entry) {
+  if (entry.is_down)
+    return;
   EntryDriver& driver = *entry.driver;
   driver.now = clock_.now;
   driver.Step(entry::Tick{});
--- a/source/unit_tests/support/narrow_fleet.h
+++ b/source/unit_tests/support/narrow_fleet.h
@@ -35,6 +35,8 @@
   Duration link_delay{0};
   /// True while all messages to the entry are lost.
   bool is_cut = false;
+  /// True while no process runs there.
+  bool is_down = false;
   /// True if the entry's heartbeats lack what earlier builds don't know.
   bool is_earlier_build = false;
   std::deque<Delivery> deliveries;
