Entry: Don't count entries that start as missing in their region

What callers saw: when many entries joined a region, answers of the directory sent part of its callers to other regions until these were ready. Cause: an entry without a first list of endpoints announces itself as isolated, and isolated entries count as lost for the 60 % of a region that must be usable, though no callers were ever at it. Change: an entry's status says that it is starting (optional on the wire). It is left out as before, but isn't a member of the region that the usable ones are compared with, neither in answers nor in relays. Builds that don't know the field take it for isolated as before.

--- a/source/core/control/entry_registry.cc
+++ b/source/core/control/entry_registry.cc
@@ -16,7 +16,7 @@
   return left.incarnation == right.incarnation && left.region == right.region &&
          left.failure_domain == right.failure_domain &&
          left.address == right.address && left.draining == right.draining &&
-         left.isolated == right.isolated;
+         left.isolated == right.isolated && left.starting == right.starting;
 }
 
 }  // namespace
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -338,6 +338,11 @@
   next_heartbeat_ = Time{};
 }
 
+void ControlSession::SetStarting(bool starting) {
+  self_.starting = starting;
+  next_heartbeat_ = Time{};
+}
+
 std::optional<Time> ControlSession::FindQuestionTime(
     std::uint64_t sequence) const {
   for (const SentHeartbeat& question : sent_questions_) {
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -111,6 +111,10 @@
   /// heartbeat due at once.
   void SetIsolated(bool isolated);
 
+  /// Tells whether the instance has known no endpoints since its start, and
+  /// makes the next heartbeat due at once.
+  void SetStarting(bool starting);
+
   /// Returns true while a leader is known to consider this instance alive: the
   /// last heartbeat that a leader answered was sent less than the control
   /// timeout ago.
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -205,11 +205,14 @@
 
 // Keeps callers away from an instance that can't forward their requests.
 void EntryNode::AnnounceIsolation() {
+  const bool starting = AwaitsEndpoints();
   const bool isolated =
-      links_.state() == forwarding::LinkState::kLost || AwaitsEndpoints();
-  if (isolated == session_.self().isolated)
+      links_.state() == forwarding::LinkState::kLost || starting;
+  const protocol::EntryStatus& self = session_.self();
+  if (isolated == self.isolated && starting == self.starting)
     return;
   session_.SetIsolated(isolated);
+  session_.SetStarting(starting);
   PublishSnapshot();
 }
 
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -75,7 +75,7 @@
   std::size_t members_in_region = 0;
   for (const EntryStatus& entry : session_.members()) {
     const bool in_region = entry.region == options_.self.region;
-    members_in_region += in_region ? 1 : 0;
+    members_in_region += in_region && !entry.starting ? 1 : 0;
     const auto avoided = avoided_entries_.find(entry.id);
     const bool usable =
         entry.id != options_.self.id && !entry.isolated && !entry.draining &&
--- a/source/core/protocol/entry_status.h
+++ b/source/core/protocol/entry_status.h
@@ -22,6 +22,9 @@
   /// True if the instance reaches no endpoint. It still serves callers through
   /// other entries, but look-ups must name others if there are any.
   bool isolated = false;
+  /// True if the instance has known no endpoints since its start. It is
+  /// isolated then, but no callers have lost it.
+  bool starting = false;
 
   bool operator==(const EntryStatus&) const = default;
 };
--- a/source/core/steering/isolated_entries.h
+++ b/source/core/steering/isolated_entries.h
@@ -8,7 +8,8 @@
 namespace jacinth::steering {
 
 /// Returns true if `usable` of the `members` entries of a region can bear the
-/// region's callers, so that these need not use other regions.
+/// region's callers, so that these need not use other regions. Entries that are
+/// starting are no members: their callers have not been at them.
 bool RegionSuffices(std::size_t usable, std::size_t members);
 
 /// Removes the entries that reach no endpoint, unless all of them are such.
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -15,6 +15,11 @@
   return !entry.draining && !drained;
 }
 
+// The member list is older than what this instance knows of itself.
+bool IsStarting(const SteeringSnapshot& snapshot, const EntryStatus& entry) {
+  return entry.id == snapshot.self.id ? snapshot.self.starting : entry.starting;
+}
+
 std::vector<const EntryStatus*> UsableEntries(
     const SteeringSnapshot& snapshot) {
   std::vector<const EntryStatus*> usable;
@@ -35,8 +40,9 @@
                                                std::size_t limit) {
   std::vector<const EntryStatus*> available = UsableEntries(snapshot);
   const auto members_in_region = static_cast<std::size_t>(std::count_if(
-      available.begin(), available.end(),
-      [&](const EntryStatus* entry) { return entry->region == region; }));
+      available.begin(), available.end(), [&](const EntryStatus* entry) {
+        return entry->region == region && !IsStarting(snapshot, *entry);
+      }));
   DropIsolated(snapshot, available);
   std::vector<const EntryStatus*> in_region;
   for (const EntryStatus* entry : available) {
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -18,6 +18,8 @@
   out.revision = static_cast<std::int64_t>(status.revision);
   out.draining = status.draining;
   out.isolated = status.isolated;
+  if (status.starting)
+    out.__set_starting(true);
   return out;
 }
 
@@ -31,6 +33,7 @@
   out.revision = static_cast<std::uint64_t>(status.revision);
   out.draining = status.draining;
   out.isolated = status.isolated;
+  out.starting = status.__isset.starting && status.starting;
   return out;
 }
 
