Steering: Let entries of other regions stand in for those a region lacks

What callers saw: with less than 60 % of a region usable, over 80 % of its callers left it, and all went to the same entries of other regions on large deployments. Cause: answers then named the caller's failure domain first and everybody else in the order of the member list, cut at 64. Weighed: all entries of all regions, the region's first (as cut, they'd still all go to the same ones; on small sites most leave); as many as 60 % of the region (what is left bears its most, and the few others as well); one for each entry that the region lacks (what is left bears its load of calm times). A random choice by each directory would spread best, but callers close connections to entries that an answer no longer names. Change: the last. The own failure domain comes first, then the region, then one stand-in for each missing entry, in an order mixed from all regions. Each failure domain of the region has its own part of them, so that none stands in for several. At least two are named. Also the cut of a region of more than 64 entries is another one for each failure domain.

--- a/source/core/steering/isolated_entries.cc
+++ b/source/core/steering/isolated_entries.cc
@@ -5,9 +5,6 @@
 namespace jacinth::steering {
 namespace {
 
-/// Minimum number of usable entries for which callers stay within their region:
-/// one may fail.
-constexpr std::size_t kMinEntriesInRegion = 2;
 /// Minimum percentage of a region's entries for which callers stay: instances
 /// are sized to bear the loss of about a third of their region.
 constexpr std::size_t kMinUsablePercent = 60;
--- a/source/core/steering/isolated_entries.h
+++ b/source/core/steering/isolated_entries.h
@@ -7,6 +7,10 @@
 
 namespace jacinth::steering {
 
+/// Minimum number of usable entries for which callers stay within their region:
+/// one may fail.
+inline constexpr std::size_t kMinEntriesInRegion = 2;
+
 /// Returns true if `usable` of the `members` entries of a region can bear the
 /// region's callers, so that these need not use other regions. Entries that are
 /// starting are no members: their callers have not been at them.
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -1,7 +1,12 @@
 #include "core/steering/nearest_entries.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
+#include <string_view>
+#include <utility>
 
+#include "core/common/hash.h"
 #include "core/steering/isolated_entries.h"
 
 namespace jacinth::steering {
@@ -32,6 +37,67 @@
   return usable;
 }
 
+/// Position of a caller's failure domain among those of its region, so that
+/// callers of different ones can be sent to different entries.
+struct DomainPosition {
+  std::size_t index = 0;
+  std::size_t count = 1;
+
+  /// Returns where the part of the failure domain begins if `size` entries are
+  /// divided among all, or that of a later one.
+  std::size_t PartStart(std::size_t size, std::size_t later = 0) const {
+    return (index + later) * size / count;
+  }
+};
+
+DomainPosition PositionOf(const SteeringSnapshot& snapshot,
+                          std::string_view region,
+                          std::string_view failure_domain) {
+  std::set<std::string_view> domains = {failure_domain};
+  for (const EntryStatus& member : snapshot.members) {
+    if (member.region == region)
+      domains.insert(member.failure_domain);
+  }
+  const auto found = domains.find(failure_domain);
+  return {static_cast<std::size_t>(std::distance(domains.begin(), found)),
+          domains.size()};
+}
+
+// Reorders entries so that the first ones are others for each failure domain of
+// callers, mixed from all regions, and the same whoever answers: callers close
+// their connections to entries that an answer no longer names.
+void SpreadOver(const DomainPosition& position,
+                std::vector<const EntryStatus*>& entries) {
+  std::sort(entries.begin(), entries.end(),
+            [](const EntryStatus* left, const EntryStatus* right) {
+              return std::pair(Hash64(left->id), std::string_view(left->id)) <
+                     std::pair(Hash64(right->id), std::string_view(right->id));
+            });
+  const std::size_t start = position.PartStart(entries.size());
+  std::rotate(entries.begin(),
+              entries.begin() + static_cast<std::ptrdiff_t>(start),
+              entries.end());
+}
+
+// Returns the number of entries of other regions that stand in for those that
+// the caller's region lacks.
+std::size_t CountStandIns(std::size_t usable,
+                          std::size_t members,
+                          std::size_t others,
+                          const DomainPosition& position) {
+  // Nothing is known of a region without members.
+  if (members == 0)
+    return others;
+  const std::size_t lacking = members - std::min(members, usable);
+  // With more, some entries would stand in for several failure domains, and
+  // others for none.
+  const std::size_t even_share =
+      position.PartStart(others, 1) - position.PartStart(others);
+  const std::size_t least =
+      kMinEntriesInRegion - std::min(kMinEntriesInRegion, usable);
+  return std::min(others, std::max(least, std::min(lacking, even_share)));
+}
+
 }  // namespace
 
 std::vector<const EntryStatus*> NearestEntries(const SteeringSnapshot& snapshot,
@@ -44,18 +110,32 @@
         return entry->region == region && !IsStarting(snapshot, *entry);
       }));
   DropIsolated(snapshot, available);
+  std::vector<const EntryStatus*> chosen;
   std::vector<const EntryStatus*> in_region;
+  std::vector<const EntryStatus*> others;
   for (const EntryStatus* entry : available) {
-    if (entry->region == region)
+    if (entry->region != region)
+      others.push_back(entry);
+    else if (entry->failure_domain == failure_domain)
+      chosen.push_back(entry);
+    else
       in_region.push_back(entry);
   }
-  std::vector<const EntryStatus*>& chosen =
-      RegionSuffices(in_region.size(), members_in_region) ? in_region
-                                                          : available;
-  std::stable_partition(chosen.begin(), chosen.end(),
-                        [&](const EntryStatus* entry) {
-                          return entry->failure_domain == failure_domain;
-                        });
+  const std::size_t usable = chosen.size() + in_region.size();
+  const bool suffices = RegionSuffices(usable, members_in_region);
+  if (suffices && usable <= limit) {
+    chosen.insert(chosen.end(), in_region.begin(), in_region.end());
+    return chosen;
+  }
+  const DomainPosition position = PositionOf(snapshot, region, failure_domain);
+  SpreadOver(position, in_region);
+  chosen.insert(chosen.end(), in_region.begin(), in_region.end());
+  if (!suffices) {
+    SpreadOver(position, others);
+    others.resize(
+        CountStandIns(usable, members_in_region, others.size(), position));
+    chosen.insert(chosen.end(), others.begin(), others.end());
+  }
   if (chosen.size() > limit)
     chosen.resize(limit);
   return chosen;
--- a/source/core/steering/nearest_entries.h
+++ b/source/core/steering/nearest_entries.h
@@ -10,9 +10,10 @@
 namespace jacinth::steering {
 
 /// Returns the entry instances that callers in a region and failure domain
-/// should use: those of the region, or those of all regions if the region has
-/// too few usable ones to tolerate the loss of one. Returns at most `limit`,
-/// with those in the caller's failure domain first.
+/// should use, at most `limit`: those of the failure domain and then of the
+/// region. If the region has too few usable ones, others stand in for each that
+/// it lacks, so that the usable ones bear what they always do. Callers of
+/// different failure domains get different ones of these.
 std::vector<const protocol::EntryStatus*> NearestEntries(
     const SteeringSnapshot& snapshot,
     std::string_view region,
