--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -76,7 +76,7 @@
   const std::vector<std::string>& regions = AllowedRegions(record);
   for (const EntryStatus& entry : session_.members()) {
     const bool in_region = entry.region == options_.self.region;
-    members_in_region += in_region ? 1 : 0;
+    members_in_region += in_region && !entry.starting ? 1 : 0;
     const auto avoided = avoided_entries_.find(entry.id);
     const bool usable =
         entry.id != options_.self.id && !entry.isolated && !entry.draining &&
