Entry: Divide limits among a large fleet until members are known

After a restart of everything, the leader tells the members 1.5 s after it was elected, but settings and endpoints at once.

Change: without a member list, limits are divided among 1,024 entries. Each entry is selected to send to a cold endpoint with a probability by which that many would keep the limit together, and has no reserve of retries. Endpoints that aren't cold and retries within the ratio are as before, so that no caller is refused because of it unless nothing but cold endpoints is left, for their warm-up time at most.

Of 500 endpoints none gets more senders than allowed.

Limits that endpoints name (LIMIT) are still divided among eight entries then; not looked at.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -27,6 +27,10 @@
 /// Minimum number of entries that a limit is divided among, as the member list
 /// may be incomplete.
 constexpr std::size_t kMinAssumedEntries = 8;
+/// Number of entries that limits are divided among before the first member list
+/// is received, such as after a restart of the whole fleet: more than a
+/// deployment has.
+constexpr std::size_t kMaxAssumedEntries = 1'024;
 /// Retries allowed beyond the budget's percentage if the fleet limits state
 /// none.
 constexpr int kDefaultRetryReserve = 10;
@@ -295,8 +299,11 @@
   std::vector<std::string> entries;
   for (const protocol::EntryStatus& member : session_.members())
     entries.push_back(member.id);
+  const bool knows_members = !entries.empty();
   if (limits.retry_ratio > 0) {
-    const auto entry_count = std::max(entries.size(), kMinAssumedEntries);
+    const auto entry_count = knows_members
+                                 ? std::max(entries.size(), kMinAssumedEntries)
+                                 : kMaxAssumedEntries;
     const auto reserve = limits.retry_reserve / static_cast<int>(entry_count);
     service_state.retries.Configure(limits.retry_ratio, reserve,
                                     limits.retry_window);
@@ -313,8 +320,11 @@
   const double max_rate =
       service_state.settings.warmup_per_s * limits.warmup_factor +
       limits.warmup_slack;
-  service_state.endpoints.SetWarmupGate(
-      forwarding::WarmupGate(senders, max_rate));
+  service_state.endpoints.SetWarmupGate(forwarding::WarmupGate(
+      knows_members ? senders
+                    : forwarding::SenderSelection::OfUnknownFleet(
+                          options_.self.id, kMaxAssumedEntries),
+      max_rate));
 }
 
 void EntryNode::PublishSnapshot() {
--- a/source/core/forwarding/sender_selection.h
+++ b/source/core/forwarding/sender_selection.h
@@ -14,6 +14,12 @@
   SenderSelection(std::string self, std::vector<std::string> entries);
   SenderSelection() = default;
 
+  /// Returns the selection of an entry that doesn't know the others. Each entry
+  /// is selected with such a probability that of `max_entries` entries those
+  /// that are allowed can be expected to send, and of fewer entries fewer.
+  static SenderSelection OfUnknownFleet(std::string self,
+                                        std::size_t max_entries);
+
   /// Returns true if this entry is one of at most `max_senders` that may send
   /// to the endpoint.
   bool IsSelected(const std::string& endpoint, std::size_t max_senders) const;
@@ -23,6 +29,8 @@
  private:
   std::string self_;
   std::vector<std::string> entries_;
+  /// Assumed number of entries if they are unknown, or 0.
+  std::size_t assumed_entries_ = 0;
 };
 
 }  // namespace jacinth::forwarding
--- a/source/unit_tests/forwarding/warmup_gate_test.cc
+++ b/source/unit_tests/forwarding/warmup_gate_test.cc
@@ -32,4 +32,25 @@
   }));
 }
 
+// Guards against entries that take themselves for the only ones until they know
+// the others.
+TEST_CASE("Entries that don't know each other respect the limit as well") {
+  constexpr int kEntryCount = 185;
+  constexpr double kMaxRate = 14;
+  int senders_to_any = 0;
+  for (int endpoint = 0; endpoint < 500; ++endpoint) {
+    int senders = 0;
+    for (int i = 0; i < kEntryCount; ++i) {
+      const auto selection = SenderSelection::OfUnknownFleet(
+          "e" + std::to_string(i), /*max_entries=*/1'024);
+      if (WarmupGate(selection, kMaxRate)
+              .CanSendTo("p" + std::to_string(endpoint)))
+        ++senders;
+    }
+    CHECK(senders <= kMaxRate);
+    senders_to_any += senders;
+  }
+  CHECK(senders_to_any > 0);
+}
+
 }  // namespace jacinth::forwarding
