Entry: Use an address only for the endpoint that started there last

An endpoint that has crashed stays listed for seconds, and from reuse_after_s on another one may have its address, also in another region. Until the first answer of 421, each entry sent requests of the former one there, also such as only its region may serve.

Change: an endpoint is out of use while another one is listed at its address that started later. Lists that don't tell the start are used as before.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -36,6 +36,33 @@
 constexpr int kDefaultRetryReserve = 10;
 constexpr double kPercent = 100;
 
+/// Start of the last process at each address, in Unix milliseconds.
+using LastStarts = std::map<std::string_view, std::int64_t>;
+
+LastStarts FindLastStarts(
+    const std::map<std::string, protocol::ListedEndpoint>& endpoints) {
+  LastStarts last_starts;
+  for (const auto& [id, descriptor] : endpoints) {
+    std::int64_t& last = last_starts[descriptor.address];
+    last = std::max(last, descriptor.started_ms);
+  }
+  return last_starts;
+}
+
+// Takes endpoints out of use whose address another process has taken: the list
+// shows an endpoint that has ended for some time. That process may be in
+// another region.
+void DrainReplaced(const LastStarts& last_starts,
+                   std::vector<settings::EndpointSettings>& endpoints) {
+  for (settings::EndpointSettings& endpoint : endpoints) {
+    const auto last = last_starts.find(endpoint.address);
+    const bool is_replaced = endpoint.started_ms != 0 &&
+                             last != last_starts.end() &&
+                             endpoint.started_ms < last->second;
+    endpoint.drained |= is_replaced;
+  }
+}
+
 }  // namespace
 
 EntryNode::EntryNode(EntryOptions options)
@@ -232,9 +259,13 @@
   endpoint_changes_ = session_.endpoint_changes();
   members_version_ = session_.members_version();
   std::size_t endpoint_count = 0;
+  const LastStarts last_starts = FindLastStarts(session_.endpoints());
   for (const auto& [name, service] : fleet->services) {
     ServiceState& service_state = services_[name];
-    service_state.Update(BuildServiceSettings(service, now), now);
+    settings::ServiceSettings service_settings =
+        BuildServiceSettings(service, now);
+    DrainReplaced(last_starts, service_settings.endpoints);
+    service_state.Update(service_settings, now);
     endpoint_count += service_state.settings.endpoints.size();
     ApplyFleetLimits(service_state);
     service_state.endpoints.SetRateShares(RateSharesOf(name), now);
