--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -27,11 +27,42 @@
 /// Minimum number of entries that a limit is divided among, as the member list
 /// may be incomplete.
 constexpr std::size_t kMinAssumedEntries = 8;
+/// Number of entries that limits are divided among before the first member list
+/// is received, such as after a restart of the whole fleet: more than a
+/// deployment has.
+constexpr std::size_t kMaxAssumedEntries = 1'024;
 /// Retries allowed beyond the budget's percentage if the fleet limits state
 /// none.
 constexpr int kDefaultRetryReserve = 10;
 constexpr double kPercent = 100;
 
+/// Start of the last process at each address, in Unix milliseconds.
+using LastStarts = std::map<std::string_view, std::int64_t>;
+
+LastStarts FindLastStarts(
+    const std::map<std::string, protocol::ListedEndpoint>& endpoints) {
+  LastStarts last_starts;
+  for (const auto& [id, descriptor] : endpoints) {
+    std::int64_t& last = last_starts[descriptor.address];
+    last = std::max(last, descriptor.started_ms);
+  }
+  return last_starts;
+}
+
+// Takes endpoints out of use whose address another process has taken: the list
+// shows an endpoint that has ended for some time. That process may be in
+// another region.
+void DrainReplaced(const LastStarts& last_starts,
+                   std::vector<settings::EndpointSettings>& endpoints) {
+  for (settings::EndpointSettings& endpoint : endpoints) {
+    const auto last = last_starts.find(endpoint.address);
+    const bool is_replaced = endpoint.started_ms != 0 &&
+                             last != last_starts.end() &&
+                             endpoint.started_ms < last->second;
+    endpoint.drained |= is_replaced;
+  }
+}
+
 }  // namespace
 
 EntryNode::EntryNode(EntryOptions options)
@@ -231,9 +262,13 @@
   endpoint_changes_ = session_.endpoint_changes();
   members_version_ = session_.members_version();
   std::size_t endpoint_count = 0;
+  const LastStarts last_starts = FindLastStarts(session_.endpoints());
   for (const auto& [name, service] : fleet->services) {
     ServiceState& service_state = services_[name];
-    service_state.Update(BuildServiceSettings(service, now), now);
+    settings::ServiceSettings service_settings =
+        BuildServiceSettings(service, now);
+    DrainReplaced(last_starts, service_settings.endpoints);
+    service_state.Update(service_settings, now);
     endpoint_count += service_state.settings.endpoints.size();
     ApplyFleetLimits(service_state);
     service_state.endpoints.SetRateShares(RateSharesOf(name), now);
@@ -298,8 +333,11 @@
   std::vector<std::string> entries;
   for (const protocol::EntryStatus& member : session_.members())
     entries.push_back(member.id);
+  const bool knows_members = !entries.empty();
   if (limits.retry_ratio > 0) {
-    const auto entry_count = std::max(entries.size(), kMinAssumedEntries);
+    const auto entry_count = knows_members
+                                 ? std::max(entries.size(), kMinAssumedEntries)
+                                 : kMaxAssumedEntries;
     const auto reserve = limits.retry_reserve / static_cast<int>(entry_count);
     service_state.retries.Configure(limits.retry_ratio, reserve,
                                     limits.retry_window);
@@ -316,8 +354,11 @@
   const double max_rate =
       service_state.settings.warmup_per_s * limits.warmup_factor +
       limits.warmup_slack;
-  service_state.endpoints.SetWarmupGate(
-      forwarding::WarmupGate(senders, max_rate));
+  service_state.endpoints.SetWarmupGate(forwarding::WarmupGate(
+      knows_members ? senders
+                    : forwarding::SenderSelection::OfUnknownFleet(
+                          options_.self.id, kMaxAssumedEntries),
+      max_rate));
 }
 
 void EntryNode::PublishSnapshot() {
