Consensus: Begin a group with all voters that ask the founder

For the first seconds of a group one disk could be lost, or none, where the sites allow two: it began with its contacts, three of five voters, and grew by four changes of its configuration, one after the other, each of which waits for disks.

Change: the founder asks the other machines that probe it whether they have a log as well. Those that have none are first members, up to the size of the group; it waits for them for a second after the contacts have answered. One that has the log of a group keeps the founder from creating another.

--- a/source/core/consensus/formation.cc
+++ b/source/core/consensus/formation.cc
@@ -11,13 +11,20 @@
 using protocol::PeerMessageKind;
 
 constexpr Duration kProbeInterval = 200ms;
+/// Time for which a founder that has heard all contacts waits for others.
+constexpr Duration kMaxWaitForOthers = 1s;
+/// Number of other instances that a founder asks whether they have a log.
+constexpr std::size_t kMaxOthers = 64;
 
 }  // namespace
 
 Formation::Formation(std::string id,
                      std::vector<std::string> contacts,
-                     bool may_create_group)
-    : id_(std::move(id)), may_create_group_(may_create_group) {
+                     bool may_create_group,
+                     std::size_t target_voters)
+    : id_(std::move(id)),
+      may_create_group_(may_create_group),
+      target_voters_(target_voters) {
   SetContacts(std::move(contacts));
 }
 
@@ -28,11 +35,15 @@
 
 std::vector<PeerMessage> Formation::OnTick(Time now) {
   std::vector<PeerMessage> probes;
+  last_tick_ = now;
+  if (!others_until_ && IsFounder() && HasHeardAllContacts())
+    others_until_ = now + kMaxWaitForOthers;
   if (now < next_probe_time_)
     return probes;
   next_probe_time_ = now + kProbeInterval;
   std::set<std::string> targets = group_instances_;
   targets.insert(contacts_.begin(), contacts_.end());
+  targets.insert(others_.begin(), others_.end());
   for (const std::string& instance : targets) {
     if (instance == InstanceFromReplicaId(id_))
       continue;
@@ -45,6 +56,16 @@
   return probes;
 }
 
+void Formation::OnProbe(const std::string& instance, Time now) {
+  const bool may_fill_group = IsFounder() && contacts_.size() < target_voters_;
+  if (!may_fill_group || others_.size() >= kMaxOthers || IsContact(instance))
+    return;
+  if (std::find(others_.begin(), others_.end(), instance) != others_.end())
+    return;
+  others_.push_back(instance);
+  next_probe_time_ = now;
+}
+
 void Formation::OnProbeReply(const PeerMessage& message) {
   if (message.to != id_)
     return;
@@ -63,21 +84,43 @@
     return Decision::kJoinGroup;
   if (!IsFounder())
     return Decision::kWait;
-  const std::size_t other_contacts = contacts_.size() - 1;
-  return instances_without_log_.size() == other_contacts
-             ? Decision::kCreateGroup
-             : Decision::kWait;
+  if (!HasHeardAllContacts())
+    return Decision::kWait;
+  const bool is_full = configuration().voters.size() >= target_voters_;
+  const bool has_waited = others_until_ && last_tick_ >= *others_until_;
+  return is_full || has_waited ? Decision::kCreateGroup : Decision::kWait;
 }
 
 protocol::Configuration Formation::configuration() const {
   protocol::Configuration configuration;
   configuration.voters.push_back(id_);
-  for (const auto& [instance, id] : instances_without_log_)
-    configuration.voters.push_back(id);
+  for (const auto& [instance, id] : instances_without_log_) {
+    if (IsContact(instance))
+      configuration.voters.push_back(id);
+  }
+  for (const std::string& instance : others_) {
+    const auto found = instances_without_log_.find(instance);
+    if (found == instances_without_log_.end() || IsContact(instance))
+      continue;
+    if (configuration.voters.size() < target_voters_)
+      configuration.voters.push_back(found->second);
+  }
   std::sort(configuration.voters.begin(), configuration.voters.end());
   return configuration;
 }
 
+bool Formation::IsContact(const std::string& instance) const {
+  return std::binary_search(contacts_.begin(), contacts_.end(), instance);
+}
+
+bool Formation::HasHeardAllContacts() const {
+  return std::all_of(contacts_.begin(), contacts_.end(),
+                     [this](const std::string& contact) {
+                       return contact == InstanceFromReplicaId(id_) ||
+                              instances_without_log_.count(contact) != 0;
+                     });
+}
+
 bool Formation::IsFounder() const {
   return may_create_group_ && !contacts_.empty() &&
          contacts_.front() == InstanceFromReplicaId(id_);
--- a/source/core/consensus/formation.h
+++ b/source/core/consensus/formation.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,6 +18,9 @@
 ///
 /// Only the founder, which is the first of the contacts by name, creates the
 /// group, and only after all other contacts have replied that they have no log.
+/// Other instances that ask to join become first members as well, up to the
+/// size of the group, if they reply the same soon after the contacts: a group
+/// that has to grow needs several syncs for each voter that it adds.
 /// All other replicas, and a founder that lost its disk, wait for a group that
 /// they can join.
 class Formation {
@@ -31,10 +36,12 @@
 
   /// `contacts` are the instances to probe, including this instance if it is
   /// one of the first members. If `may_create_group` is false, the replica
-  /// never creates a group.
+  /// never creates a group. If `target_voters` is larger than the number of
+  /// contacts, other instances fill the group up to it.
   Formation(std::string id,
             std::vector<std::string> contacts,
-            bool may_create_group);
+            bool may_create_group,
+            std::size_t target_voters = 0);
 
   /// Replaces the contacts when the settings change.
   void SetContacts(std::vector<std::string> contacts);
@@ -42,6 +49,9 @@
   /// Returns the probes to send, if any are due.
   std::vector<protocol::PeerMessage> OnTick(Time now);
 
+  /// Handles a probe from another instance, which may be a first member.
+  void OnProbe(const std::string& instance, Time now);
+
   /// Handles a reply to a probe.
   void OnProbeReply(const protocol::PeerMessage& message);
 
@@ -54,12 +64,22 @@
 
  private:
   bool IsFounder() const;
+  bool IsContact(const std::string& instance) const;
+  bool HasHeardAllContacts() const;
 
   std::string id_;
   std::vector<std::string> contacts_;
   bool may_create_group_;
+  std::size_t target_voters_;
   /// Replica ids by instance, for the instances that have no log.
   std::map<std::string, std::string> instances_without_log_;
+  /// Instances that are no contacts and sent probes, in the order of the first
+  /// ones.
+  std::vector<std::string> others_;
+  /// Time until which the founder waits for `others_`, once it has heard all
+  /// contacts.
+  std::optional<Time> others_until_;
+  Time last_tick_{};
   /// Voters of the existing group; the leader among them admits replicas.
   std::set<std::string> group_instances_;
   bool group_exists_ = false;
--- a/source/core/control/control_node_membership.cc
+++ b/source/core/control/control_node_membership.cc
@@ -40,6 +40,10 @@
             options_.contacts.end();
     if (replica_ && may_join)
       replica_->AdmitReplica(message.from, clock.now);
+    if (formation_ && options_.open_membership)
+      formation_->OnProbe(
+          std::string(protocol::InstanceFromReplicaId(message.from)),
+          clock.now);
     return;
   }
   if (message.kind == PeerMessageKind::kProbeReply) {
--- a/source/unit_tests/consensus/formation_test.cc
+++ b/source/unit_tests/consensus/formation_test.cc
@@ -1,5 +1,8 @@
 #include "core/consensus/formation.h"
 
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 namespace jacinth::consensus {
@@ -31,6 +34,63 @@
   CHECK(other.decision() == Formation::Decision::kWait);
 }
 
+// Guards against a group that begins with fewer voters than have asked to join.
+TEST_CASE("A group is filled with instances that ask and have no log") {
+  Formation founder("a#1", {"a", "b"}, true, 3);
+  const auto probed = [&](Time now) {
+    std::vector<std::string> targets;
+    for (const protocol::PeerMessage& message : founder.OnTick(now))
+      targets.push_back(message.to);
+    return targets;
+  };
+  using Instances = std::vector<std::string>;
+  CHECK(probed(Time{1s}) == Instances{"b"});
+  founder.OnProbe("b", Time{1s});
+  founder.OnProbe("e", Time{1s});
+  founder.OnProbe("d", Time{1s});
+  // The probe alone doesn't tell whether there is a log.
+  CHECK(probed(Time{1s}) == Instances{"b", "d", "e"});
+  founder.OnProbeReply(ProbeReply("b#1", "a#1", false));
+  CHECK(founder.decision() == Formation::Decision::kWait);
+  SECTION("the first one that asked is taken") {
+    founder.OnProbeReply(ProbeReply("d#1", "a#1", false));
+    founder.OnProbeReply(ProbeReply("e#1", "a#1", false));
+    CHECK(founder.decision() == Formation::Decision::kCreateGroup);
+    CHECK(founder.configuration().voters == Instances{"a#1", "b#1", "e#1"});
+  }
+  SECTION("one has the log of a group") {
+    founder.OnProbeReply(ProbeReply("e#1", "a#1", true));
+    founder.OnTick(Time{9s});
+    CHECK(founder.decision() == Formation::Decision::kJoinGroup);
+  }
+  SECTION("none answers") {
+    founder.OnTick(Time{2s});
+    CHECK(founder.decision() == Formation::Decision::kWait);
+    founder.OnTick(Time{3s});
+    CHECK(founder.decision() == Formation::Decision::kCreateGroup);
+    CHECK(founder.configuration().voters == Instances{"a#1", "b#1"});
+  }
+}
+
+// A contact may start late, and the group needs it.
+TEST_CASE("Others don't stand in for a contact") {
+  Formation founder("a#1", {"a", "b", "c"}, true, 3);
+  Formation larger("a#1", {"a", "b", "c"}, true, 5);
+  for (Formation* formation : {&founder, &larger}) {
+    for (const std::string other : {"d", "e"}) {
+      formation->OnProbe(other, Time{1s});
+      formation->OnProbeReply(ProbeReply(other + "#1", "a#1", false));
+    }
+    formation->OnProbeReply(ProbeReply("b#1", "a#1", false));
+    formation->OnTick(Time{9s});
+    CHECK(formation->decision() == Formation::Decision::kWait);
+    formation->OnProbeReply(ProbeReply("c#1", "a#1", false));
+    CHECK(formation->decision() == Formation::Decision::kCreateGroup);
+  }
+  CHECK(founder.configuration().voters.size() == 3);
+  CHECK(larger.configuration().voters.size() == 5);
+}
+
 TEST_CASE("A founder that lost its disk joins the existing group") {
   Formation founder("a#2", {"a", "b", "c"}, true);
   founder.OnProbeReply(ProbeReply("b#1", "a#2", true));
