Control: Test that a wiped replica comes back beside a flow of entries

Machines lose their disks while clients send requests that are logged; their replicas must be voters again within the time in which the platform wants a lost replica replaced, 4 s, and beside syncs of 1 s within the shortest time between two lost disks in the soak, 8 s.

--- a/source/unit_tests/control/slow_disk_test.cc
+++ b/source/unit_tests/control/slow_disk_test.cc
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include <catch2/catch.hpp>
@@ -117,4 +118,50 @@
   }
 }
 
+// Pattern: a machine loses its disk while clients send requests that are
+// logged. Guards against a learner that never counts as caught up, as there are
+// always entries that the others have synced and it hasn't.
+TEST_CASE("A wiped replica is a voter again beside a flow of entries") {
+  // The time after which a lost replica must have been replaced, and the
+  // shortest time between two lost disks in the soak.
+  const auto [sync_time, limit] = GENERATE(
+      std::pair{Duration{50ms}, kContact}, std::pair{Duration{300ms}, kContact},
+      std::pair{Duration{1s}, 2 * kContact});
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(ToMillis(sync_time), seed);
+    ControlCluster cluster = MakeCluster(seed, sync_time);
+    int claims = 0;
+    const auto run_with_claims = [&](Duration duration) {
+      const Time end = cluster.now() + duration;
+      while (cluster.now() < end) {
+        const std::string number = std::to_string(++claims);
+        const protocol::ClaimRequest claim{
+            "e1/1/" + number, {"caller", number}, 1, 5'000, ""};
+        if (const auto leader = cluster.Leader())
+          cluster.SendFromEntry("e1", *leader, claim);
+        cluster.Run(15ms);
+      }
+    };
+    run_with_claims(2s);
+    const std::size_t lost =
+        (cluster.Leader().value() + 1 + seed % 4) % cluster.size();
+    cluster.WipeDisk(lost);
+    run_with_claims(200ms);
+    cluster.Restart(lost);
+    const std::string id = cluster.node(lost)->replica_id();
+    const auto is_voter = [&] {
+      const auto leader = cluster.Leader();
+      if (!leader)
+        return false;
+      const auto* replica = cluster.node(*leader)->replica();
+      return replica->ConfigurationSettled() &&
+             replica->configuration().IsVoter(id);
+    };
+    const Time end = cluster.now() + limit;
+    while (!is_voter() && cluster.now() < end)
+      run_with_claims(15ms);
+    CHECK(is_voter());
+  }
+}
+
 }  // namespace jacinth::control
