Entry: Refuse requests that replaced settings would decide

What callers saw: an entry that hears from a leader and knows that a change has replaced its settings sends a request by the old region and service of its route, however long ago the change was acknowledged. It asked whether its settings are the newest ones only where no route matched.

A request is refused as not ready (503, to return elsewhere after 100 ms) if a leader that was asked less than the control timeout ago has named newer settings and those in force were last known to be the newest ones longer ago than config_propagation_ms, from the [interface] options; without that option, never. Without a leader the old settings serve, and also if this build can't apply the update. The time counts from a heartbeat's sending, so that an entry may refuse by an interval between heartbeats and the way of the messages before the bound.

--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -129,6 +129,14 @@
   /// heartbeat was sent that a leader has answered by naming their revision or
   /// an earlier one.
   Time settings_confirmed_at() const { return settings_confirmed_at_; }
+  /// Returns true if a leader that was asked less than the control timeout ago
+  /// has named a newer revision, which may have replaced the settings in force
+  /// more than `bound` ago; never if `bound` is zero, or if this build can't
+  /// apply the newer ones.
+  bool HasReplacedSettings(Time now, Duration bound) const {
+    return bound > Duration{0} && InContact(now) && IsOutdated() &&
+           !needs_whole_tree_ && now > settings_confirmed_at_ + bound;
+  }
   /// Newest revision that a leader has named.
   std::uint64_t newest_revision() const { return newest_revision_; }
 
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -77,6 +77,11 @@
                        : kReturnElsewhere);
     return;
   }
+  if (session_.HasReplacedSettings(now, options_.limits.settings_bound)) {
+    refuse({ErrorKind::kNotReady, "newer settings have not been received yet"},
+           kReturnElsewhere);
+    return;
+  }
   auto resolved = Resolve(event);
   if (!resolved && !session_.HasNewestSettings(now)) {
     refuse({ErrorKind::kNotReady,
--- a/source/unit_tests/entry/settings_delivery_test.cc
+++ b/source/unit_tests/entry/settings_delivery_test.cc
@@ -272,6 +272,30 @@
   }
 }
 
+// Guards against an entry that refuses requests while a large change comes in
+// time, but slowly.
+TEST_CASE("A large change on a narrow link stops no entry") {
+  const Duration link_delay = GENERATE(0ms, 200ms, 400ms, 600ms);
+  CAPTURE(link_delay.count());
+  NarrowFleet fleet(8);
+  AddRoutes(fleet, 0, 5);
+  fleet.Run(2s);
+  for (NarrowEntry& entry : fleet.entries())
+    entry.link_delay = link_delay;
+  fleet.Run(3s);
+  AddRoutes(fleet, 5, kAddedRoutes);
+  for (Duration passed{0}; passed < kLargePropagation;
+       passed += NarrowFleet::kStep) {
+    fleet.Run(NarrowFleet::kStep);
+    for (NarrowEntry& entry : fleet.entries()) {
+      REQUIRE_FALSE(
+          entry.session().HasReplacedSettings(entry.driver->now, kPropagation));
+    }
+  }
+  for (NarrowEntry& entry : fleet.entries())
+    CHECK(entry.session().self().revision == fleet.revision());
+}
+
 // Guards against an entry that refuses all requests because of a change that it
 // can't apply, as during an upgrade.
 TEST_CASE("An update that can't be applied stops no entry") {
