Entry test: Guard what an entry takes for lost settings

"An answer without settings may show that some were lost": once for each loss, not for settings on their way, nor for a piece that it can't use.

--- a/source/unit_tests/entry/control_session_test.cc
+++ b/source/unit_tests/entry/control_session_test.cc
@@ -111,6 +111,51 @@
   CHECK(session.settings_confirmed_at() == kStart + 400ms);
 }
 
+// Guards against a lost message with settings that only a timer notices, and
+// against settings that are sent again although they are on their way.
+TEST_CASE("An answer without settings may show that some were lost") {
+  ControlSession session = MakeSession();
+  const auto first = session.OnTick(kStart);
+  session.OnReply(MakeReply(first->sequence, 5), kStart + 20ms);
+  const auto second = session.OnTick(kStart + 200ms);
+  protocol::HeartbeatReply reply = MakeReply(second->sequence, 6);
+  reply.update = {};
+  SECTION("what is held is what the heartbeat said") {
+    session.OnReply(reply, kStart + 220ms);
+    const auto next = session.OnTick(kStart + 260ms);
+    REQUIRE(next);
+    CHECK(next->lacks_settings);
+    // An answer to an earlier heartbeat doesn't make it say so again.
+    session.OnReply(reply, kStart + 280ms);
+    CHECK_FALSE(session.OnTick(kStart + 500ms)->lacks_settings);
+  }
+  SECTION("the answer to the next heartbeat was lost as well") {
+    session.OnReply(reply, kStart + 220ms);
+    REQUIRE(session.OnTick(kStart + 260ms)->lacks_settings);
+    const auto third = session.OnTick(kStart + 460ms);
+    REQUIRE(third);
+    reply.sequence = third->sequence;
+    session.OnReply(reply, kStart + 480ms);
+    CHECK(session.OnTick(kStart + 560ms)->lacks_settings);
+  }
+  SECTION("settings have arrived since the heartbeat") {
+    session.OnReply(MakeReply(0, 6), kStart + 210ms);
+    reply.revision = 7;
+    session.OnReply(reply, kStart + 220ms);
+    CHECK_FALSE(session.OnTick(kStart + 500ms)->lacks_settings);
+  }
+  SECTION("a piece has come that the entry can't use") {
+    protocol::HeartbeatReply push;
+    push.leader = true;
+    push.revision = 6;
+    push.settings_piece.position = {4, 6, 1, 0};
+    push.settings_piece.total_bytes = 10;
+    session.OnReply(push, kStart + 210ms);
+    session.OnReply(reply, kStart + 220ms);
+    CHECK_FALSE(session.OnTick(kStart + 500ms)->lacks_settings);
+  }
+}
+
 namespace {
 
 protocol::ListedEndpoint MakeEndpoint() {
--- a/source/unit_tests/entry/lost_message_test.cc
+++ b/source/unit_tests/entry/lost_message_test.cc
@@ -157,6 +157,27 @@
   CHECK(test.session().fleet()->drained_failure_domains.count("west-b") == 1);
 }
 
+// Guards against settings that come late because the answers that would show
+// the loss are lost as well.
+TEST_CASE("A change is in force in time though two answers were lost with it") {
+  const Deployment deployment = GENERATE(kSmall, kLarge);
+  const int phase = GENERATE(range(0, kPhases));
+  CAPTURE(deployment.entries, phase);
+  constexpr int kLosses = 3;
+  LossyFleet test(deployment.entries, phase, kLosses);
+  test.fleet.Change(
+      {{"region/west/failure_domain/west-b", {{"drain", "true"}}}});
+  const auto is_answer_or_settings = [](const HeartbeatReply& reply) {
+    return reply.sequence != 0 || HasSettings(reply);
+  };
+  const Duration passed = test.RunUntil(
+      [&] { return test.session().self().revision == test.fleet.revision(); },
+      is_answer_or_settings, deployment.propagation);
+  CAPTURE(ToMillis(passed));
+  REQUIRE(test.losses_left == 0);
+  CHECK(test.session().self().revision == test.fleet.revision());
+}
+
 // Guards against a 404 from an entry that lacks a change: it must learn from
 // the next reply that there is one, or stop relying on the last reply.
 TEST_CASE("An entry knows in time that it lacks a change") {
