Entry: Test that the first heartbeat says that an entry is starting

Evidence: it says neither that nor that the entry is isolated, as the state is worked out after the first heartbeat was made; answers name the entry as usable until the second heartbeat arrives.

--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -343,6 +343,16 @@
   CHECK(driver.attempts[0].endpoint == "a");
 }
 
+// Guards against callers that are sent to an entry that has just started, by a
+// first heartbeat that doesn't say so.
+TEST_CASE("The first heartbeat of an entry says that it is starting") {
+  EntryDriver driver(MakeOptions());
+  driver.Step(Tick{});
+  REQUIRE(driver.last_heartbeat.sequence == 1);
+  CHECK(driver.last_heartbeat.status.starting);
+  CHECK(driver.last_heartbeat.status.isolated);
+}
+
 TEST_CASE(
     "Without contact with the control role, an entry reads the endpoint list "
     "itself") {
