Entry: Say with the first heartbeat that an entry is starting

What callers saw: answers named an entry that had just started and knew no endpoint, until its second heartbeat arrived. Cause: a step works out the state after it has made the heartbeat. Change: an entry that reads the platform's list begins as starting and isolated. Nothing is published before the first reply, so that until then it answers look-ups with 503, as an instance without settings always did, and callers ask the next one.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -32,11 +32,21 @@
 constexpr int kDefaultRetryReserve = 10;
 constexpr double kPercent = 100;
 
+// Returns what an instance reports with its first heartbeat.
+protocol::EntryStatus InitialStatus(const EntryOptions& options) {
+  protocol::EntryStatus status = options.self;
+  status.starting = options.can_list_endpoints;
+  status.isolated = status.starting;
+  return status;
+}
+
 }  // namespace
 
 EntryNode::EntryNode(EntryOptions options)
     : options_(std::move(options)),
-      session_(options_.self, options_.heartbeat, options_.control_timeout),
+      session_(InitialStatus(options_),
+               options_.heartbeat,
+               options_.control_timeout),
       ceilings_(options_.max_requests),
       bandwidth_(options_.bandwidth) {
   session_.SetContacts(options_.contacts);
