Steering: Test what an entry that is starting answers

Evidence: an entry that has settings but neither members nor endpoints, as right after an election, names itself alone (1 address, expected none); callers would close their connections to all others and be refused there.

--- a/source/unit_tests/steering/nearest_entries_test.cc
+++ b/source/unit_tests/steering/nearest_entries_test.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -120,6 +121,29 @@
   CHECK(MaxLoad(snapshot) <= kMaxLoad);
 }
 
+// Guards against callers that close their connections to all other entries, as
+// one that has just started answers that there is none but itself.
+TEST_CASE("An entry that is starting names itself only among others") {
+  SteeringSnapshot snapshot = MakeSnapshot(6);
+  const std::vector<EntryStatus> members = std::exchange(snapshot.members, {});
+  const auto count_named = [&] {
+    return NearestEntries(snapshot, "east", "east-0", kMaxAddresses).size();
+  };
+  // Without contact with the control role, it serves the callers that come.
+  CHECK(count_named() == 1);
+  snapshot.self.starting = true;
+  snapshot.self.isolated = true;
+  CHECK(count_named() == 0);
+  snapshot.members = members;
+  CHECK(count_named() == 5);
+  // If all start, some will serve callers first.
+  for (EntryStatus& member : snapshot.members) {
+    member.starting = true;
+    member.isolated = true;
+  }
+  CHECK(count_named() == 6);
+}
+
 // The callers' own failure domain costs the least.
 TEST_CASE("Entries in the caller's failure domain and region come first") {
   SteeringSnapshot snapshot = MakeSnapshot(6);
