Steering: Don't name a starting entry alone

What callers saw: an entry that had settings but knew neither members nor endpoints, as while a leader that was just elected collects its list, answered that there is none but itself; callers closed their connections to the others and got 503 there. Cause: an empty member list is taken for a lost control role, whatever the entry can do itself. Change: such an entry names nobody, so that callers ask the next directory or keep what they have. It could serve none of them. Among other members that all start it is named, and an entry that knows endpoints names itself as before, also while the platform or the control group is away. Evidence: "An entry that is starting names itself only among others" failed (1 address, expected 0) and passes; steering_test passes (15 cases).

--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -32,8 +32,12 @@
     if (IsUsable(snapshot, member))
       usable.push_back(&member);
   }
-  if (usable.empty() && IsUsable(snapshot, snapshot.self))
+  // Callers close their connections to entries that an answer doesn't name, so
+  // that an instance that can't serve them must not name itself alone.
+  if (usable.empty() && !snapshot.self.starting &&
+      IsUsable(snapshot, snapshot.self)) {
     usable.push_back(&snapshot.self);
+  }
   return usable;
 }
 
