Entry: Test a roll that leaves one entry of a region

Evidence: of a region of 2 or 3 entries, all but one restart as planned. From the SIGTERM until all are ready, answers send 0.489 and 0.475 of the region's callers elsewhere (bound 0.05). Cause: a region keeps its callers with two usable entries at least, as one may fail. Weighed, not done: counting entries that drain or start towards these two. The last entry would then bear two or three times its load of calm times, more than instances are sized for, and callers would have no other address.

--- a/source/unit_tests/entry/planned_work_test.cc
+++ b/source/unit_tests/entry/planned_work_test.cc
@@ -173,6 +173,19 @@
   CHECK(share_elsewhere <= kMaxShareElsewhere);
 }
 
+// Guards against callers who leave a small region for the entries that stop.
+TEST_CASE("A roll that leaves one entry of a region sends no callers away") {
+  const int entries = GENERATE(2, 3);
+  RegionalFleet fleet(entries);
+  fleet.Run(1s);
+  CHECK(fleet.TakeShareElsewhere() == 0);
+  fleet.Restart(RegionalFleet::First(entries - 1));
+  fleet.RunUntilReady();
+  const double share_elsewhere = fleet.TakeShareElsewhere();
+  CAPTURE(entries, share_elsewhere);
+  CHECK(share_elsewhere <= kMaxShareElsewhere);
+}
+
 // Guards against the same when entries are added.
 TEST_CASE("Entries that join send no callers to other regions") {
   RegionalFleet fleet(6);
