Consensus: Admit a learner that has what was committed a short time ago

A machine that lost its disk was no voter again for as long as its syncs took 300 ms or more and clients sent requests that are logged.

Cause: a learner counted as caught up only while it had all that is committed. With each of its syncs later than those of the others, and entries all the time, there is hardly such a moment.

Change: the leader sets each replica the commit index as a goal, and the next one when that is reached. A learner has caught up if it has answered within an election timeout and the last goal that it reached was set no longer ago than twice replace_after, for the two syncs that an entry may wait for. One whose disk hangs stays a learner. The removal of a voter and quorums are as before.

--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -59,7 +59,9 @@
   Result<std::uint64_t> Propose(std::string payload, Time now);
 
   /// Adds a replica as a learner and, once it has caught up, promotes it to a
-  /// voter. It replaces any other replica of the same instance. If the group is
+  /// voter. Has caught up what has all that was committed a short time ago: it
+  /// never has all entries while more are appended during each of its syncs.
+  /// It replaces any other replica of the same instance. If the group is
   /// full, it is added only while a voter is silent for `replace_after`, which
   /// DropSurplusVoter() then removes. Takes one step of this per call, so it
   /// must be called repeatedly.
@@ -120,6 +122,12 @@
   struct Progress {
     std::uint64_t next = 1;
     std::uint64_t match = 0;
+    /// Index that was committed at `goal_set`, which this replica is to reach.
+    std::uint64_t goal = 0;
+    Time goal_set{};
+    /// Time of the last goal that was reached: the replica has all that was
+    /// committed then.
+    std::optional<Time> reached;
     std::size_t inflight = 0;
     /// Time from which messages are sent to this replica.
     Time added{};
@@ -166,10 +174,14 @@
   void SendSnapshot(const std::string& to, Time now);
   void SendEmptyHeartbeat(const std::string& to, Time now);
   void OnAppendReply(const protocol::PeerMessage& message, Time now);
+  static void AdvanceGoal(Progress& progress,
+                          std::uint64_t commit_index,
+                          Time now);
   void AdvanceCommit();
   void LeaderTick(Time now);
   std::string PreviousIncarnation(const std::string& learner) const;
   bool NeedsVoter(Time now) const;
+  bool HasCaughtUp(const std::string& learner, Time now) const;
   std::string LongestSilentVoter() const;
   bool IsSilent(const std::string& id, Duration duration, Time now) const;
   void ChangeConfiguration(const protocol::Configuration& configuration,
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -13,6 +13,14 @@
 using protocol::PeerMessage;
 using protocol::PeerMessageKind;
 
+namespace {
+
+/// Number of syncs for which an entry may wait: the one that is running when it
+/// arrives, and its own.
+constexpr int kSyncsPerEntry = 2;
+
+}  // namespace
+
 Result<std::uint64_t> Replica::Propose(std::string payload, Time now) {
   if (halted_ || role_ != ReplicaRole::kLeader || transfer_started_)
     return Fail(ErrorKind::kNotLeader, "this replica is not the leader");
@@ -41,8 +49,7 @@
     ChangeConfiguration(next, now);
     return;
   }
-  const auto progress = progress_.find(id);
-  if (progress == progress_.end() || progress->second.match < commit_index_)
+  if (!HasCaughtUp(id, now))
     return;
   // Changes one voter at a time. A replaced incarnation has lost its disk and
   // counts for nothing, so it is removed before the new one is added. A silent
@@ -52,7 +59,7 @@
     return;
   if (!replaced.empty()) {
     std::erase(next.voters, replaced);
-  } else if (NeedsVoter(now) && !IsSilent(id, options_.election_timeout, now)) {
+  } else if (NeedsVoter(now)) {
     std::erase(next.learners, id);
     next.voters.push_back(id);
     std::sort(next.voters.begin(), next.voters.end());
@@ -62,6 +69,17 @@
   ChangeConfiguration(next, now);
 }
 
+bool Replica::HasCaughtUp(const std::string& learner, Time now) const {
+  const auto found = progress_.find(learner);
+  if (found == progress_.end() ||
+      IsSilent(learner, options_.election_timeout, now))
+    return false;
+  const Progress& progress = found->second;
+  return progress.match >= commit_index_ ||
+         (progress.reached &&
+          now <= *progress.reached + kSyncsPerEntry * options_.replace_after);
+}
+
 // Returns the voter of the same instance as `learner`, or an empty string.
 std::string Replica::PreviousIncarnation(const std::string& learner) const {
   for (const std::string& voter : configuration_.voters) {
@@ -196,6 +214,8 @@
     progress.next = log_.last_index() + 1;
     progress.waiting_since = now;
     progress.added = now;
+    progress.goal = commit_index_;
+    progress.goal_set = now;
     even_if_empty = true;
   }
   const bool snapshot_in_flight =
@@ -279,10 +299,21 @@
       progress.snapshot_sent.reset();
     AdvanceCommit();
   }
+  AdvanceGoal(progress, commit_index_, now);
   if (progress.next <= log_.last_index())
     SendAppend(message.from, /*even_if_empty=*/false, now);
 }
 
+void Replica::AdvanceGoal(Progress& progress,
+                          std::uint64_t commit_index,
+                          Time now) {
+  if (progress.match < progress.goal)
+    return;
+  progress.reached = progress.goal_set;
+  progress.goal = commit_index;
+  progress.goal_set = now;
+}
+
 void Replica::AdvanceCommit() {
   std::vector<std::uint64_t> matches;
   for (const std::string& voter : configuration_.voters) {
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -373,6 +373,62 @@
   CHECK(voters().size() == 3);
 }
 
+// Guards against a learner that is never admitted because it syncs later than
+// the others, and against one whose disk hangs and that is admitted.
+TEST_CASE("A learner has caught up with what was committed a short time ago") {
+  ReplicaOptions options = Options("a#1");
+  options.replace_after = 500ms;
+  Replica replica(options, GroupStart(), kStart);
+  SyncAll(replica, Elect(replica, kLater), kLater);
+  Time now = kLater;
+  // "b#1" and "c#1" have all entries, the learner those up to `index`.
+  const auto answer = [&](std::uint64_t index) {
+    now += 20ms;
+    replica.OnTick(now);
+    const ReplicaActions actions = replica.TakeActions();
+    SyncAll(replica, actions, now);
+    for (const std::string other : {"b#1", "c#1"}) {
+      replica.OnMessage(
+          Ack(other, replica.term(), replica.last_index(), LastRound(actions)),
+          now);
+    }
+    if (index != 0) {
+      replica.OnMessage(Ack("d#1", replica.term(), index, LastRound(actions)),
+                        now);
+    }
+  };
+  const auto run_behind = [&](Duration duration, std::uint64_t index) {
+    for (const Time end = now + duration; now < end;) {
+      REQUIRE(replica.Propose("x", now));
+      answer(index);
+    }
+  };
+  answer(0);
+  answer(0);
+  replica.AdmitReplica("d#1", now);
+  answer(0);
+  REQUIRE(replica.ConfigurationSettled());
+  const std::uint64_t added = replica.last_index();
+  // It has the first snapshot only.
+  run_behind(200ms, 1);
+  replica.AdmitReplica("d#1", now);
+  CHECK(replica.configuration().IsLearner("d#1"));
+  SECTION("it has an older state soon") {
+    run_behind(20ms, added);
+    CHECK(replica.commit_index() > added);
+    replica.AdmitReplica("d#1", now);
+    CHECK(replica.configuration().IsVoter("d#1"));
+  }
+  SECTION("it has an older state, and no more for long") {
+    run_behind(1'200ms, added);
+    replica.AdmitReplica("d#1", now);
+    CHECK(replica.configuration().IsLearner("d#1"));
+    answer(replica.last_index());
+    replica.AdmitReplica("d#1", now);
+    CHECK(replica.configuration().IsVoter("d#1"));
+  }
+}
+
 TEST_CASE("A snapshot that isn't synced isn't acknowledged by heartbeats") {
   Replica replica(Options("a#1"),
                   GroupStart({{2, 1, LogEntryKind::kCommand, "x"},
