Entry: Test as a property that attempts keep to the newest regions

Random changes of two nested routes, requests with and without an object, and ends of attempts: no attempt starts in a region that the newest settings of its route don't allow.

--- a/source/unit_tests/entry/entry_regions_test.cc
+++ b/source/unit_tests/entry/entry_regions_test.cc
@@ -1,3 +1,6 @@
+#include <array>
+#include <map>
+#include <rapidcheck.h>
 #include <string>
 #include <vector>
 
@@ -118,4 +121,71 @@
   }
 }
 
+// Guards against bytes that leave for a region that the newest settings don't
+// allow, however the request got there (docs/incidents/home.md).
+TEST_CASE("Property: attempts keep to the newest regions of their route") {
+  const bool passed = rc::check([] {
+    constexpr std::array<const char*, 3> kRegions = {"", "west", "east"};
+    constexpr std::array<const char*, 2> kPaths = {"/a/x", "/a/b/x"};
+    constexpr std::array<AttemptEnd, 5> kEnds = {
+        AttemptEnd::kAnswered, AttemptEnd::kRefused, AttemptEnd::kNotConnected,
+        AttemptEnd::kConnectionLost, AttemptEnd::kTimedOut};
+    EntryDriver driver;
+    std::array<std::string, 2> regions;
+    std::map<RequestTicket, std::size_t> route_of;
+    std::map<RequestTicket, StartAttempt> open;
+    std::size_t checked = 0;
+    const auto check_attempts = [&] {
+      for (; checked < driver.attempts.size(); ++checked) {
+        const StartAttempt& attempt = driver.attempts[checked];
+        const std::string& allowed = regions.at(route_of.at(attempt.ticket));
+        const std::string region = attempt.endpoint == "far" ? "east" : "west";
+        RC_ASSERT(allowed.empty() || allowed == region);
+        open[attempt.ticket] = attempt;
+      }
+    };
+    const auto apply_routes = [&] {
+      // Requests go by the old regions until the reply arrives.
+      driver.AdvanceTime(100ms);
+      check_attempts();
+      const std::string deeper_regions = kRegions.at(*rc::gen::inRange(0, 3));
+      const bool has_deeper = *rc::gen::arbitrary<bool>();
+      regions[0] = kRegions.at(*rc::gen::inRange(0, 3));
+      regions[1] = has_deeper ? deeper_regions : regions[0];
+      driver.settings_text =
+          ServiceText(*rc::gen::inRange(1, 3)) + RouteText("/a/", regions[0]);
+      if (has_deeper)
+        driver.settings_text += RouteText("/a/b/", regions[1]);
+      ++driver.revision;
+      driver.AnswerHeartbeat();
+    };
+    apply_routes();
+    const int steps = *rc::gen::inRange(5, 60);
+    for (int step = 0; step < steps; ++step) {
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+          apply_routes();
+          break;
+        case 1:
+          driver.AdvanceTime(100ms);
+          driver.AnswerHeartbeat();
+          break;
+        case 2:
+          if (open.empty())
+            break;
+          driver.EndAttempt(open.extract(open.begin()).mapped(),
+                            kEnds.at(*rc::gen::inRange(0, 5)));
+          break;
+        default:
+          const auto route = *rc::gen::inRange<std::size_t>(0, 2);
+          route_of[driver.last_ticket + 1] = route;
+          SendRequest(driver, kPaths.at(route),
+                      *rc::gen::arbitrary<bool>() ? "object-1" : "");
+      }
+      check_attempts();
+    }
+  });
+  CHECK(passed);
+}
+
 }  // namespace jacinth::entry
