--- a/source/unit_tests/entry/planned_work_test.cc
+++ b/source/unit_tests/entry/planned_work_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -53,9 +54,8 @@
 
   /// Indices of the first entries of the first region.
   static std::vector<int> First(int count) {
-    std::vector<int> indices;
-    for (int i = 0; i < count; ++i)
-      indices.push_back(i);
+    std::vector<int> indices(static_cast<std::size_t>(count));
+    std::iota(indices.begin(), indices.end(), 0);
     return indices;
   }
 
