Control: Test a second lost disk at any moment after the first

One voter loses its disk and starts again empty; 0 to 0.9 s later, in steps of 15 ms, a change is acknowledged, and another voter loses its disk while all machines lose power. What was acknowledged before the first loss and after it must be there. Guards the order in which a lost replica is removed and added, and its admission before it has all entries.

--- a/source/unit_tests/control/power_loss_test.cc
+++ b/source/unit_tests/control/power_loss_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -98,7 +99,26 @@
     });
   }
 
-  /// All machines lose power, two voters their disks as well, and start again.
+  /// A voter loses its disk and starts again; the group runs on for `duration`.
+  void LoseDisk(Duration duration) {
+    const std::vector<std::string> voters =
+        cluster_.node(cluster_.Leader().value())
+            ->replica()
+            ->configuration()
+            .voters;
+    const std::string& lost = voters[random_() % voters.size()];
+    std::size_t machine = 0;
+    while (cluster_.node(machine)->replica_id() != lost)
+      ++machine;
+    cluster_.WipeDisk(machine);
+    cluster_.Restart(machine);
+    wiped_ = machine;
+    is_grown_ = false;
+    cluster_.Run(duration);
+  }
+
+  /// All machines lose power, voters their disks as well, and start again. Of
+  /// voters, two lose their disks, or one if another has lost its disk before.
   void LosePowerAndDisks() {
     const std::vector<std::string> voters =
         cluster_.node(cluster_.Leader().value())
@@ -108,13 +128,15 @@
     std::vector<std::size_t> lost;
     for (std::size_t i = 0; i < cluster_.size(); ++i) {
       const std::string& id = cluster_.node(i)->replica_id();
-      if (std::find(voters.begin(), voters.end(), id) != voters.end())
+      const bool is_voter =
+          std::find(voters.begin(), voters.end(), id) != voters.end();
+      if (is_voter && i != wiped_)
         lost.push_back(i);
       cluster_.Crash(i);
     }
     REQUIRE(lost.size() >= (is_grown_ ? kLayout.target_voters : kLostDisks));
     std::shuffle(lost.begin(), lost.end(), random_);
-    lost.resize(kLostDisks);
+    lost.resize(wiped_ ? kLostDisks - 1 : kLostDisks);
     for (const std::size_t machine : lost)
       cluster_.WipeDisk(machine);
     for (std::size_t i = 0; i < cluster_.size(); ++i)
@@ -170,6 +192,8 @@
   ControlCluster cluster_;
   std::mt19937_64 random_;
   bool is_grown_;
+  /// Machine that has lost its disk before the others.
+  std::optional<std::size_t> wiped_;
   bool acknowledged_ = false;
   std::optional<protocol::ClaimReply> claim_reply_;
 };
@@ -239,6 +263,28 @@
   }
 }
 
+// The same at all moments at which the replica of a lost disk is replaced.
+TEST_CASE("Settings outlive a second lost disk at any moment after the first") {
+  constexpr Duration kInterval = 15ms;
+  constexpr Duration kReplaced = 900ms;
+  std::uint64_t seed = 0;
+  for (Duration moment{0}; moment < kReplaced; moment += kInterval) {
+    ++seed;
+    CAPTURE(seed, ToMillis(moment));
+    Group group(seed);
+    group.Change("service/a", {{"ttl_ms", "500"}});
+    group.LoseDisk(moment);
+    group.Change("service/b", {{"ttl_ms", "600"}});
+    group.LosePowerAndDisks();
+    for (const auto& [branch, ttl] :
+         {std::pair{"service/a", "500"}, std::pair{"service/b", "600"}}) {
+      const auto* values = group.state().tree().Find(branch);
+      REQUIRE(values != nullptr);
+      CHECK(values->at("ttl_ms") == ttl);
+    }
+  }
+}
+
 // The same for evacuations of failure domains.
 TEST_CASE("Evacuations outlive a loss of two disks and of all power") {
   const std::string domain = "region/west/failure_domain/west-a";
