Steering: Test what an entry that stops answers

Evidence: it names itself among 6 addresses, until the member list says that it stops (expected: the 5 others).

--- a/source/unit_tests/steering/nearest_entries_test.cc
+++ b/source/unit_tests/steering/nearest_entries_test.cc
@@ -144,6 +144,20 @@
   CHECK(count_named() == 6);
 }
 
+// Guards against callers that are sent to an entry which knows that it stops,
+// until the member list says so as well.
+TEST_CASE("An entry that stops names others at once") {
+  SteeringSnapshot snapshot = MakeSnapshot(6);
+  snapshot.self.draining = true;
+  const auto named =
+      NearestEntries(snapshot, snapshot.self.region,
+                     snapshot.self.failure_domain, kMaxAddresses);
+  CHECK(named.size() == 5);
+  CHECK(std::none_of(named.begin(), named.end(), [&](const EntryStatus* entry) {
+    return entry->id == snapshot.self.id;
+  }));
+}
+
 // The callers' own failure domain costs the least.
 TEST_CASE("Entries in the caller's failure domain and region come first") {
   SteeringSnapshot snapshot = MakeSnapshot(6);
