Control, quarantine: Withdraw cleared suspects with whole lists too

Since later changes are sent as such, no second whole list took away one that had been cleared while its removal was lost, so that its callers got 503 for up to ten minutes.

Whole lists now tell the latest removals as well.

--- a/source/core/control/control_node_suspects.cc
+++ b/source/core/control/control_node_suspects.cc
@@ -68,8 +68,8 @@
   if (KeepsSuspectsSince(base)) {
     update.base = base;
     since = static_cast<std::uint32_t>(base);
-    update.removed = suspects.RemovedSince(since);
   }
+  update.removed = suspects.RemovedSince(since);
   for (const auto& [fingerprint, item] : suspects.items()) {
     const std::int64_t left_ms = item.request.expires_ms - clock.wall_ms;
     const bool is_listed =
--- a/source/core/protocol/suspect_request.h
+++ b/source/core/protocol/suspect_request.h
@@ -55,7 +55,8 @@
   std::vector<SuspectNotice> requests;
   /// Version that the changes are based on; 0 if `requests` is the whole list.
   std::uint64_t base = 0;
-  /// Fingerprints of the requests that are no longer suspected since `base`.
+  /// Fingerprints of the requests that are no longer suspected since `base`, or
+  /// lately if that is 0.
   std::vector<std::uint64_t> removed;
 
   bool operator==(const SuspectUpdate&) const = default;
--- a/source/core/quarantine/request_quarantine.cc
+++ b/source/core/quarantine/request_quarantine.cc
@@ -111,14 +111,13 @@
     if (VerdictFor(crashes) > VerdictFor(before))
       LogVerdict("suspect_received", notice.fingerprint, crashes);
   }
-  // A new leader may not know all suspects; see docs/design/quarantine.md.
-  if (new_term)
-    return;
   const std::set<std::uint64_t> removed(update.removed.begin(),
                                         update.removed.end());
+  // A new leader may not know all suspects; see docs/design/quarantine.md.
+  const bool is_complete = is_whole && !new_term;
   std::erase_if(records_, [&](const auto& item) {
-    const bool is_withdrawn = is_whole ? listed.count(item.first) == 0
-                                       : removed.count(item.first) != 0;
+    const bool is_withdrawn = removed.count(item.first) != 0 ||
+                              (is_complete && listed.count(item.first) == 0);
     return item.second.counted_until() != Time::min() && is_withdrawn;
   });
 }
--- a/source/core/wire/convert_suspects.cc
+++ b/source/core/wire/convert_suspects.cc
@@ -53,10 +53,10 @@
     wire_notice.endpoints = HashesToWire(notice.endpoints);
     wire_notice.left_ms = notice.left_ms;
   }
-  if (update.base != 0) {
+  if (update.base != 0)
     out.__set_base(static_cast<std::int64_t>(update.base));
+  if (!update.removed.empty())
     out.__set_removed(HashesToWire(update.removed));
-  }
   return out;
 }
 
--- a/source/unit_tests/quarantine/request_quarantine_test.cc
+++ b/source/unit_tests/quarantine/request_quarantine_test.cc
@@ -162,4 +162,17 @@
   }
 }
 
+// Guards against a request that stays blocked for minutes, as the removal was
+// lost with the former leader.
+TEST_CASE("A new leader's list withdraws suspicions that it knows of") {
+  RequestQuarantine quarantine;
+  const Time now{100s};
+  quarantine.ApplyUpdate(Update(kTerm1 + 5), 0, now);
+  protocol::SuspectUpdate list;
+  list.version = kTerm2 + 1;
+  list.removed = {kRequest};
+  quarantine.ApplyUpdate(list, 0, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+}
+
 }  // namespace jacinth::quarantine
