--- a/source/core/control/control_node_delivery.cc
+++ b/source/core/control/control_node_delivery.cc
@@ -236,6 +236,7 @@
           reply.suspects.unchanged)
         continue;
       std::vector<std::string> entries;
+      entries.reserve(group.size());
       for (const SliceBase& item : group)
         entries.push_back(*item.entry);
       actions_.broadcasts.push_back({std::move(entries), reply});
