--- a/source/unit_tests/entry/suspect_traffic_test.cc
+++ b/source/unit_tests/entry/suspect_traffic_test.cc
@@ -11,7 +11,6 @@
 
 using forwarding::AttemptEnd;
 using test::EntryDriver;
-using test::NarrowEntry;
 using test::NarrowFleet;
 
 constexpr int kEntries = 40;
