Entry: Ask other replicas for settings that the leader doesn't send

Cause: settings had one way, from the leader.

Change: when the settings held were last known to be the newest ones more than 1.3 s ago, the entry asks a replica that doesn't lead, another one each 700 ms. What a replica has applied is committed, so it is in force whoever tells; the entry takes it only if it is newer, and its first settings still from a leader with a lease only. No field is new: replicas of earlier builds answer without settings.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -232,6 +232,8 @@
   void AddSettings(const std::string& entry,
                    protocol::HeartbeatReply& reply,
                    Time now);
+  void AddAskedSettings(const protocol::Heartbeat& heartbeat,
+                        protocol::HeartbeatReply& reply);
   protocol::SettingsUpdate MakeSettingsUpdate(std::uint64_t held_revision);
 
   // Administration calls.
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -33,6 +33,8 @@
       reply.drains = standby_list_.DrainsFor(digest);
       reply.listing = standby_list_.StateAt(clock.now);
     }
+    if (heartbeat.lacks_settings)
+      AddAskedSettings(heartbeat, reply);
     if (reply.leader_hint.empty() && seekers_.size() < kMaxSeekers)
       seekers_[from] = clock.now;
     SendToEntry(from, reply);
@@ -231,15 +233,18 @@
                               Time now) {
   settings_sender_.AddNext(
       entry, state_.revision(),
-      [this](std::uint64_t held_revision) {
-        protocol::SettingsUpdate update = MakeSettingsUpdate(held_revision);
-        LogEvent("settings_update_made")
-            .With("base", update.base_revision)
-            .With("revision", update.revision)
-            .With("branches", update.changes.size());
-        return update;
-      },
-      reply, now);
+      [this](std::uint64_t held) { return MakeSettingsUpdate(held); }, reply,
+      now);
+}
+
+// Adds the settings that this replica has applied, which are in force, to the
+// answer to an entry whose leader doesn't send them in time.
+void ControlNode::AddAskedSettings(const protocol::Heartbeat& heartbeat,
+                                   protocol::HeartbeatReply& reply) {
+  reply.revision = state_.revision();
+  settings_sender_.AddAsked(
+      heartbeat, state_.revision(),
+      [this](std::uint64_t held) { return MakeSettingsUpdate(held); }, reply);
 }
 
 void ControlNode::SendToEntry(const std::string& entry,
@@ -265,6 +270,10 @@
   } else {
     update.text = tree_text_;
   }
+  LogEvent("settings_update_made")
+      .With("base", update.base_revision)
+      .With("revision", update.revision)
+      .With("branches", update.changes.size());
   return update;
 }
 
--- a/source/core/control/settings_sender.cc
+++ b/source/core/control/settings_sender.cc
@@ -70,6 +70,24 @@
     reply.update = whole_;
     return;
   }
+  AddPiece(state, current, make_update, reply);
+}
+
+void SettingsSender::AddAsked(const protocol::Heartbeat& heartbeat,
+                              std::uint64_t current,
+                              const MakeUpdate& make_update,
+                              protocol::HeartbeatReply& reply) {
+  EntryState state;
+  state.held_revision = heartbeat.status.revision;
+  state.position = heartbeat.settings_position;
+  if (state.position && state.held_revision < current)
+    AddPiece(state, current, make_update, reply);
+}
+
+void SettingsSender::AddPiece(const EntryState& state,
+                              std::uint64_t current,
+                              const MakeUpdate& make_update,
+                              protocol::HeartbeatReply& reply) {
   const PackedUpdate& packed = FindOrPack(state, current, make_update);
   protocol::SettingsPiece& piece = reply.settings_piece;
   piece.position = packed.position;
--- a/source/core/control/settings_sender.h
+++ b/source/core/control/settings_sender.h
@@ -13,7 +13,7 @@
 
 namespace jacinth::control {
 
-/// Sends settings from the leader to the entries.
+/// Sends settings from the leader, or a replica that is asked, to the entries.
 ///
 /// An update is packed once for all entries that hold the same revision. Each
 /// entry gets it in pieces, the next one when its heartbeat confirms the last
@@ -43,6 +43,14 @@
                protocol::HeartbeatReply& reply,
                Time now);
 
+  /// Adds the next piece towards revision `current` for an entry that asks a
+  /// replica which doesn't serve it otherwise: nothing if it is there, or takes
+  /// no pieces. Keeps no record of the entry.
+  void AddAsked(const protocol::Heartbeat& heartbeat,
+                std::uint64_t current,
+                const MakeUpdate& make_update,
+                protocol::HeartbeatReply& reply);
+
  private:
   struct PackedUpdate {
     /// Start of the update.
@@ -58,12 +66,16 @@
     std::optional<Time> sent;
   };
 
+  void AddPiece(const EntryState& state,
+                std::uint64_t current,
+                const MakeUpdate& make_update,
+                protocol::HeartbeatReply& reply);
   const PackedUpdate& FindOrPack(const EntryState& state,
                                  std::uint64_t current,
                                  const MakeUpdate& make_update);
+  void DropUnused();
 
   std::map<std::string, EntryState> entries_;
-  void DropUnused();
 
   /// Newest last.
   std::deque<PackedUpdate> packed_;
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -48,6 +48,12 @@
 /// Time between two questions, which a replica that has to read the list first
 /// needs to answer.
 constexpr Duration kQuestionInterval = 400ms;
+/// Age of the settings after which a replica that doesn't lead is asked for
+/// newer ones: two heartbeats of a large fleet are unanswered then.
+constexpr Duration kMaxSettingsAge = 1300ms;
+/// Time between two such questions, and after a piece of settings. Bounds the
+/// part of a narrow link that their answers take.
+constexpr Duration kSettingsQuestionInterval = 700ms;
 /// Minimum time between a heartbeat and the next one to a leader that a contact
 /// has named.
 constexpr Duration kHintDelay = 100ms;
@@ -130,12 +136,32 @@
   return question;
 }
 
+std::optional<Heartbeat> ControlSession::TakeSettingsQuestion(Time now) {
+  if (now < next_settings_question_ || !AreSettingsOld(now))
+    return std::nullopt;
+  next_settings_question_ = now + kSettingsQuestionInterval;
+  ++settings_questions_;
+  Heartbeat question = MakeHeartbeat();
+  question.lacks_settings = true;
+  return question;
+}
+
+std::string ControlSession::SettingsContact() const {
+  std::vector<std::string> contacts = contacts_;
+  std::erase(contacts, leader_);
+  if (contacts.empty())
+    return "";
+  // Entries begin at different replicas.
+  return contacts[(Hash64(self_.id) + settings_questions_) % contacts.size()];
+}
+
 bool ControlSession::OnReply(const HeartbeatReply& reply, Time now) {
   for (const std::string& replica : reply.replicas)
     AddContact(replica);
   if (!reply.leader) {
     OnLeaderHint(reply.leader_hint, now);
-    const bool changed = ApplyDrains(reply.drains);
+    bool changed = ApplyDrains(reply.drains);
+    changed |= ApplyReplicaSettings(reply, now);
     const auto asked = FindQuestionTime(reply.sequence);
     if (reply.listing && asked)
       ConfirmDrains(*asked - std::chrono::milliseconds(reply.listing->age_ms));
@@ -171,7 +197,7 @@
   if (reply.settings_piece.position.revision > self_.revision) {
     const std::uint64_t told_before = ToldRevision();
     const protocol::SettingsPosition position_before = receiver_.position();
-    changed |= ApplyPiece(reply.settings_piece);
+    changed |= ApplyPiece(reply.settings_piece, now);
     ignored_piece_ = told_before == ToldRevision() &&
                      position_before == receiver_.position();
   }
@@ -273,6 +299,12 @@
   return !endpoints_.empty() && now > drains_confirmed_at_ + kMaxDrainsAge;
 }
 
+bool ControlSession::AreSettingsOld(Time now) const {
+  return fleet_ != nullptr && !needs_whole_tree_ &&
+         now > settings_confirmed_at_ + kMaxSettingsAge &&
+         now >= last_piece_ + kSettingsQuestionInterval;
+}
+
 void ControlSession::ExpediteHeartbeat(Time now) {
   expedites_next_ = true;
   // A leader that is slow to answer isn't asked more often.
@@ -423,8 +455,10 @@
 
 // Adds a piece of an update, and applies the update if it is complete. Returns
 // true if new settings are in force.
-bool ControlSession::ApplyPiece(const protocol::SettingsPiece& piece) {
+bool ControlSession::ApplyPiece(const protocol::SettingsPiece& piece,
+                                Time now) {
   const std::uint64_t revision = piece.position.revision;
+  last_piece_ = now;
   if (!receiver_.Add(piece, needs_whole_tree_ ? 0 : self_.revision)) {
     // Asks for the next piece.
     next_heartbeat_ = Time{};
@@ -445,6 +479,20 @@
   return false;
 }
 
+// Takes settings from a replica that doesn't lead. What it has applied is in
+// force, though it may not be the newest.
+bool ControlSession::ApplyReplicaSettings(const HeartbeatReply& reply,
+                                          Time now) {
+  if (fleet_ == nullptr || reply.revision <= self_.revision)
+    return false;
+  bool changed = reply.revision > newest_revision_;
+  newest_revision_ = std::max(newest_revision_, reply.revision);
+  if (reply.settings_piece.position.revision > self_.revision)
+    changed |= ApplyPiece(reply.settings_piece, now);
+  ConfirmSettings();
+  return changed;
+}
+
 bool ControlSession::ApplySettings(const SettingsUpdate& update) {
   settings::Tree tree;
   if (update.base_revision != 0) {
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -53,6 +53,14 @@
   /// is time to ask.
   std::optional<protocol::Heartbeat> TakeQuestion(Time now);
 
+  /// Returns the question to send to SettingsContact() if newer settings may be
+  /// in force than what is held, and it is time to ask.
+  std::optional<protocol::Heartbeat> TakeSettingsQuestion(Time now);
+
+  /// Returns a contact other than the leader to ask for settings, another one
+  /// after each question; empty if there is none.
+  std::string SettingsContact() const;
+
   /// Adds a digest of endpoints() to a heartbeat, for replicas that don't lead.
   void AddEndpointDigest(protocol::Heartbeat& heartbeat) const;
 
@@ -126,7 +134,8 @@
   bool HasNewestSettings(Time now) const {
     return InContact(now) && !IsOutdated();
   }
-  /// Returns true if a leader has named a newer revision.
+  /// Returns true if a leader, or a replica that was asked, has named a newer
+  /// revision.
   bool IsOutdated() const { return self_.revision < newest_revision_; }
 
   /// Time at which the settings in force were the newest ones: when the last
@@ -141,7 +150,10 @@
     return bound > Duration{0} && InContact(now) && IsOutdated() &&
            !needs_whole_tree_ && now > settings_confirmed_at_ + bound;
   }
-  /// Newest revision that a leader has named.
+  /// Returns true if newer settings may have been in force for some time, so
+  /// that others than the leader are asked.
+  bool AreSettingsOld(Time now) const;
+  /// Newest revision that a leader, or a replica that was asked, has named.
   std::uint64_t newest_revision() const { return newest_revision_; }
 
   /// Settings in force; null until the first ones have been received.
@@ -171,7 +183,8 @@
   std::optional<Time> FindQuestionTime(std::uint64_t sequence) const;
   protocol::Heartbeat MakeHeartbeat();
   bool ApplySettings(const protocol::SettingsUpdate& update);
-  bool ApplyPiece(const protocol::SettingsPiece& piece);
+  bool ApplyPiece(const protocol::SettingsPiece& piece, Time now);
+  bool ApplyReplicaSettings(const protocol::HeartbeatReply& reply, Time now);
   bool ApplyEndpointUpdate(const protocol::EndpointUpdate& update, Time now);
   Duration SearchInterval() const;
   void OnLeaderHint(const std::string& leader, Time now);
@@ -208,7 +221,7 @@
   Time last_leader_reply_{};
   /// Highest term of a leader that has answered; 0 if none has told its term.
   std::uint64_t leader_term_ = 0;
-  /// Newest revision that a leader has named.
+  /// Newest revision that a leader, or a replica that was asked, has named.
   std::uint64_t newest_revision_ = 0;
   Time settings_confirmed_at_{};
   /// Last time at which each revision that isn't held yet was the newest one:
@@ -257,6 +270,11 @@
   std::deque<SentHeartbeat> sent_questions_;
   std::uint64_t questions_ = 0;
   Time next_question_{};
+  /// Number of questions for settings so far, the time of the next one, and the
+  /// time at which the last piece of settings arrived.
+  std::uint64_t settings_questions_ = 0;
+  Time next_settings_question_{};
+  Time last_piece_{};
 };
 
 }  // namespace jacinth::entry
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -127,6 +127,7 @@
     for (const std::string& contact : session_.StandbyContacts())
       actions_.messages.push_back({contact, *question});
   }
+  AskForSettings(now);
   MaybeListEndpoints(now);
   RefuseExpired(now);
   for (auto& [name, service_state] : services_) {
@@ -202,6 +203,17 @@
     actions_.messages.push_back({contact, question});
 }
 
+// Asks a replica that doesn't lead for newer settings while the leader doesn't
+// answer, or what it sends doesn't arrive.
+void EntryNode::AskForSettings(Time now) {
+  auto question = session_.TakeSettingsQuestion(now);
+  if (!question)
+    return;
+  std::string contact = session_.SettingsContact();
+  if (!contact.empty())
+    actions_.messages.push_back({std::move(contact), std::move(*question)});
+}
+
 // Reads the endpoint list from the platform while the control role provides no
 // up-to-date one. Random jitter spreads the reads of the entries over time.
 void EntryNode::MaybeListEndpoints(Time now) {
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -74,6 +74,7 @@
   void On(const EndpointsListed& event, Time now);
   void On(const ContactsChanged& event, Time now);
   void SendHeartbeat(const protocol::Heartbeat& heartbeat, Time now);
+  void AskForSettings(Time now);
   void MaybeListEndpoints(Time now);
   /// Returns true until the first endpoint list is known.
   bool AwaitsEndpoints() const;
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -57,7 +57,7 @@
   /// is asked reads the platform's list itself, even if it hears from a leader.
   bool asks_listing = false;
   /// The same as `lacks_endpoints` for an update of the settings and of the
-  /// member list.
+  /// member list. A replica that doesn't lead is asked for newer settings.
   bool lacks_settings = false;
   bool lacks_members = false;
   /// True if the entry takes changes of the suspect requests instead of the
@@ -106,7 +106,8 @@
   bool leader = false;
   /// Instance id of the leader as known to the sender; empty if unknown.
   std::string leader_hint;
-  /// Current revision of the settings; 0 if the sender is not the leader.
+  /// Current revision of the settings. If the sender is not the leader, the
+  /// newest one that it knows to be in force, or 0 if it was not asked.
   std::uint64_t revision = 0;
   /// Set if the settings of an entry that takes no pieces are outdated;
   /// otherwise its revision is 0.
--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -40,13 +40,13 @@
                         cluster_.now() + i * kHeartbeatInterval / kEntries});
   }
   next_reading_.resize(kReplicas, cluster_.now());
+  cluster_.on_admin_reply = [this](const control::AdminReply& reply) {
+    const auto* accepted = std::get_if<control::ChangeAccepted>(&reply.body);
+    if (accepted != nullptr)
+      revision_ = accepted->revision;
+  };
   Run(2s);
-  control::ChangeRequested change;
-  change.operator_settings.branches = {"*"};
-  change.change.idempotency_key = "first";
-  change.change.any_revision = true;
-  change.change.changes = {{"service/s", {{"ttl_ms", "500"}}}};
-  cluster_.InjectEvent(Leader(), change);
+  Change({{"service/s", {{"ttl_ms", "500"}}}});
   Run(5s);
 }
 
@@ -65,6 +65,24 @@
   Run(next_reading_[Leader()] - cluster_.now() - 2 * kStep);
 }
 
+void ListingFleet::Change(const std::vector<protocol::BranchChange>& changes) {
+  control::ChangeRequested request;
+  request.operator_settings.branches = {"*"};
+  request.change.idempotency_key = std::to_string(++changes_);
+  request.change.any_revision = true;
+  request.change.changes = changes;
+  const std::uint64_t before = revision_;
+  cluster_.InjectEvent(Leader(), request);
+  while (revision_ == before)
+    Run(kStep);
+}
+
+bool ListingFleet::AllHoldSettings() const {
+  return std::all_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    return entry.driver->node.session().self().revision == revision_;
+  });
+}
+
 bool ListingFleet::AllKnow(bool draining) const {
   return std::all_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
     const auto& endpoints = entry.driver->node.session().endpoints();
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -51,6 +51,13 @@
   void FreezeLeader(Duration duration) { cluster_.Freeze(Leader(), duration); }
   void CrashLeader() { cluster_.Crash(Leader()); }
   void DrainEndpoint() { draining_ = true; }
+  /// Passes a change of the settings to the leader, and runs until it is
+  /// acknowledged.
+  void Change(const std::vector<protocol::BranchChange>& changes);
+  /// Revision of the last change.
+  std::uint64_t revision() const { return revision_; }
+  /// Returns true if that revision is in force at all entries.
+  bool AllHoldSettings() const;
 
   /// Returns true if all entries know the endpoint, and that it drains if
   /// `draining` is true.
@@ -88,6 +95,8 @@
   std::vector<Time> next_reading_;
   std::map<std::size_t, Reading> readings_by_machine_;
   bool draining_ = false;
+  int changes_ = 0;
+  std::uint64_t revision_ = 0;
   int readings_ = 0;
   int readings_by_others_ = 0;
 };
