Entry: Refuse by replaced settings though a leader answers late

What callers would see: 200 from a region that the newest route doesn't allow, at an entry in touch whose leader is busy.

Cause: an entry refuses by settings that it knows to be replaced for longer than the bound only while in contact, that is if a heartbeat sent less than the control timeout (2 s) ago was answered. A leader whose answers take longer than that is the case in which settings are late: contact lapses, and the old settings serve, although a late answer has named the newer ones.

Change: the guard asks whether any message of a leader has arrived within the control timeout, instead of whether it answered in time. Without messages, the old settings serve as before ("no leader answers any more").

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -167,6 +167,7 @@
       ConfirmDrains(*asked - std::chrono::milliseconds(reply.listing->age_ms));
     return changed;
   }
+  last_leader_message_ = now;
   const SentHeartbeat* answered = FindSent(reply.sequence);
   const bool confirmed = answered != nullptr && now < answered->sent + timeout_;
   if (!confirmed && fleet_ == nullptr)
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -142,13 +142,14 @@
   /// heartbeat was sent that a leader has answered by naming their revision or
   /// an earlier one.
   Time settings_confirmed_at() const { return settings_confirmed_at_; }
-  /// Returns true if a leader that was asked less than the control timeout ago
-  /// has named a newer revision, which may have replaced the settings in force
-  /// more than `bound` ago; never if `bound` is zero, or if this build can't
-  /// apply the newer ones.
+  /// Returns true if a newer revision is known, which may have replaced the
+  /// settings in force more than `bound` ago; never if `bound` is zero, if this
+  /// build can't apply the newer ones, or if no message of a leader has arrived
+  /// for the control timeout: they may not come for long then.
   bool HasReplacedSettings(Time now, Duration bound) const {
-    return bound > Duration{0} && InContact(now) && IsOutdated() &&
-           !needs_whole_tree_ && now > settings_confirmed_at_ + bound;
+    return bound > Duration{0} && IsOutdated() && !needs_whole_tree_ &&
+           now < last_leader_message_ + timeout_ &&
+           now > settings_confirmed_at_ + bound;
   }
   /// Returns true if newer settings may have been in force for some time, so
   /// that others than the leader are asked.
@@ -219,6 +220,8 @@
   Time contact_until_{};
   std::string leader_;
   Time last_leader_reply_{};
+  /// Time of the last message of a leader, however late it answered.
+  Time last_leader_message_{};
   /// Highest term of a leader that has answered; 0 if none has told its term.
   std::uint64_t leader_term_ = 0;
   /// Newest revision that a leader, or a replica that was asked, has named.
--- a/source/unit_tests/entry/settings_delivery_test.cc
+++ b/source/unit_tests/entry/settings_delivery_test.cc
@@ -1,4 +1,6 @@
+#include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -272,6 +274,45 @@
   }
 }
 
+// Guards against requests that are sent by replaced settings because the leader
+// answers later than the control timeout, as in docs/incidents/home.md.
+TEST_CASE(
+    "Settings that were replaced long ago decide no request though the leader "
+    "answers late") {
+  EntryOptions options = EntryDriver::DefaultOptions();
+  options.control_timeout = 2s;
+  options.limits.settings_bound = kPropagation;
+  EntryDriver driver(options);
+  driver.ApplySettings(test::ServiceSettingsText());
+  const Time confirmed = driver.node.session().settings_confirmed_at();
+  const Duration delay = GENERATE(1'900ms, 2'200ms);
+  CAPTURE(delay.count());
+  std::vector<std::pair<Time, std::uint64_t>> waiting;
+  std::size_t answered = 0;
+  while (driver.now < confirmed + kPropagation + 1s) {
+    driver.AdvanceTime(20ms);
+    if (waiting.empty() ||
+        waiting.back().second != driver.last_heartbeat.sequence)
+      waiting.emplace_back(driver.now, driver.last_heartbeat.sequence);
+    for (; answered < waiting.size() &&
+           waiting[answered].first + delay <= driver.now;
+         ++answered) {
+      // Names the next revision, whose settings don't arrive.
+      protocol::HeartbeatReply reply;
+      reply.sequence = waiting[answered].second;
+      reply.leader = true;
+      reply.leader_hint = "c1";
+      reply.revision = driver.revision + 1;
+      driver.Step(MessageReceived{"c1", reply});
+    }
+  }
+  REQUIRE(answered > 0);
+  REQUIRE(driver.node.session().IsOutdated());
+  const auto* refusal = driver.FindRefusal(driver.SendRequest("GET", "/"));
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->error.kind == ErrorKind::kNotReady);
+}
+
 // Guards against an entry that refuses requests while a large change comes in
 // time, but slowly.
 TEST_CASE("A large change on a narrow link stops no entry") {
