Entry: Let only endpoints of known services take an address over

What callers would see: 503 from every entry for a sound endpoint, if the platform's list holds an entry of another writer with the same address, a later start and a service that nobody knows.

That counted all entries of the list, also of services that the settings don't name, which name no endpoint to use (PROTOCOL.md).

Change: only endpoints of services in the settings count. An entry with a false start under a known service would still take the address.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -39,10 +39,15 @@
 /// Start of the last process at each address, in Unix milliseconds.
 using LastStarts = std::map<std::string_view, std::int64_t>;
 
+// Leaves out endpoints of services that the settings don't name: others may
+// write such entries into the platform's list.
 LastStarts FindLastStarts(
-    const std::map<std::string, protocol::ListedEndpoint>& endpoints) {
+    const std::map<std::string, protocol::ListedEndpoint>& endpoints,
+    const settings::FleetSettings& fleet) {
   LastStarts last_starts;
   for (const auto& [id, descriptor] : endpoints) {
+    if (fleet.services.count(descriptor.service) == 0)
+      continue;
     std::int64_t& last = last_starts[descriptor.address];
     last = std::max(last, descriptor.started_ms);
   }
@@ -284,7 +289,7 @@
   endpoint_changes_ = session_.endpoint_changes();
   members_version_ = session_.members_version();
   std::size_t endpoint_count = 0;
-  const LastStarts last_starts = FindLastStarts(session_.endpoints());
+  const LastStarts last_starts = FindLastStarts(session_.endpoints(), *fleet);
   for (const auto& [name, service] : fleet->services) {
     ServiceState& service_state = services_[name];
     settings::ServiceSettings service_settings =
--- a/source/unit_tests/entry/endpoint_regions_test.cc
+++ b/source/unit_tests/entry/endpoint_regions_test.cc
@@ -170,4 +170,16 @@
     CHECK(entry.SendRequests("/any/") == Addresses{kFirst});
 }
 
+// Guards against an entry of another writer in the platform's list, of a
+// service that nobody knows, that takes a sound endpoint out of use.
+TEST_CASE("An endpoint of an unknown service replaces none at its address") {
+  const ListSource source =
+      GENERATE(ListSource::kLeader, ListSource::kPlatform);
+  RegionalEntry entry(source);
+  protocol::ListedEndpoint foreign = MakeListed("c", "east-a", kFirst, 2);
+  foreign.service = "unknown";
+  entry.List({MakeListed("a", "west-a", kFirst), foreign});
+  CHECK(entry.SendRequests("/west/") == Addresses{kFirst});
+}
+
 }  // namespace jacinth::entry
