--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -39,10 +39,15 @@
 /// Start of the last process at each address, in Unix milliseconds.
 using LastStarts = std::map<std::string_view, std::int64_t>;
 
+// Leaves out endpoints of services that the settings don't name: others may
+// write such entries into the platform's list.
 LastStarts FindLastStarts(
-    const std::map<std::string, protocol::ListedEndpoint>& endpoints) {
+    const std::map<std::string, protocol::ListedEndpoint>& endpoints,
+    const settings::FleetSettings& fleet) {
   LastStarts last_starts;
   for (const auto& [id, descriptor] : endpoints) {
+    if (fleet.services.count(descriptor.service) == 0)
+      continue;
     std::int64_t& last = last_starts[descriptor.address];
     last = std::max(last, descriptor.started_ms);
   }
@@ -127,6 +132,7 @@
     for (const std::string& contact : session_.StandbyContacts())
       actions_.messages.push_back({contact, *question});
   }
+  AskForSettings(now);
   MaybeListEndpoints(now);
   RefuseExpired(now);
   for (auto& [name, service_state] : services_) {
@@ -202,6 +208,17 @@
     actions_.messages.push_back({contact, question});
 }
 
+// Asks a replica that doesn't lead for newer settings while the leader doesn't
+// answer, or what it sends doesn't arrive.
+void EntryNode::AskForSettings(Time now) {
+  auto question = session_.TakeSettingsQuestion(now);
+  if (!question)
+    return;
+  std::string contact = session_.SettingsContact();
+  if (!contact.empty())
+    actions_.messages.push_back({std::move(contact), std::move(*question)});
+}
+
 // Reads the endpoint list from the platform while the control role provides no
 // up-to-date one. Random jitter spreads the reads of the entries over time.
 void EntryNode::MaybeListEndpoints(Time now) {
@@ -272,7 +289,7 @@
   endpoint_changes_ = session_.endpoint_changes();
   members_version_ = session_.members_version();
   std::size_t endpoint_count = 0;
-  const LastStarts last_starts = FindLastStarts(session_.endpoints());
+  const LastStarts last_starts = FindLastStarts(session_.endpoints(), *fleet);
   for (const auto& [name, service] : fleet->services) {
     ServiceState& service_state = services_[name];
     settings::ServiceSettings service_settings =
