Control: Send whole members and suspects in one message to many entries

After a change of leader, settings and other news could wait at the new leader while it told the fleet of the members and suspects.

Cause: entries hold the lists of the former leader, so that each needs both lists whole. They waited in the queue of tables beside endpoints and slice owners, where few entries wait at once and almost none want the same, so the lists were built and encoded anew for nearly each entry.

Members and suspects no longer wait in that queue. They are the same for all entries: the leader sends them at once if it has sent none in the last push interval (100 ms, or 2 ms for each entry), and else in one message to all entries that have turned to it meanwhile. The number of lists now follows from the time that the entries take to find the leader, not from their number, and an entry that starts alone waits for nothing.

--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -152,11 +152,10 @@
   if (!ServesLists(clock.now))
     return;
   ResetListsForTerm(clock);
-  ServeTableQueue(clock);
+  ServeTableQueue(clock.now);
+  PushWholeLists(clock);
   if (clock.now >= next_push_) {
-    next_push_ = clock.now +
-                 std::max(kMinPushInterval, static_cast<int>(registry_.size()) *
-                                                kPushIntervalPerEntry);
+    next_push_ = clock.now + PushInterval();
     RebalanceSlices(clock.now);
     AllocateRateShares(clock.now);
     PushLists(clock);
@@ -165,6 +164,11 @@
   }
 }
 
+Duration ControlNode::PushInterval() const {
+  return std::max(kMinPushInterval,
+                  static_cast<int>(registry_.size()) * kPushIntervalPerEntry);
+}
+
 void ControlNode::ProcessReplicaActions(ClockReading clock) {
   if (replica_) {
     consensus::ReplicaActions replica_actions = replica_->TakeActions();
@@ -193,6 +197,7 @@
       deliveries_.clear();
       table_queue_.clear();
       next_table_ = clock.now;
+      next_whole_lists_ = clock.now;
       pushed_revision_ = 0;
     }
     PushSettings(clock);
--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -150,6 +150,7 @@
 
   // Periodic work of the leader, and proposals.
   void TickLeader(ClockReading clock);
+  Duration PushInterval() const;
   void ProcessReplicaActions(ClockReading clock);
   void ApplyCommitted(const std::vector<protocol::LogEntry>& entries,
                       ClockReading clock);
@@ -181,6 +182,9 @@
   std::vector<std::vector<SliceBase>> GroupByBase(
       std::vector<SliceBase> bases) const;
   protocol::HeartbeatReply MakeReply(Time now) const;
+  protocol::HeartbeatReply MakeTableReply(
+      const std::vector<std::string>& entries,
+      Time now) const;
   void AddMembers(EntryDelivery& delivery,
                   const protocol::Heartbeat& heartbeat,
                   protocol::HeartbeatReply& reply,
@@ -192,10 +196,14 @@
                    EntryDelivery& delivery,
                    const protocol::Heartbeat& heartbeat,
                    Time now);
-  void ServeTableQueue(ClockReading clock);
+  void ServeTableQueue(Time now);
   std::size_t SendTables(const EntryDelivery& lacking,
                          const std::vector<std::string>& entries,
-                         ClockReading clock);
+                         Time now);
+  void DelayTables(std::size_t items, std::size_t receivers, Time now);
+  void PushWholeLists(ClockReading clock);
+  bool NeedsAllMembers(const EntryDelivery& delivery, Time now) const;
+  bool NeedsAllSuspects(const EntryDelivery& delivery, Time now) const;
   bool ServesLists(Time now) const;
   void ResetListsForTerm(ClockReading clock);
   void ForgetDeparted(Time now);
@@ -270,10 +278,12 @@
   /// Time of the last heartbeat of each entry that came while no leader was
   /// known.
   std::map<std::string, Time> seekers_;
-  /// Entries that wait for whole tables.
+  /// Entries that wait for whole tables of endpoints or slice owners.
   std::deque<std::string> table_queue_;
   /// Time from which the next whole table may be sent.
   Time next_table_{};
+  /// Time from which whole lists of members and suspects may be sent.
+  Time next_whole_lists_{};
   /// Term for which `registry_` and `catalog_` were reset.
   std::uint64_t registry_term_ = 0;
   /// Time since which this replica has led, if it does.
--- a/source/core/control/control_node_delivery.cc
+++ b/source/core/control/control_node_delivery.cc
@@ -79,16 +79,8 @@
   const bool needs_slices = !slices_.IsFromTerm(delivery.slices.Base(now));
   delivery.wants_endpoints = needs_endpoints && may_send_endpoints;
   delivery.wants_slices = needs_slices && may_send_slices;
-  delivery.wants_members =
-      registry_.Version(now) != 0 && heartbeat.takes_changes &&
-      !registry_.KeepsChangesSince(delivery.members.Base(now));
-  const std::uint64_t suspects = delivery.suspects.Base(now);
-  delivery.wants_suspects =
-      suspects != SuspectsVersion() &&
-      !(delivery.takes_suspect_changes && KeepsSuspectsSince(suspects));
   if (!delivery.WantsAny())
     return;
-  delivery.sequence = heartbeat.sequence;
   delivery.endpoint_digest = heartbeat.endpoint_digest.value_or("");
   delivery.slice_digest = heartbeat.slice_digest.value_or("");
   if (!std::exchange(delivery.is_queued, true))
@@ -98,8 +90,7 @@
 // Sends whole tables, or what differs in them, to the entries that wait for
 // them: not to all at once, so that a fleet that starts anew leaves the leader
 // time for its replicas.
-void ControlNode::ServeTableQueue(ClockReading clock) {
-  const Time now = clock.now;
+void ControlNode::ServeTableQueue(Time now) {
   while (!table_queue_.empty() && now >= next_table_) {
     const std::string first = std::move(table_queue_.front());
     table_queue_.pop_front();
@@ -119,38 +110,38 @@
         return true;
       });
     }
-    const std::size_t items = SendTables(lacking, entries, clock);
-    const auto receivers = static_cast<int>(entries.size());
-    next_table_ =
-        std::max(next_table_, now - kTableBurst) +
-        static_cast<int>(items) * (kTableItemTime + receivers * kSentItemTime);
+    const std::size_t items = SendTables(lacking, entries, now);
+    DelayTables(items, entries.size(), now);
   }
 }
 
+// Leaves the leader the time that the items of a table have taken, sent to some
+// entries.
+void ControlNode::DelayTables(std::size_t items,
+                              std::size_t receivers,
+                              Time now) {
+  next_table_ =
+      std::max(next_table_, now - kTableBurst) +
+      static_cast<int>(items) *
+          (kTableItemTime + static_cast<int>(receivers) * kSentItemTime);
+}
+
 // Sends the tables that `lacking` wants to the entries, the endpoints first:
 // with them, requests can be served. Returns the number of items.
 std::size_t ControlNode::SendTables(const EntryDelivery& lacking,
                                     const std::vector<std::string>& entries,
-                                    ClockReading clock) {
-  const Time now = clock.now;
+                                    Time now) {
   for (const std::string& entry : entries) {
     EntryDelivery& delivery = deliveries_.at(entry);
     delivery.is_queued = false;
     delivery.wants_endpoints = false;
     delivery.wants_slices = false;
-    delivery.wants_members = false;
-    delivery.wants_suspects = false;
     if (lacking.wants_endpoints)
       delivery.endpoints.OnSent(catalog_.version(), kResendTableAfter, now);
     if (lacking.wants_slices)
       delivery.slices.OnSent(slices_.version(), kResendTableAfter, now);
-    if (lacking.wants_members)
-      delivery.members.OnSent(registry_.Version(now), kResendTableAfter, now);
-    if (lacking.wants_suspects)
-      delivery.suspects.OnSent(SuspectsVersion(), kResendTableAfter, now);
   }
-  protocol::HeartbeatReply empty = MakeReply(now);
-  empty.sequence = entries.size() == 1 ? lacking.sequence : 0;
+  protocol::HeartbeatReply empty = MakeTableReply(entries, now);
   std::size_t items = 1;
   if (lacking.wants_endpoints) {
     protocol::HeartbeatReply reply = empty;
@@ -161,26 +152,68 @@
     items += reply.endpoints.changed.size();
     actions_.broadcasts.push_back({entries, std::move(reply)});
   }
-  if (lacking.wants_slices || lacking.wants_members || lacking.wants_suspects) {
+  if (lacking.wants_slices) {
     protocol::HeartbeatReply reply = std::move(empty);
-    if (lacking.wants_suspects)
-      reply.suspects = SuspectsFor(0, clock);
-    if (lacking.wants_slices) {
-      reply.slices = lacking.slice_digest.empty()
-                         ? slices_.UpdateFor(0)
-                         : slices_.UpdateForDigest(lacking.slice_digest);
-    }
-    if (lacking.wants_members) {
-      reply.members = registry_.Members(now);
-      reply.replicas = ReplicaInstances();
-    }
-    items += reply.slices.changed.size() + reply.members.entries.size() +
-             reply.suspects.requests.size();
+    reply.slices = lacking.slice_digest.empty()
+                       ? slices_.UpdateFor(0)
+                       : slices_.UpdateForDigest(lacking.slice_digest);
+    items += reply.slices.changed.size();
     actions_.broadcasts.push_back({entries, std::move(reply)});
   }
   return items;
 }
 
+// Sends the members and the suspects as a whole to the entries that hold those
+// of another leader, or none. Both lists are the same for all entries: at once
+// if none was sent lately, and otherwise in one message to all that have turned
+// to this leader meanwhile.
+void ControlNode::PushWholeLists(ClockReading clock) {
+  const Time now = clock.now;
+  if (now < next_whole_lists_)
+    return;
+  std::vector<std::string> lack_members;
+  std::vector<std::string> lack_suspects;
+  for (auto& [entry, delivery] : deliveries_) {
+    if (NeedsAllMembers(delivery, now)) {
+      delivery.members.OnSent(registry_.Version(now), kResendTableAfter, now);
+      lack_members.push_back(entry);
+    }
+    if (NeedsAllSuspects(delivery, now)) {
+      delivery.suspects.OnSent(SuspectsVersion(), kResendTableAfter, now);
+      lack_suspects.push_back(entry);
+    }
+  }
+  if (lack_members.empty() && lack_suspects.empty())
+    return;
+  next_whole_lists_ = now + PushInterval();
+  if (!lack_members.empty()) {
+    protocol::HeartbeatReply reply = MakeTableReply(lack_members, now);
+    reply.members = registry_.Members(now);
+    reply.replicas = ReplicaInstances();
+    DelayTables(reply.members.entries.size(), lack_members.size(), now);
+    actions_.broadcasts.push_back({std::move(lack_members), std::move(reply)});
+  }
+  if (!lack_suspects.empty()) {
+    protocol::HeartbeatReply reply = MakeTableReply(lack_suspects, now);
+    reply.suspects = SuspectsFor(0, clock);
+    DelayTables(reply.suspects.requests.size(), lack_suspects.size(), now);
+    actions_.broadcasts.push_back({std::move(lack_suspects), std::move(reply)});
+  }
+}
+
+bool ControlNode::NeedsAllMembers(const EntryDelivery& delivery,
+                                  Time now) const {
+  return registry_.Version(now) != 0 && delivery.takes_member_changes &&
+         !registry_.KeepsChangesSince(delivery.members.Base(now));
+}
+
+bool ControlNode::NeedsAllSuspects(const EntryDelivery& delivery,
+                                   Time now) const {
+  const std::uint64_t base = delivery.suspects.Base(now);
+  return base != SuspectsVersion() &&
+         !(delivery.takes_suspect_changes && KeepsSuspectsSince(base));
+}
+
 protocol::HeartbeatReply ControlNode::MakeReply(Time now) const {
   protocol::HeartbeatReply reply;
   reply.listing.emplace();
@@ -193,6 +226,17 @@
   return reply;
 }
 
+// A message to one entry answers its heartbeat: an entry without settings takes
+// nothing else.
+protocol::HeartbeatReply ControlNode::MakeTableReply(
+    const std::vector<std::string>& entries,
+    Time now) const {
+  protocol::HeartbeatReply reply = MakeReply(now);
+  if (entries.size() == 1)
+    reply.sequence = deliveries_.at(entries.front()).sequence;
+  return reply;
+}
+
 // Sends changed lists to the entries whose lists are from this term. Entries
 // that lack the same, or almost the same, are sent the same message.
 void ControlNode::PushLists(ClockReading clock) {
--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -67,7 +67,10 @@
   delivery.rate_shares = reply.rate_shares.version;
   SendToEntry(from, std::move(reply));
   QueueTables(from, delivery, heartbeat, clock.now);
-  ServeTableQueue(clock);
+  ServeTableQueue(clock.now);
+  if (NeedsAllMembers(delivery, clock.now) ||
+      NeedsAllSuspects(delivery, clock.now))
+    PushWholeLists(clock);
   if (new_drains)
     PushLists(clock);
 }
--- a/source/core/control/control_node_suspects.cc
+++ b/source/core/control/control_node_suspects.cc
@@ -42,8 +42,7 @@
              static_cast<std::uint32_t>(version));
 }
 
-// Adds the suspects that have changed. An entry that needs the whole list waits
-// for its turn in the table queue.
+// Adds the suspects that have changed; PushWholeLists() sends whole lists.
 void ControlNode::AddSuspects(EntryDelivery& delivery,
                               protocol::HeartbeatReply& reply,
                               ClockReading clock) {
--- a/source/core/control/entry_delivery.h
+++ b/source/core/control/entry_delivery.h
@@ -18,7 +18,9 @@
       is_queued = was_queued;
       incarnation = heartbeat.status.incarnation;
     }
+    sequence = heartbeat.sequence;
     members.OnHeld(heartbeat.members_version, now);
+    takes_member_changes = heartbeat.takes_changes;
     if (heartbeat.lacks_members)
       members.OnLost();
     endpoints.OnHeld(heartbeat.endpoints_version, now);
@@ -31,7 +33,10 @@
   }
 
   std::uint64_t incarnation = 0;
+  /// Sequence number of the heartbeat that told what the entry holds.
+  std::uint64_t sequence = 0;
   SentVersion members;
+  bool takes_member_changes = false;
   SentVersion endpoints;
   SentVersion slices;
   SentVersion suspects;
@@ -39,22 +44,16 @@
   /// Version that was last sent. If that message is lost, the version in the
   /// entry's next heartbeat replaces it.
   std::uint64_t rate_shares = 0;
-  /// True while the entry waits for whole tables.
+  /// True while the entry waits for whole tables of endpoints or slice owners.
   bool is_queued = false;
   bool wants_endpoints = false;
   bool wants_slices = false;
-  bool wants_members = false;
-  bool wants_suspects = false;
-  /// Sequence number of the heartbeat that told what the entry holds.
-  std::uint64_t sequence = 0;
   /// TableDigest of the lists that it holds; empty if it holds none or doesn't
   /// tell.
   std::string endpoint_digest;
   std::string slice_digest;
 
-  bool WantsAny() const {
-    return wants_endpoints || wants_slices || wants_members || wants_suspects;
-  }
+  bool WantsAny() const { return wants_endpoints || wants_slices; }
   /// Returns true if the entry holds a part of what it wants.
   bool WantsParts() const {
     return (wants_endpoints && !endpoint_digest.empty()) ||
@@ -64,9 +63,7 @@
   bool WantsSame(const EntryDelivery& other) const {
     return !WantsParts() && !other.WantsParts() &&
            wants_endpoints == other.wants_endpoints &&
-           wants_slices == other.wants_slices &&
-           wants_members == other.wants_members &&
-           wants_suspects == other.wants_suspects;
+           wants_slices == other.wants_slices;
   }
 };
 
--- a/source/unit_tests/support/narrow_fleet.cc
+++ b/source/unit_tests/support/narrow_fleet.cc
@@ -16,6 +16,19 @@
 constexpr double kFreeShare = 0.9;
 constexpr Duration kListingInterval = 500ms;
 
+// Returns the number of whole lists of members and of suspects in a message.
+std::size_t CountWholeLists(const protocol::Envelope& envelope) {
+  const auto* reply = std::get_if<protocol::HeartbeatReply>(&envelope);
+  if (reply == nullptr)
+    return 0;
+  const bool has_members =
+      reply->members.version != 0 && reply->members.base == 0;
+  const bool has_suspects = reply->suspects.version != 0 &&
+                            !reply->suspects.unchanged &&
+                            reply->suspects.base == 0;
+  return (has_members ? 1 : 0) + (has_suspects ? 1 : 0);
+}
+
 }  // namespace
 
 NarrowEntry::NarrowEntry(int index) {
@@ -119,6 +132,7 @@
                        const protocol::Envelope& envelope) {
   const std::string bytes = wire::EncodeEnvelope(envelope);
   encoded_bytes_ += bytes.size();
+  whole_lists_ += CountWholeLists(envelope);
   for (const std::string& id : entries) {
     const auto found = entry_by_id_.find(id);
     if (found == entry_by_id_.end())
--- a/source/unit_tests/support/narrow_fleet.h
+++ b/source/unit_tests/support/narrow_fleet.h
@@ -71,6 +71,9 @@
   /// Bytes that the replica encoded for them: less, if several entries are sent
   /// the same message.
   std::size_t encoded_bytes() const { return encoded_bytes_; }
+  /// Whole lists of members and of suspects that the replica encoded: one for
+  /// several entries that are sent the same message.
+  std::size_t whole_lists() const { return whole_lists_; }
   /// Heartbeats that arrived so far.
   std::size_t heartbeats() const { return heartbeat_count_; }
   /// Highest number of different messages that the leader made in one step
@@ -106,6 +109,7 @@
   bool loses_messages_ = false;
   std::size_t sent_bytes_ = 0;
   std::size_t encoded_bytes_ = 0;
+  std::size_t whole_lists_ = 0;
   std::size_t heartbeat_count_ = 0;
   std::size_t most_broadcasts_ = 0;
 };
