Entry: Apply a change without rebuilding the whole tree

Each change of the configuration made an entry hold up its requests: it copied the whole tree, wrote it as text for the checksum, and built the typed settings of every route and service anew. Changes come in series, and an entry has 0.1 of a core on the large deployment.

- The tree is changed in place.
If the checksum then differs, the branches get their former values again, so that a wrong update is rejected as before and changes nothing.
- The checksum is still that of the text of the whole tree, as leaders of earlier builds send it, but it is computed branch by branch.
- UpdateFleetSettings builds only the routes and services that the changed branches belong to.
Branches from which others inherit, regions and entries still take a whole build.

"An update that doesn't fit leaves the settings as they were" guards the way back.

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -446,25 +446,10 @@
 }
 
 bool ControlSession::ApplySettings(const SettingsUpdate& update) {
-  settings::Tree tree;
-  if (update.base_revision != 0) {
-    if (update.base_revision != self_.revision)
-      return false;
-    tree = tree_;
-    for (const protocol::BranchChange& change : update.changes)
-      tree.Replace(change.branch, change.values);
-    if (Hash64(tree.ToIni()) != update.checksum)
-      return false;
-  } else {
-    if (Hash64(update.text) != update.checksum)
-      return false;
-    settings::ParsedTree parsed = settings::ParseTree(update.text);
-    if (!parsed.faults.empty())
-      return false;
-    tree = std::move(parsed.tree);
-  }
-  fleet_ = settings::BuildFleetSettings(tree, update.revision);
-  tree_ = std::move(tree);
+  const bool applied =
+      update.base_revision != 0 ? ApplyChanges(update) : ApplyTree(update);
+  if (!applied)
+    return false;
   self_.revision = update.revision;
   // Makes the next heartbeat due at once, to report that the revision is in
   // force.
@@ -472,4 +457,36 @@
   return true;
 }
 
+// Changes the tree in place, as it may be large and changes come in series.
+bool ControlSession::ApplyChanges(const SettingsUpdate& update) {
+  if (fleet_ == nullptr || update.base_revision != self_.revision)
+    return false;
+  std::vector<std::string> branches;
+  std::vector<settings::Tree::Values> replaced;
+  for (const protocol::BranchChange& change : update.changes) {
+    branches.push_back(change.branch);
+    replaced.push_back(tree_.Replace(change.branch, change.values));
+  }
+  if (tree_.Checksum() != update.checksum) {
+    // In reverse order, as a branch may occur more than once.
+    for (std::size_t i = branches.size(); i > 0; --i)
+      tree_.Replace(branches[i - 1], std::move(replaced[i - 1]));
+    return false;
+  }
+  fleet_ =
+      settings::UpdateFleetSettings(*fleet_, tree_, branches, update.revision);
+  return true;
+}
+
+bool ControlSession::ApplyTree(const SettingsUpdate& update) {
+  if (Hash64(update.text) != update.checksum)
+    return false;
+  settings::ParsedTree parsed = settings::ParseTree(update.text);
+  if (!parsed.faults.empty())
+    return false;
+  tree_ = std::move(parsed.tree);
+  fleet_ = settings::BuildFleetSettings(tree_, update.revision);
+  return true;
+}
+
 }  // namespace jacinth::entry
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -171,6 +171,8 @@
   std::optional<Time> FindQuestionTime(std::uint64_t sequence) const;
   protocol::Heartbeat MakeHeartbeat();
   bool ApplySettings(const protocol::SettingsUpdate& update);
+  bool ApplyChanges(const protocol::SettingsUpdate& update);
+  bool ApplyTree(const protocol::SettingsUpdate& update);
   bool ApplyPiece(const protocol::SettingsPiece& piece);
   bool ApplyEndpointUpdate(const protocol::EndpointUpdate& update, Time now);
   Duration SearchInterval() const;
--- a/source/core/settings/endpoint_settings.h
+++ b/source/core/settings/endpoint_settings.h
@@ -25,6 +25,8 @@
   std::int64_t started_ms = 0;
   /// Time for which the endpoint remains cold after these settings are applied.
   Duration remaining_warmup{0};
+
+  bool operator==(const EndpointSettings&) const = default;
 };
 
 }  // namespace jacinth::settings
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -1,6 +1,8 @@
 #include "core/settings/fleet_settings.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 #include <utility>
 
 #include "core/common/split.h"
@@ -19,6 +21,51 @@
       std::clamp<std::int64_t>(priority, 0, lowest_rank))];
 }
 
+// Names of routes and services.
+struct RouteAndServiceNames {
+  std::set<std::string> routes;
+  std::set<std::string> services;
+};
+
+// Returns the routes and services that are built from the given branches, or
+// nullopt if others, or other settings, are built from them as well.
+std::optional<RouteAndServiceNames> FindBuiltFrom(
+    std::span<const std::string> branches) {
+  RouteAndServiceNames names;
+  for (const std::string& branch : branches) {
+    const std::vector<std::string> parts = Split(branch, '/');
+    if (parts.size() == 2 && parts[0] == "route") {
+      names.routes.insert(parts[1]);
+      continue;
+    }
+    if (parts.size() < 2 || parts[0] != "service")
+      return std::nullopt;
+    names.services.insert(parts[1]);
+  }
+  return names;
+}
+
+// Order of the routes of a host.
+bool IsBefore(const RouteSettings& left, const RouteSettings& right) {
+  const std::size_t left_length = left.kind.path_prefix.size();
+  const std::size_t right_length = right.kind.path_prefix.size();
+  return left_length != right_length ? left_length > right_length
+                                     : left.kind.name < right.kind.name;
+}
+
+// Adds sorted routes to sorted ones.
+void MergeRoutes(std::vector<RouteSettings> added,
+                 std::vector<RouteSettings>& routes) {
+  std::vector<RouteSettings> merged;
+  merged.reserve(routes.size() + added.size());
+  std::merge(std::make_move_iterator(routes.begin()),
+             std::make_move_iterator(routes.end()),
+             std::make_move_iterator(added.begin()),
+             std::make_move_iterator(added.end()), std::back_inserter(merged),
+             IsBefore);
+  routes = std::move(merged);
+}
+
 class FleetSettingsBuilder {
  public:
   explicit FleetSettingsBuilder(const Tree& tree) : tree_(tree) {}
@@ -30,10 +77,7 @@
     fleet.max_header_bytes = GetInt64("", "max_header_bytes");
     fleet.header_timeout = GetMilliseconds("", "header_timeout_ms");
     fleet.idle_timeout = GetMilliseconds("", "idle_timeout_ms");
-    for (const std::string& name : tree_.ChildNames("route"))
-      AddRoute(name, fleet);
-    for (auto& [host, routes] : fleet.routes)
-      SortByPrefix(routes);
+    fleet.routes = BuildRoutes(tree_.ChildNames("route"));
     AddDrainedDomains(fleet);
     fleet.ledger_retention =
         std::chrono::seconds(GetInt64("", "ledger_retention_s"));
@@ -48,16 +92,46 @@
     return fleet;
   }
 
+  // Builds the named routes and services of `fleet` anew.
+  void Rebuild(const RouteAndServiceNames& names, FleetSettings& fleet) const {
+    for (const std::string& name : names.services) {
+      fleet.services.erase(name);
+      if (tree_.Contains("service/" + name))
+        fleet.services.emplace(name, BuildService(name));
+    }
+    if (names.routes.empty())
+      return;
+    for (auto& [host, routes] : fleet.routes) {
+      std::erase_if(routes, [&](const RouteSettings& route) {
+        return names.routes.count(route.kind.name) != 0;
+      });
+    }
+    std::vector<std::string> held;
+    for (const std::string& name : names.routes) {
+      if (tree_.Contains("route/" + name))
+        held.push_back(name);
+    }
+    for (auto& [host, routes] : BuildRoutes(held))
+      MergeRoutes(std::move(routes), fleet.routes[host]);
+    std::erase_if(fleet.routes,
+                  [](const auto& item) { return item.second.empty(); });
+  }
+
  private:
-  static void SortByPrefix(std::vector<RouteSettings>& routes) {
-    std::stable_sort(routes.begin(), routes.end(),
-                     [](const RouteSettings& left, const RouteSettings& right) {
-                       return left.kind.path_prefix.size() >
-                              right.kind.path_prefix.size();
-                     });
+  using RoutesByHost = decltype(FleetSettings::routes);
+
+  RoutesByHost BuildRoutes(const std::vector<std::string>& names) const {
+    RoutesByHost routes_by_host;
+    for (const std::string& name : names) {
+      RouteSettings route = BuildRoute(name);
+      routes_by_host[route.host].push_back(std::move(route));
+    }
+    for (auto& [host, routes] : routes_by_host)
+      std::stable_sort(routes.begin(), routes.end(), IsBefore);
+    return routes_by_host;
   }
 
-  void AddRoute(const std::string& name, FleetSettings& fleet) const {
+  RouteSettings BuildRoute(const std::string& name) const {
     const std::string branch = "route/" + name;
     RouteSettings route;
     route.host = GetText(branch, "host");
@@ -77,7 +151,7 @@
       route.shares.push_back(
           {part.substr(0, colon), static_cast<int>(weight.value_or(0))});
     }
-    fleet.routes[route.host].push_back(std::move(route));
+    return route;
   }
 
   void AddDrainedDomains(FleetSettings& fleet) const {
@@ -252,4 +326,18 @@
       FleetSettingsBuilder(tree).Build(revision));
 }
 
+std::shared_ptr<const FleetSettings> UpdateFleetSettings(
+    const FleetSettings& previous,
+    const Tree& tree,
+    std::span<const std::string> changed_branches,
+    std::uint64_t revision) {
+  const auto names = FindBuiltFrom(changed_branches);
+  if (!names)
+    return BuildFleetSettings(tree, revision);
+  FleetSettings fleet = previous;
+  fleet.revision = revision;
+  FleetSettingsBuilder(tree).Rebuild(*names, fleet);
+  return std::make_shared<const FleetSettings>(std::move(fleet));
+}
+
 }  // namespace jacinth::settings
--- a/source/core/settings/fleet_settings.h
+++ b/source/core/settings/fleet_settings.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,10 +36,21 @@
   /// Returns the route of a request, or nullptr if none matches.
   const RouteSettings* FindRoute(std::string_view host,
                                  std::string_view path) const;
+
+  bool operator==(const FleetSettings&) const = default;
 };
 
 /// Builds the typed settings of a tree that ValidateTree has accepted.
 std::shared_ptr<const FleetSettings> BuildFleetSettings(const Tree& tree,
                                                         std::uint64_t revision);
 
+/// Returns the same as BuildFleetSettings(tree, revision), for a `tree` that
+/// has resulted from that of `previous` by replacing `changed_branches`. Builds
+/// only the routes and services that these belong to, if they belong to any.
+std::shared_ptr<const FleetSettings> UpdateFleetSettings(
+    const FleetSettings& previous,
+    const Tree& tree,
+    std::span<const std::string> changed_branches,
+    std::uint64_t revision);
+
 }  // namespace jacinth::settings
--- a/source/core/settings/kind_settings.h
+++ b/source/core/settings/kind_settings.h
@@ -33,6 +33,8 @@
   std::vector<std::string> regions;
 
   bool repeatable() const { return execution == Execution::kRepeatable; }
+
+  bool operator==(const KindSettings&) const = default;
 };
 
 }  // namespace jacinth::settings
--- a/source/core/settings/route_settings.h
+++ b/source/core/settings/route_settings.h
@@ -11,6 +11,8 @@
 struct RouteShare {
   std::string service;
   int weight = 1;
+
+  bool operator==(const RouteShare&) const = default;
 };
 
 /// Settings of one route: which requests it matches and which services serve
@@ -21,6 +23,8 @@
   /// At least one service. Each gets a share of the requests in proportion to
   /// its weight.
   std::vector<RouteShare> shares;
+
+  bool operator==(const RouteSettings&) const = default;
 };
 
 }  // namespace jacinth::settings
--- a/source/core/settings/service_settings.h
+++ b/source/core/settings/service_settings.h
@@ -45,6 +45,8 @@
   /// Returns the kind of a request, or nullptr if none matches.
   const KindSettings* FindKind(std::string_view method,
                                std::string_view path) const;
+
+  bool operator==(const ServiceSettings&) const = default;
 };
 
 }  // namespace jacinth::settings
--- a/source/core/settings/tree.cc
+++ b/source/core/settings/tree.cc
@@ -2,18 +2,37 @@
 
 #include <utility>
 
+#include "core/common/hash.h"
+
 namespace jacinth::settings {
+namespace {
+
+void AppendValues(const Tree::Values& values, std::string& text) {
+  for (const auto& [key, value] : values)
+    text.append(key).append(" = ").append(value).append("\n");
+}
+
+void AppendBranch(const std::string& branch,
+                  const Tree::Values& values,
+                  bool is_first,
+                  std::string& text) {
+  if (!branch.empty())
+    text.append(is_first ? "[" : "\n[").append(branch).append("]\n");
+  AppendValues(values, text);
+}
+
+}  // namespace
 
 void Tree::Set(std::string_view branch, std::string key, std::string value) {
   branches_[std::string(branch)][std::move(key)] = std::move(value);
 }
 
-void Tree::Replace(std::string_view branch, Values values) {
+Tree::Values Tree::Replace(std::string_view branch, Values values) {
   if (values.empty()) {
-    branches_.erase(std::string(branch));
-    return;
+    const auto removed = branches_.extract(std::string(branch));
+    return removed.empty() ? Values() : std::move(removed.mapped());
   }
-  branches_[std::string(branch)] = std::move(values);
+  return std::exchange(branches_[std::string(branch)], std::move(values));
 }
 
 const Tree::Values* Tree::Find(std::string_view branch) const {
@@ -21,6 +40,10 @@
   return found == branches_.end() ? nullptr : &found->second;
 }
 
+bool Tree::Contains(std::string_view branch) const {
+  return Find(branch) != nullptr || !ChildNames(branch).empty();
+}
+
 std::optional<EffectiveValue> Tree::FindEffectiveValue(
     std::string_view branch,
     std::string_view key) const {
@@ -56,12 +79,22 @@
 
 std::string Tree::ToIni() const {
   std::string text;
+  for (const auto& [branch, values] : branches_)
+    AppendBranch(branch, values, /*is_first=*/text.empty(), text);
+  return text;
+}
+
+std::uint64_t Tree::Checksum() const {
+  Hasher64 hasher;
+  std::string text;
+  bool is_first = true;
   for (const auto& [branch, values] : branches_) {
-    if (!branch.empty())
-      text += (text.empty() ? "[" : "\n[") + branch + "]\n";
-    text += ValuesToIni(values);
+    text.clear();
+    AppendBranch(branch, values, is_first, text);
+    hasher.Add(text);
+    is_first = false;
   }
-  return text;
+  return hasher.Value();
 }
 
 std::optional<std::string_view> ParentBranch(std::string_view branch) {
@@ -74,8 +107,7 @@
 
 std::string ValuesToIni(const Tree::Values& values) {
   std::string text;
-  for (const auto& [key, value] : values)
-    text += key + " = " + value + "\n";
+  AppendValues(values, text);
   return text;
 }
 
--- a/source/core/settings/tree.h
+++ b/source/core/settings/tree.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,13 +32,16 @@
   /// Sets one value.
   void Set(std::string_view branch, std::string key, std::string value);
 
-  /// Replaces the values that a branch sets itself. An empty map removes the
-  /// branch.
-  void Replace(std::string_view branch, Values values);
+  /// Replaces the values that a branch sets itself, and returns those that it
+  /// set before. An empty map removes the branch.
+  Values Replace(std::string_view branch, Values values);
 
   /// Returns the values that the branch sets itself, or nullptr.
   const Values* Find(std::string_view branch) const;
 
+  /// Returns true if the branch sets values or has descendants.
+  bool Contains(std::string_view branch) const;
+
   /// Returns the own or inherited value of `key` in `branch`, or nullopt.
   std::optional<EffectiveValue> FindEffectiveValue(std::string_view branch,
                                                    std::string_view key) const;
@@ -51,6 +55,9 @@
   /// Returns the canonical INI text, which is the same for equal trees.
   std::string ToIni() const;
 
+  /// Returns Hash64 of ToIni().
+  std::uint64_t Checksum() const;
+
  private:
   std::map<std::string, Values> branches_;
 };
--- a/source/unit_tests/entry/control_session_test.cc
+++ b/source/unit_tests/entry/control_session_test.cc
@@ -79,6 +79,44 @@
   CHECK(session.fleet() == nullptr);
 }
 
+// Guards against settings that an update has changed although it was rejected,
+// so that no later update fits either.
+TEST_CASE("An update that doesn't fit leaves the settings as they were") {
+  ControlSession session = MakeSession();
+  const auto heartbeat = session.OnTick(kStart);
+  session.OnReply(MakeReply(heartbeat->sequence, 5), kStart);
+  const settings::FleetSettings before = *session.fleet();
+  settings::Tree tree;
+  tree.Replace("", {{"ttl_ms", "105"}});
+
+  protocol::HeartbeatReply reply = MakeReply(0, 6);
+  protocol::SettingsUpdate& update = reply.update;
+  update.text.clear();
+  update.base_revision = 5;
+  update.changes = {{"", {}},
+                    {"service/s", {{"ttl_ms", "600"}}},
+                    {"service/s", {{"ttl_ms", "700"}}}};
+  for (const protocol::BranchChange& change : update.changes)
+    tree.Replace(change.branch, change.values);
+  const std::uint64_t checksum = Hash64(tree.ToIni());
+  SECTION("of another tree") {
+    update.checksum = checksum + 1;
+  }
+  SECTION("on top of another revision") {
+    update.checksum = checksum;
+    update.base_revision = 4;
+  }
+  session.OnReply(reply, kStart);
+  CHECK(*session.fleet() == before);
+  CHECK(session.self().revision == 5);
+
+  update.base_revision = 5;
+  update.checksum = checksum;
+  session.OnReply(reply, kStart);
+  CHECK(session.self().revision == 6);
+  CHECK(*session.fleet() == *settings::BuildFleetSettings(tree, 6));
+}
+
 TEST_CASE("The control timeout starts when the answered heartbeat was sent") {
   ControlSession session = MakeSession();
   const auto heartbeat = session.OnTick(kStart);
