Entry: Learn of newer revisions from replicas that don't lead

An entry whose leader's messages are lost, or late, took its settings for the newest ones as long as it counted as in contact: it answered 404, or "unknown service", for a route or service that had been acknowledged, though it was asking other replicas, which knew better, about endpoints meanwhile. Only answers of the leader named a revision.

A replica that doesn't lead now names the newest revision that it has applied whenever it answers an entry, and when it tells what it has read of the platform's list. The field exists; entries of earlier builds ignore it in such answers, and replicas of earlier builds send 0. An entry takes a higher revision into account for HasNewestSettings and look-ups, and brings its next heartbeat forward. A replica that lags behind lowers nothing.

Only the leader's word still counts for refusing requests by settings that were replaced for longer than the bound, so that nobody is refused for what a replica says while no leader can be had. The entry can't fetch settings from a replica that doesn't lead.

--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -27,6 +27,7 @@
     protocol::HeartbeatReply reply;
     reply.sequence = heartbeat.sequence;
     reply.leader_hint = LeaderInstance();
+    reply.revision = state_.revision();
     reply.replicas = ReplicaInstances();
     const std::string digest = heartbeat.endpoint_digest.value_or("");
     if (!digest.empty()) {
@@ -94,6 +95,7 @@
     protocol::HeartbeatReply reply;
     reply.sequence = asker.sequence;
     reply.leader_hint = LeaderInstance();
+    reply.revision = state_.revision();
     reply.drains = standby_list_.DrainsFor(asker.digest);
     reply.listing = standby_list_.StateAt(asker.asked);
     told += reply.drains.empty() ? 0 : 1;
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -135,7 +135,11 @@
     AddContact(replica);
   if (!reply.leader) {
     OnLeaderHint(reply.leader_hint, now);
-    const bool changed = ApplyDrains(reply.drains);
+    bool changed = ApplyDrains(reply.drains);
+    if (LearnRevision(reply.revision)) {
+      changed = true;
+      ExpediteHeartbeat(now);
+    }
     const auto asked = FindQuestionTime(reply.sequence);
     if (reply.listing && asked)
       ConfirmDrains(*asked - std::chrono::milliseconds(reply.listing->age_ms));
@@ -145,11 +149,8 @@
   const bool confirmed = answered != nullptr && now < answered->sent + timeout_;
   if (!confirmed && fleet_ == nullptr)
     return false;
-  bool changed = false;
-  // Look-ups depend on whether newer settings are known.
-  changed |= reply.revision > newest_revision_;
-  ignored_piece_ &= reply.revision <= newest_revision_;
-  newest_revision_ = std::max(newest_revision_, reply.revision);
+  bool changed = LearnRevision(reply.revision);
+  leader_revision_ = std::max(leader_revision_, reply.revision);
   if (confirmed) {
     leader_ = reply.leader_hint;
     hinted_leader_.clear();
@@ -198,6 +199,16 @@
   return changed;
 }
 
+// Notes a revision that a replica has named. Returns true if it is newer than
+// all others, which look-ups depend on.
+bool ControlSession::LearnRevision(std::uint64_t revision) {
+  if (revision <= newest_revision_)
+    return false;
+  newest_revision_ = revision;
+  ignored_piece_ = false;
+  return true;
+}
+
 // Finds that a piece of settings was lost: the leader names a newer revision
 // but sends nothing, so it takes a piece to be on its way that must have
 // arrived before this answer, and what is held is still what the heartbeat
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -122,11 +122,13 @@
   Time contact_until() const { return contact_until_; }
 
   /// Returns true if a leader that was asked less than the control timeout ago
-  /// had no settings that are newer than the ones in force here.
+  /// had no settings that are newer than the ones in force here, and no replica
+  /// has named newer ones.
   bool HasNewestSettings(Time now) const {
     return InContact(now) && !IsOutdated();
   }
-  /// Returns true if a leader has named a newer revision.
+  /// Returns true if a replica has named a newer revision, whether it leads or
+  /// not.
   bool IsOutdated() const { return self_.revision < newest_revision_; }
 
   /// Time at which the settings in force were the newest ones: when the last
@@ -138,10 +140,11 @@
   /// more than `bound` ago; never if `bound` is zero, or if this build can't
   /// apply the newer ones.
   bool HasReplacedSettings(Time now, Duration bound) const {
-    return bound > Duration{0} && InContact(now) && IsOutdated() &&
-           !needs_whole_tree_ && now > settings_confirmed_at_ + bound;
+    return bound > Duration{0} && InContact(now) &&
+           self_.revision < leader_revision_ && !needs_whole_tree_ &&
+           now > settings_confirmed_at_ + bound;
   }
-  /// Newest revision that a leader has named.
+  /// Newest revision that a replica has named.
   std::uint64_t newest_revision() const { return newest_revision_; }
 
   /// Settings in force; null until the first ones have been received.
@@ -190,6 +193,7 @@
                      const SentHeartbeat& answered,
                      Time now);
   void CheckMembers(const protocol::HeartbeatReply& reply, Time now);
+  bool LearnRevision(std::uint64_t revision);
   std::uint64_t ToldRevision() const;
   void ConfirmSettings();
   void ConfirmEndpoints(Time at);
@@ -210,8 +214,9 @@
   Time last_leader_reply_{};
   /// Highest term of a leader that has answered; 0 if none has told its term.
   std::uint64_t leader_term_ = 0;
-  /// Newest revision that a leader has named.
+  /// Newest revision that a replica has named, and that a leader has.
   std::uint64_t newest_revision_ = 0;
+  std::uint64_t leader_revision_ = 0;
   Time settings_confirmed_at_{};
   /// Last time at which each revision that isn't held yet was the newest one:
   /// when the heartbeat was sent whose answer named it.
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -106,7 +106,8 @@
   bool leader = false;
   /// Instance id of the leader as known to the sender; empty if unknown.
   std::string leader_hint;
-  /// Current revision of the settings; 0 if the sender is not the leader.
+  /// Current revision of the settings. If the sender is not the leader, the
+  /// newest one that it has applied; 0 if it doesn't tell.
   std::uint64_t revision = 0;
   /// Set if the settings of an entry that takes no pieces are outdated;
   /// otherwise its revision is 0.
--- a/source/unit_tests/entry/control_session_test.cc
+++ b/source/unit_tests/entry/control_session_test.cc
@@ -194,6 +194,70 @@
   }
 }
 
+// Guards against an entry that takes its settings for the newest ones while the
+// messages of its leader are lost, and against callers that it refuses for what
+// no leader has said.
+TEST_CASE("A replica that doesn't lead may name newer settings") {
+  constexpr Duration kBound = 500ms;
+  ControlSession session = MakeSession();
+  const auto first = session.OnTick(kStart);
+  session.OnReply(MakeReply(first->sequence, 5), kStart + 20ms);
+  const auto second = session.OnTick(kStart + 200ms);
+  protocol::HeartbeatReply told = MakeReply(second->sequence, 5);
+  told.update = {};
+  session.OnReply(told, kStart + 220ms);
+  REQUIRE(session.HasNewestSettings(kStart + 240ms));
+
+  protocol::HeartbeatReply hint;
+  hint.sequence = second->sequence;
+  hint.leader_hint = "c1";
+  SECTION("of a revision that is newer") {
+    hint.revision = 6;
+    CHECK(session.OnReply(hint, kStart + 240ms));
+    CHECK(session.newest_revision() == 6);
+    CHECK_FALSE(session.HasNewestSettings(kStart + 240ms));
+    CHECK(session.self().revision == 5);
+    // The leader is asked at once.
+    const auto third = session.OnTick(kStart + 280ms);
+    REQUIRE(third);
+    CHECK_FALSE(session.HasReplacedSettings(kStart + 1100ms, kBound));
+
+    // A replica that lags behind takes nothing back.
+    hint.revision = GENERATE(0, 4, 5, 6);
+    CHECK_FALSE(session.OnReply(hint, kStart + 300ms));
+    CHECK(session.newest_revision() == 6);
+
+    told.sequence = third->sequence;
+    told.revision = 6;
+    session.OnReply(told, kStart + 300ms);
+    CHECK(session.OnTick(kStart + 340ms)->lacks_settings);
+    CHECK(session.HasReplacedSettings(kStart + 800ms, kBound));
+  }
+  SECTION("of the revision held or an older one") {
+    hint.revision = GENERATE(0, 4, 5);
+    CHECK_FALSE(session.OnReply(hint, kStart + 240ms));
+    CHECK(session.newest_revision() == 5);
+    CHECK(session.HasNewestSettings(kStart + 240ms));
+    CHECK_FALSE(session.OnTick(kStart + 280ms));
+  }
+  SECTION("after a piece that the entry couldn't use") {
+    protocol::HeartbeatReply push;
+    push.leader = true;
+    push.revision = 6;
+    push.settings_piece.position = {4, 6, 1, 0};
+    push.settings_piece.total_bytes = 10;
+    session.OnReply(push, kStart + 230ms);
+    hint.revision = 7;
+    session.OnReply(hint, kStart + 240ms);
+    const auto third = session.OnTick(kStart + 280ms);
+    REQUIRE(third);
+    told.sequence = third->sequence;
+    told.revision = 7;
+    session.OnReply(told, kStart + 300ms);
+    CHECK(session.OnTick(kStart + 340ms)->lacks_settings);
+  }
+}
+
 namespace {
 
 protocol::ListedEndpoint MakeEndpoint() {
