--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -27,6 +27,7 @@
     protocol::HeartbeatReply reply;
     reply.sequence = heartbeat.sequence;
     reply.leader_hint = LeaderInstance();
+    reply.revision = state_.revision();
     reply.replicas = ReplicaInstances();
     const std::string digest = heartbeat.endpoint_digest.value_or("");
     if (!digest.empty()) {
@@ -99,6 +100,7 @@
     protocol::HeartbeatReply reply;
     reply.sequence = asker.sequence;
     reply.leader_hint = LeaderInstance();
+    reply.revision = state_.revision();
     reply.drains = standby_list_.DrainsFor(asker.digest);
     reply.listing = standby_list_.StateAt(asker.asked);
     told += reply.drains.empty() ? 0 : 1;
@@ -244,7 +246,6 @@
 // answer to an entry whose leader doesn't send them in time.
 void ControlNode::AddAskedSettings(const protocol::Heartbeat& heartbeat,
                                    protocol::HeartbeatReply& reply) {
-  reply.revision = state_.revision();
   settings_sender_.AddAsked(
       heartbeat, state_.revision(),
       [this](std::uint64_t held) { return MakeSettingsUpdate(held); }, reply);
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -172,11 +172,7 @@
   const bool confirmed = answered != nullptr && now < answered->sent + timeout_;
   if (!confirmed && fleet_ == nullptr)
     return false;
-  bool changed = false;
-  // Look-ups depend on whether newer settings are known.
-  changed |= reply.revision > newest_revision_;
-  ignored_piece_ &= reply.revision <= newest_revision_;
-  newest_revision_ = std::max(newest_revision_, reply.revision);
+  bool changed = LearnRevision(reply.revision);
   if (confirmed) {
     leader_ = reply.leader_hint;
     hinted_leader_.clear();
@@ -225,6 +221,16 @@
   return changed;
 }
 
+// Notes a revision that a replica has named. Returns true if it is newer than
+// all others, which look-ups depend on.
+bool ControlSession::LearnRevision(std::uint64_t revision) {
+  if (revision <= newest_revision_)
+    return false;
+  newest_revision_ = revision;
+  ignored_piece_ = false;
+  return true;
+}
+
 // Finds that a piece of settings was lost: the leader names a newer revision
 // but sends nothing, so it takes a piece to be on its way that must have
 // arrived before this answer, and what is held is still what the heartbeat
@@ -484,12 +490,14 @@
 // force, though it may not be the newest.
 bool ControlSession::ApplyReplicaSettings(const HeartbeatReply& reply,
                                           Time now) {
-  if (fleet_ == nullptr || reply.revision <= self_.revision)
-    return false;
-  bool changed = reply.revision > newest_revision_;
-  newest_revision_ = std::max(newest_revision_, reply.revision);
-  if (reply.settings_piece.position.revision > self_.revision)
-    changed |= ApplyPiece(reply.settings_piece, now);
+  bool changed = LearnRevision(reply.revision);
+  if (changed)
+    ExpediteHeartbeat(now);
+  const bool brings_settings =
+      reply.settings_piece.position.revision > self_.revision;
+  if (fleet_ == nullptr || !brings_settings)
+    return changed;
+  changed |= ApplyPiece(reply.settings_piece, now);
   ConfirmSettings();
   return changed;
 }
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -130,12 +130,13 @@
   Time contact_until() const { return contact_until_; }
 
   /// Returns true if a leader that was asked less than the control timeout ago
-  /// had no settings that are newer than the ones in force here.
+  /// had no settings that are newer than the ones in force here, and no replica
+  /// has named newer ones.
   bool HasNewestSettings(Time now) const {
     return InContact(now) && !IsOutdated();
   }
-  /// Returns true if a leader, or a replica that was asked, has named a newer
-  /// revision.
+  /// Returns true if a replica has named a newer revision, whether it leads or
+  /// not.
   bool IsOutdated() const { return self_.revision < newest_revision_; }
 
   /// Time at which the settings in force were the newest ones: when the last
@@ -154,7 +155,7 @@
   /// Returns true if newer settings may have been in force for some time, so
   /// that others than the leader are asked.
   bool AreSettingsOld(Time now) const;
-  /// Newest revision that a leader, or a replica that was asked, has named.
+  /// Newest revision that a replica has named.
   std::uint64_t newest_revision() const { return newest_revision_; }
 
   /// Settings in force; null until the first ones have been received.
@@ -204,6 +205,7 @@
                      const SentHeartbeat& answered,
                      Time now);
   void CheckMembers(const protocol::HeartbeatReply& reply, Time now);
+  bool LearnRevision(std::uint64_t revision);
   std::uint64_t ToldRevision() const;
   void ConfirmSettings();
   void ConfirmEndpoints(Time at);
@@ -226,7 +228,7 @@
   Time last_leader_message_{};
   /// Highest term of a leader that has answered; 0 if none has told its term.
   std::uint64_t leader_term_ = 0;
-  /// Newest revision that a leader, or a replica that was asked, has named.
+  /// Newest revision that a replica has named.
   std::uint64_t newest_revision_ = 0;
   Time settings_confirmed_at_{};
   /// Last time at which each revision that isn't held yet was the newest one:
