Control: Tell entries that a restarted endpoint has no rate limit any more

A report from a later start of an endpoint ended the limit of its earlier start at the leader, but entries were sent their shares of it until another limit or share changed. An entry whose listing shows the new start ignores such shares, so callers were affected at most until it does.

Cause: the record was replaced without noting that the shares have changed, so that their version stayed the same. It is noted now.

--- a/source/core/control/rate_share_allocator.cc
+++ b/source/core/control/rate_share_allocator.cc
@@ -77,6 +77,8 @@
   if (report.started_ms < record.started_ms)
     return;
   if (report.started_ms > record.started_ms) {
+    // The limit of the endpoint's earlier start leaves the shares.
+    has_changes_ |= record.limit_per_s.has_value();
     record = LimitRecord{};
     record.started_ms = report.started_ms;
   }
--- a/source/unit_tests/control/rate_share_allocator_test.cc
+++ b/source/unit_tests/control/rate_share_allocator_test.cc
@@ -1,5 +1,7 @@
 #include "core/control/rate_share_allocator.h"
 
+#include <map>
+#include <random>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -165,4 +167,54 @@
   CHECK(ShareOf(allocator, "e1") == Approx(10));
 }
 
+// Guards against an entry that goes on with shares that have changed.
+TEST_CASE("Entries hold the newest shares whichever updates they were sent") {
+  const unsigned seed = GENERATE(range(1U, 41U));
+  CAPTURE(seed);
+  std::mt19937 random(seed);
+  const auto below = [&](unsigned limit) {
+    return static_cast<int>(random() % limit);
+  };
+  RateShareAllocator allocator;
+  std::uint64_t term = 1;
+  allocator.Reset(term);
+  std::map<std::string, protocol::RateShareUpdate> held;
+  for (int i = 0; i < 8; ++i)
+    held["e" + std::to_string(i)];
+  Time now = kNow;
+  for (int step = 0; step < 300; ++step) {
+    now += std::chrono::milliseconds(below(400));
+    const auto name = [&](unsigned limit) {
+      return std::to_string(below(limit));
+    };
+    auto report = MakeReport(1 + below(3), below(20), below(4) != 0);
+    report.key.endpoint = name(5);
+    report.started_ms = below(50) == 0 ? 2 : 1;
+    if (below(5) == 0)
+      report.limit_per_s.reset();
+    allocator.OnReport("e" + name(8), report, now);
+    if (below(40) == 0)
+      allocator.RetainEntries({"e0", "e1", "e" + name(8)});
+    if (below(60) == 0)
+      allocator.RetainEndpoints({{{"s", name(5)}, 1}, {{"s", name(5)}, 2}});
+    if (below(100) == 0)
+      allocator.Reset(++term);
+    allocator.Allocate(now);
+    for (auto& [entry, list] : held) {
+      // The entry was started anew, or misses this update.
+      if (below(30) == 0)
+        list = {};
+      if (below(3) == 0)
+        continue;
+      const auto update = allocator.UpdateFor(entry, list.version);
+      REQUIRE(update.version != 0);
+      if (update.unchanged)
+        REQUIRE(update.version == list.version);
+      else
+        list = update;
+      REQUIRE(list.shares == allocator.UpdateFor(entry, 0).shares);
+    }
+  }
+}
+
 }  // namespace jacinth::control
