Control: Send rate shares only to the entries that a change concerns

While endpoints name limits, a leader of a large fleet had less time for settings and other news: by earlier trials of models (home.md), rate shares took 26 and 55 % of its processor with 40 and 150 limited endpoints at 185 entries.

Cause: all shares had one version, so that a changed share of a few entries made the leader build and send the shares of all limited endpoints to every entry, with the push and with the replies to heartbeats.

The allocator now keeps the version in which the shares of each entry have last changed, and the one in which a limit has, which concerns all. An entry whose shares are the same is told that they are unchanged, under the version that it holds, which entries of earlier builds take as well. Messages don't change.

The time of the processor was not measured.

"A change of demand is told to those whose shares it changes" failed before. "Entries hold the newest shares whichever updates they were sent" guards against an entry that is left with old ones.

--- a/source/core/control/rate_share_allocator.cc
+++ b/source/core/control/rate_share_allocator.cc
@@ -48,12 +48,31 @@
   });
 }
 
+// Returns the entries whose share has begun, changed or ended.
+std::vector<std::string> ChangedEntries(
+    const std::map<std::string, double>& before,
+    const std::map<std::string, double>& after) {
+  std::vector<std::string> entries;
+  for (const auto& [entry, share] : before) {
+    if (after.count(entry) == 0)
+      entries.push_back(entry);
+  }
+  for (const auto& [entry, share] : after) {
+    const auto old = before.find(entry);
+    if (old == before.end() || old->second != share)
+      entries.push_back(entry);
+  }
+  return entries;
+}
+
 }  // namespace
 
 void RateShareAllocator::Reset(std::uint64_t term) {
   records_.clear();
   changed_.clear();
+  shares_changed_.clear();
   version_ = (term << kTermShift) + 1;
+  limits_changed_ = version_;
 }
 
 void RateShareAllocator::OnReport(const std::string& entry,
@@ -137,17 +156,23 @@
            now > std::max(item.second.told_at, item.second.untold_at) +
                      kLimitMemory;
   });
-  bool must_send = std::exchange(has_changes_, false);
+  const std::uint64_t next = version_ + 1;
+  if (std::exchange(has_changes_, false)) {
+    version_ = next;
+    limits_changed_ = next;
+    shares_changed_.clear();
+  }
   for (auto& [key, record] : records_) {
     auto shares = Divide(record);
     if (!DiffersMuch(record.share_by_entry, shares,
                      record.limit_per_s.value_or(0)))
       continue;
+    version_ = next;
+    for (const std::string& entry :
+         ChangedEntries(record.share_by_entry, shares))
+      shares_changed_[entry] = next;
     record.share_by_entry = std::move(shares);
-    must_send = true;
   }
-  if (must_send)
-    ++version_;
 }
 
 // Returns the shares of the entries with the most demand.
@@ -193,8 +218,9 @@
     const std::string& entry,
     std::uint64_t held_version) const {
   RateShareUpdate update;
-  update.version = version_;
-  update.unchanged = held_version == version_;
+  update.unchanged =
+      held_version >= LastChangeFor(entry) && held_version <= version_;
+  update.version = update.unchanged ? held_version : version_;
   if (update.unchanged)
     return update;
   for (const auto& [key, record] : records_) {
@@ -208,6 +234,13 @@
   return update;
 }
 
+// Returns the version in which what this entry is sent has last changed.
+std::uint64_t RateShareAllocator::LastChangeFor(
+    const std::string& entry) const {
+  const auto found = shares_changed_.find(entry);
+  return found == shares_changed_.end() ? limits_changed_ : found->second;
+}
+
 bool RateShareAllocator::IsLimited(const protocol::EndpointKey& key) const {
   const auto found = records_.find(key);
   return found != records_.end() && found->second.limit_per_s.has_value();
--- a/source/core/control/rate_share_allocator.h
+++ b/source/core/control/rate_share_allocator.h
@@ -52,7 +52,8 @@
   /// older than the interval between divisions.
   void Allocate(Time now);
 
-  /// Returns the shares of an entry that holds `held_version`.
+  /// Returns the shares of an entry that holds `held_version`. If they have not
+  /// changed since, the update keeps that version.
   protocol::RateShareUpdate UpdateFor(const std::string& entry,
                                       std::uint64_t held_version) const;
 
@@ -84,8 +85,14 @@
 
   void UpdateLimit(const protocol::EndpointKey& key, LimitRecord& record);
   static std::map<std::string, double> Divide(const LimitRecord& record);
+  std::uint64_t LastChangeFor(const std::string& entry) const;
 
   std::uint64_t version_ = 0;
+  /// Version in which a limit has last begun, changed or ended, which all
+  /// entries are told.
+  std::uint64_t limits_changed_ = 0;
+  /// Later versions in which the shares of single entries have last changed.
+  std::map<std::string, std::uint64_t> shares_changed_;
   std::map<protocol::EndpointKey, LimitRecord> records_;
   std::set<protocol::EndpointKey> changed_;
   bool has_changes_ = false;
--- a/source/unit_tests/control/rate_share_allocator_test.cc
+++ b/source/unit_tests/control/rate_share_allocator_test.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -167,6 +168,37 @@
   CHECK(ShareOf(allocator, "e1") == Approx(10));
 }
 
+// Guards against a leader that sends all shares to all entries whenever the
+// demand of one of them changes (docs/incidents/home.md).
+TEST_CASE("A change of demand is told to those whose shares it changes") {
+  constexpr int kEntries = 185;
+  constexpr int kEndpoints = 40;
+  constexpr double kLimit = 5;
+  constexpr std::size_t kMaxSharers = 7;
+  RateShareAllocator allocator;
+  allocator.Reset(1);
+  std::set<std::string> entries;
+  for (int i = 0; i < kEntries; ++i)
+    entries.insert("e" + std::to_string(i));
+  auto report = MakeReport(kLimit, 1);
+  for (int endpoint = 0; endpoint < kEndpoints; ++endpoint) {
+    report.key.endpoint = std::to_string(endpoint);
+    for (const std::string& entry : entries)
+      allocator.OnReport(entry, report, kNow);
+  }
+  allocator.Allocate(kNow);
+  const std::uint64_t held = allocator.version();
+  report.demand_per_s = 50;
+  allocator.OnReport("e17", report, kNow + 1s);
+  allocator.Allocate(kNow + 1s);
+  REQUIRE(allocator.version() > held);
+  std::size_t told = 0;
+  for (const std::string& entry : entries)
+    told += allocator.UpdateFor(entry, held).unchanged ? 0 : 1;
+  CHECK_FALSE(allocator.UpdateFor("e17", held).unchanged);
+  CHECK(told <= 2 * kMaxSharers);
+}
+
 // Guards against an entry that goes on with shares that have changed.
 TEST_CASE("Entries hold the newest shares whichever updates they were sent") {
   const unsigned seed = GENERATE(range(1U, 41U));
