Steering: Keep callers in a region with one usable entry

What callers saw: while all but one entry of a region of two or three restarted as planned, answers sent half of the region's callers to other regions; so did a region that has only one entry, at all times. Cause: a region with one usable entry never sufficed, whatever the others were doing, as the member list alone doesn't tell an entry that stopped as planned from one that failed. Weighed: the member list could keep entries that are expected back (a new leader forgets them, and limits are divided among entries that are gone); a mark for lost entries on the wire (earlier builds would name them). An entry that stops always announces it, so that each directory can tell by the lists that it sees. Change: an entry that vanishes from the list, or starts again, without having announced a stop is lost until it serves again (LostEntries). One usable entry suffices unless the region has lost others or some are isolated. Entries that stop, are gone after that, or start are expected back, for however long that takes. A directory that has just started knows of no losses from before; that matters only where one entry is usable. With two or more, answers depend on the member list alone, as before. Hand-overs between entries choose as before. The price: the entry that is left bears the load of those that restart. "Another region stands in for an entry that vanished" and "A region without entries is served by all others" passed before; the former fails if lost entries are ignored.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -104,6 +104,7 @@
     if (!changed)
       return;
     SpreadCallers();
+    lost_entries_.Update(session_.members());
     ApplyFleetSettings(now);
     PublishSnapshot();
     return;
@@ -376,6 +377,7 @@
   snapshot->fleet = session_.fleet();
   snapshot->clients = client_map_;
   snapshot->members = session_.members();
+  snapshot->lost_entries = lost_entries_.regions();
   snapshot->self = session_.self();
   snapshot->contact_until = session_.contact_until();
   snapshot->is_outdated = session_.IsOutdated();
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -72,11 +72,12 @@
                                                Time now) const {
   std::vector<const EntryStatus*> local;
   std::vector<const EntryStatus*> all;
-  std::size_t members_in_region = 0;
+  // The region has lost this instance at least.
+  steering::RegionEntries in_own_region{.lost = 1};
   const std::vector<std::string>& regions = AllowedRegions(record);
   for (const EntryStatus& entry : session_.members()) {
     const bool in_region = entry.region == options_.self.region;
-    members_in_region += in_region && !entry.starting ? 1 : 0;
+    in_own_region.members += in_region && !entry.starting ? 1 : 0;
     const auto avoided = avoided_entries_.find(entry.id);
     const bool usable =
         entry.id != options_.self.id && !entry.isolated && !entry.draining &&
@@ -90,9 +91,9 @@
     if (in_region)
       local.push_back(&entry);
   }
-  const bool region_suffices =
-      steering::RegionSuffices(local.size(), members_in_region);
-  const auto& candidates = region_suffices ? local : all;
+  in_own_region.usable = local.size();
+  const auto& candidates =
+      steering::RegionSuffices(in_own_region) ? local : all;
   if (candidates.empty())
     return nullptr;
   return candidates[Hash64(options_.self.id, record.arrival.ticket) %
--- a/source/core/steering/isolated_entries.cc
+++ b/source/core/steering/isolated_entries.cc
@@ -11,9 +11,10 @@
 
 }  // namespace
 
-bool RegionSuffices(std::size_t usable, std::size_t members) {
-  return usable >= kMinEntriesInRegion &&
-         usable * 100 >= members * kMinUsablePercent;
+bool RegionSuffices(const RegionEntries& entries) {
+  const std::size_t least = entries.lost == 0 ? 1 : kMinEntriesInRegion;
+  return entries.usable >= least &&
+         entries.usable * 100 >= entries.members * kMinUsablePercent;
 }
 
 void DropIsolated(const SteeringSnapshot& snapshot,
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -20,10 +20,23 @@
   return entry.id == snapshot.self.id ? snapshot.self : entry;
 }
 
+bool IsDrained(const SteeringSnapshot& snapshot, const std::string& id) {
+  return snapshot.fleet != nullptr &&
+         snapshot.fleet->drained_entries.count(id) != 0;
+}
+
 bool IsUsable(const SteeringSnapshot& snapshot, const EntryStatus& entry) {
-  const bool drained = snapshot.fleet != nullptr &&
-                       snapshot.fleet->drained_entries.count(entry.id) != 0;
-  return !LatestStatus(snapshot, entry).draining && !drained;
+  return !LatestStatus(snapshot, entry).draining &&
+         !IsDrained(snapshot, entry.id);
+}
+
+std::size_t CountLost(const SteeringSnapshot& snapshot,
+                      std::string_view region) {
+  const auto& lost = snapshot.lost_entries;
+  return static_cast<std::size_t>(
+      std::count_if(lost.begin(), lost.end(), [&](const auto& entry) {
+        return entry.second == region && !IsDrained(snapshot, entry.first);
+      }));
 }
 
 std::vector<const EntryStatus*> UsableEntries(
@@ -86,20 +99,20 @@
 
 // Returns the number of entries of other regions that stand in for those that
 // the caller's region lacks.
-std::size_t CountStandIns(std::size_t usable,
-                          std::size_t members,
+std::size_t CountStandIns(const RegionEntries& entries,
                           std::size_t others,
                           const DomainPosition& position) {
   // Nothing is known of a region without members.
-  if (members == 0)
+  if (entries.members == 0)
     return others;
-  const std::size_t lacking = members - std::min(members, usable);
+  const std::size_t lacking =
+      entries.members - std::min(entries.members, entries.usable);
   // With more, some entries would stand in for several failure domains, and
   // others for none.
   const std::size_t even_share =
       position.PartStart(others, 1) - position.PartStart(others);
   const std::size_t least =
-      kMinEntriesInRegion - std::min(kMinEntriesInRegion, usable);
+      kMinEntriesInRegion - std::min(kMinEntriesInRegion, entries.usable);
   return std::min(others, std::max(least, std::min(lacking, even_share)));
 }
 
@@ -110,7 +123,9 @@
                                                std::string_view failure_domain,
                                                std::size_t limit) {
   std::vector<const EntryStatus*> available = UsableEntries(snapshot);
-  const auto members_in_region = static_cast<std::size_t>(std::count_if(
+  RegionEntries entries;
+  entries.lost = CountLost(snapshot, region);
+  entries.members = static_cast<std::size_t>(std::count_if(
       available.begin(), available.end(), [&](const EntryStatus* entry) {
         return entry->region == region &&
                !LatestStatus(snapshot, *entry).starting;
@@ -127,9 +142,9 @@
     else
       in_region.push_back(entry);
   }
-  const std::size_t usable = chosen.size() + in_region.size();
-  const bool suffices = RegionSuffices(usable, members_in_region);
-  if (suffices && usable <= limit) {
+  entries.usable = chosen.size() + in_region.size();
+  const bool suffices = RegionSuffices(entries);
+  if (suffices && entries.usable <= limit) {
     chosen.insert(chosen.end(), in_region.begin(), in_region.end());
     return chosen;
   }
@@ -138,8 +153,7 @@
   chosen.insert(chosen.end(), in_region.begin(), in_region.end());
   if (!suffices) {
     SpreadOver(position, others);
-    others.resize(
-        CountStandIns(usable, members_in_region, others.size(), position));
+    others.resize(CountStandIns(entries, others.size(), position));
     chosen.insert(chosen.end(), others.begin(), others.end());
   }
   if (chosen.size() > limit)
--- a/source/core/steering/steering_snapshot.h
+++ b/source/core/steering/steering_snapshot.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,6 +20,8 @@
   std::shared_ptr<const ClientMap> clients;
   /// Entry instances that the control role considers alive.
   std::vector<protocol::EntryStatus> members;
+  /// Region by id of the entries that vanished without notice.
+  std::map<std::string, std::string> lost_entries;
   /// The answering instance.
   protocol::EntryStatus self;
   /// Time until which the control role is known to consider this instance
