Steering: Spread the callers of a region without usable entries

What callers would see: if the last entry of a region is cut off from all endpoints while the others restart as planned, two entries of other regions for each failure domain get all callers of the region. Cause: stand-ins were counted by the isolated entries alone, as those that stop or start are no members. Change: a region of which no entry is left gets the even share of all others, which each of its failure domains got already if all its entries were isolated.

--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -105,12 +105,16 @@
   // Nothing is known of a region without members.
   if (entries.members == 0)
     return others;
-  const std::size_t lacking =
-      entries.members - std::min(entries.members, entries.usable);
   // With more, some entries would stand in for several failure domains, and
   // others for none.
   const std::size_t even_share =
       position.PartStart(others, 1) - position.PartStart(others);
+  // If no entry is left, the callers of those that stop or start are without
+  // one as well.
+  const std::size_t lacking =
+      entries.usable == 0
+          ? even_share
+          : entries.members - std::min(entries.members, entries.usable);
   const std::size_t least =
       kMinEntriesInRegion - std::min(kMinEntriesInRegion, entries.usable);
   return std::min(others, std::max(least, std::min(lacking, even_share)));
--- a/source/unit_tests/steering/nearest_entries_test.cc
+++ b/source/unit_tests/steering/nearest_entries_test.cc
@@ -114,6 +114,18 @@
   CHECK(MaxLoad(snapshot) <= kMaxLoad);
 }
 
+// Guards against a few entries of other regions that get the callers of a
+// region whose last entry is cut off while the others restart.
+TEST_CASE("All others stand in for a region of which no entry is left") {
+  const int entries = GENERATE(6, 60, 71);
+  SteeringSnapshot snapshot = MakeSnapshot(entries);
+  Isolate(snapshot, "west", 1);
+  for (EntryStatus& entry : snapshot.members)
+    entry.draining = entry.region == "west" && !entry.isolated;
+  CAPTURE(entries);
+  CHECK(MaxLoad(snapshot) <= kMaxLoad);
+}
+
 // Guards against entries of a large region that no answer names.
 TEST_CASE("All entries of a region with more than an answer names are used") {
   const SteeringSnapshot snapshot = MakeSnapshot(71);
