Entry: Find the routes and endpoints of all services in one pass

For each change of the settings, the members or the endpoints, an entry went over all routes and all endpoints once for each service, and copied the resulting settings of each service twice. It now sorts them by service in one pass, and moves the result. Their order stays.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -6,6 +6,15 @@
 #include "core/common/hash.h"
 
 namespace jacinth::entry {
+
+/// What a service gets beside its own settings.
+struct ServiceParts {
+  /// Kinds of the routes that target it.
+  std::vector<const settings::KindSettings*> kinds;
+  /// Its endpoints on the platform's list.
+  std::vector<const protocol::ListedEndpoint*> endpoints;
+};
+
 namespace {
 
 /// Time between ticks, which bounds the delay in detecting an expired deadline.
@@ -63,6 +72,26 @@
   }
 }
 
+// Returns the parts of each service that has any. They refer to the arguments.
+std::map<std::string_view, ServiceParts> CollectServiceParts(
+    const settings::FleetSettings& fleet,
+    const std::map<std::string, protocol::ListedEndpoint>& endpoints) {
+  std::map<std::string_view, ServiceParts> parts_by_service;
+  for (const auto& [host, routes] : fleet.routes) {
+    for (const settings::RouteSettings& route : routes) {
+      for (const settings::RouteShare& share : route.shares) {
+        auto& kinds = parts_by_service[share.service].kinds;
+        // A route may name a service more than once.
+        if (kinds.empty() || kinds.back() != &route.kind)
+          kinds.push_back(&route.kind);
+      }
+    }
+  }
+  for (const auto& [id, descriptor] : endpoints)
+    parts_by_service[descriptor.service].endpoints.push_back(&descriptor);
+  return parts_by_service;
+}
+
 // Returns what an instance reports with its first heartbeat.
 protocol::EntryStatus InitialStatus(const EntryOptions& options) {
   protocol::EntryStatus status = options.self;
@@ -272,13 +301,14 @@
   endpoint_changes_ = session_.endpoint_changes();
   members_version_ = session_.members_version();
   std::size_t endpoint_count = 0;
+  auto parts_by_service = CollectServiceParts(*fleet, session_.endpoints());
   const LastStarts last_starts = FindLastStarts(session_.endpoints());
   for (const auto& [name, service] : fleet->services) {
     ServiceState& service_state = services_[name];
     settings::ServiceSettings service_settings =
-        BuildServiceSettings(service, now);
+        BuildServiceSettings(service, parts_by_service[name], now);
     DrainReplaced(last_starts, service_settings.endpoints);
-    service_state.Update(service_settings, now);
+    service_state.Update(std::move(service_settings), now);
     endpoint_count += service_state.settings.endpoints.size();
     ApplyFleetLimits(service_state);
     service_state.endpoints.SetRateShares(RateSharesOf(name), now);
@@ -295,23 +325,15 @@
 // and the endpoints listed by the platform.
 settings::ServiceSettings EntryNode::BuildServiceSettings(
     const settings::ServiceSettings& service,
-    Time now) {
+    const ServiceParts& parts,
+    Time now) const {
   settings::ServiceSettings result = service;
-  for (const auto& [host, routes] : session_.fleet()->routes) {
-    for (const settings::RouteSettings& route : routes) {
-      const bool targets_service =
-          std::any_of(route.shares.begin(), route.shares.end(),
-                      [&](const settings::RouteShare& share) {
-                        return share.service == service.name;
-                      });
-      if (targets_service)
-        result.kinds.push_back(route.kind);
-    }
-  }
-  for (const auto& [id, descriptor] : session_.endpoints()) {
-    if (descriptor.service == service.name)
-      result.endpoints.push_back(BuildEndpointSettings(descriptor, now));
-  }
+  result.kinds.reserve(result.kinds.size() + parts.kinds.size());
+  for (const settings::KindSettings* kind : parts.kinds)
+    result.kinds.push_back(*kind);
+  result.endpoints.reserve(result.endpoints.size() + parts.endpoints.size());
+  for (const protocol::ListedEndpoint* descriptor : parts.endpoints)
+    result.endpoints.push_back(BuildEndpointSettings(*descriptor, now));
   return result;
 }
 
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -52,6 +52,8 @@
   std::vector<std::string> contacts;
 };
 
+struct ServiceParts;
+
 /// The entry role of one instance, as a deterministic state machine.
 ///
 /// Owns no socket, thread or clock: the host passes each event with the current
@@ -81,7 +83,8 @@
   void ApplyFleetSettings(Time now);
   settings::ServiceSettings BuildServiceSettings(
       const settings::ServiceSettings& service,
-      Time now);
+      const ServiceParts& parts,
+      Time now) const;
   settings::EndpointSettings BuildEndpointSettings(
       const protocol::ListedEndpoint& descriptor,
       Time now) const;
--- a/source/core/entry/service_state.cc
+++ b/source/core/entry/service_state.cc
@@ -1,5 +1,7 @@
 #include "core/entry/service_state.h"
 
+#include <utility>
+
 namespace jacinth::entry {
 namespace {
 
@@ -8,10 +10,10 @@
 
 }  // namespace
 
-void ServiceState::Update(const settings::ServiceSettings& service, Time now) {
-  settings = service;
-  queue.Update(service);
-  endpoints.Update(service, now);
+void ServiceState::Update(settings::ServiceSettings service, Time now) {
+  settings = std::move(service);
+  queue.Update(settings);
+  endpoints.Update(settings, now);
   removed = false;
 }
 
--- a/source/core/entry/service_state.h
+++ b/source/core/entry/service_state.h
@@ -31,7 +31,7 @@
   bool removed = false;
 
   /// Applies new settings.
-  void Update(const settings::ServiceSettings& service, Time now);
+  void Update(settings::ServiceSettings service, Time now);
 
   /// Adds the time to a complete answer to the average of its kind.
   void RecordAnswerTime(const std::string& kind, Duration time);
