Settings: Name each child of a branch once

What operators would see: a valid change is refused with "address: already used by service/a/endpoint/x", if a service "a" with an endpoint of its own stands beside one called "a-b".

Cause: ChildNames took a name for new if it wasn't the last one. Branches are ordered as text, so that "service/a-b" lies between "service/a" and "service/a/endpoint/x" and "a" was named twice; its endpoints were checked twice.

Evidence: the new test failed before ("a", "a-b", "a") and passes now.

--- a/source/core/settings/tree.cc
+++ b/source/core/settings/tree.cc
@@ -1,5 +1,6 @@
 #include "core/settings/tree.h"
 
+#include <set>
 #include <utility>
 
 #include "core/common/hash.h"
@@ -63,18 +64,18 @@
   std::string prefix(branch);
   if (!prefix.empty())
     prefix += '/';
-  std::vector<std::string> names;
+  // Descendants of a child may follow other children: "a-b" sorts before "a/c".
+  std::set<std::string> names;
   for (auto it = branches_.lower_bound(prefix); it != branches_.end(); ++it) {
     const std::string& path = it->first;
     if (path.compare(0, prefix.size(), prefix) != 0)
       break;
     const std::string suffix = path.substr(prefix.size());
     std::string name = suffix.substr(0, suffix.find('/'));
-    if (name.empty() || (!names.empty() && names.back() == name))
-      continue;
-    names.push_back(std::move(name));
+    if (!name.empty())
+      names.insert(std::move(name));
   }
-  return names;
+  return {names.begin(), names.end()};
 }
 
 std::string Tree::ToIni() const {
--- a/source/unit_tests/settings/tree_test.cc
+++ b/source/unit_tests/settings/tree_test.cc
@@ -36,6 +36,21 @@
   CHECK(tree.ChildNames("service/a") == std::vector<std::string>{"kind"});
 }
 
+// Guards against a valid tree that is refused, as a service whose descendants
+// sort after those of another one is checked twice.
+TEST_CASE(
+    "A service is valid beside one whose name sorts before its endpoint") {
+  const ParsedTree parsed = ParseTree(
+      "[service/a]\nslots = 2\n"
+      "[service/a-b]\nslots = 2\n"
+      "[service/a/endpoint/x]\naddress = 127.0.0.1:1\nregion = west\n"
+      "failure_domain = w1\n");
+  REQUIRE(parsed.faults.empty());
+  CHECK(parsed.tree.ChildNames("service") ==
+        std::vector<std::string>{"a", "a-b"});
+  CHECK(ValidateTree(parsed.tree).empty());
+}
+
 TEST_CASE("Draining a failure domain or region drains its endpoints") {
   const std::string endpoint_section =
       "[service/a/endpoint/x]\naddress = 127.0.0.1:1\nregion = west\n"
