Control: Vouch for drains that can't be passed on to entries that know them

While one endpoint drained whose start time the platform's list doesn't tell, replicas told no entry how current their drains are.

Such a drain can't be reported, as nobody could tell when another process has taken the place. But an entry's question tells a digest of its endpoints. If the part of the list with that endpoint is the same, the entry knows of the drain, and the replica tells how current it is. Others are told nothing, as before. Messages and entries of earlier builds stay as they are.

Test: listing_age_test "Replicas vouch for drains without a start time that entries know".

Not changed: questions assume readings about each second, whatever interval_ms says.

--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -31,7 +31,7 @@
     const std::string digest = heartbeat.endpoint_digest.value_or("");
     if (!digest.empty()) {
       reply.drains = standby_list_.DrainsFor(digest);
-      reply.listing = standby_list_.StateAt(clock.now);
+      reply.listing = standby_list_.StateAt(clock.now, digest);
     }
     if (reply.leader_hint.empty() && seekers_.size() < kMaxSeekers)
       seekers_[from] = clock.now;
@@ -95,7 +95,7 @@
     reply.sequence = asker.sequence;
     reply.leader_hint = LeaderInstance();
     reply.drains = standby_list_.DrainsFor(asker.digest);
-    reply.listing = standby_list_.StateAt(asker.asked);
+    reply.listing = standby_list_.StateAt(asker.asked, asker.digest);
     told += reply.drains.empty() ? 0 : 1;
     SendToEntry(entry, std::move(reply));
   }
--- a/source/core/control/standby_list.cc
+++ b/source/core/control/standby_list.cc
@@ -34,15 +34,16 @@
   read_at_ = began;
   digest_ = protocol::MakeEndpointDigest();
   drains_.clear();
+  unreported_parts_.clear();
   for (const protocol::ListedEndpoint& endpoint : list) {
     const auto part = protocol::EndpointPart(endpoint.id);
     digest_.Add(part, protocol::EndpointItemHash(endpoint));
-    // Nobody could tell when another process has taken the place of one with an
-    // unknown start time.
     if (!endpoint.draining)
       continue;
+    // Nobody could tell when another process has taken the place of one with an
+    // unknown start time.
     if (endpoint.started_ms == 0) {
-      read_at_.reset();
+      unreported_parts_.insert(static_cast<int>(part));
       continue;
     }
     drains_.emplace_back(static_cast<int>(part),
@@ -51,9 +52,18 @@
   }
 }
 
-std::optional<protocol::ListingState> StandbyList::StateAt(Time asked) const {
+std::optional<protocol::ListingState> StandbyList::StateAt(
+    Time asked,
+    const std::string& digest) const {
   if (!read_at_)
     return std::nullopt;
+  // An entry whose part of the list is the same knows them from elsewhere.
+  if (!unreported_parts_.empty()) {
+    for (const int part : digest_.DifferingParts(digest)) {
+      if (unreported_parts_.count(part) != 0)
+        return std::nullopt;
+    }
+  }
   protocol::ListingState state;
   state.age_ms = std::max<std::int64_t>(0, ToMillis(asked - *read_at_));
   return state;
--- a/source/core/control/standby_list.h
+++ b/source/core/control/standby_list.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,8 +40,11 @@
                     Time began);
 
   /// Tells an entry that asked at `asked` how current the drains are; nothing
-  /// if the list was never read, or names drains that can't be passed on.
-  std::optional<protocol::ListingState> StateAt(Time asked) const;
+  /// if the list was never read, or names drains that can't be passed on and
+  /// that an entry whose endpoints have this `digest` may not know.
+  std::optional<protocol::ListingState> StateAt(
+      Time asked,
+      const std::string& digest) const;
 
   /// Returns the endpoints that drain, as of the last listing, in the parts of
   /// the list in which that of `digest` differs. All, if `digest` is empty.
@@ -57,6 +61,8 @@
   std::optional<Time> read_at_;
   /// With the part of the list that each belongs to.
   std::vector<std::pair<int, protocol::DrainReport>> drains_;
+  /// Parts of the list with drains that can't be passed on.
+  std::set<int> unreported_parts_;
 };
 
 }  // namespace jacinth::control
--- a/source/unit_tests/control/standby_list_test.cc
+++ b/source/unit_tests/control/standby_list_test.cc
@@ -63,15 +63,34 @@
 // is, or for complete.
 TEST_CASE("An entry is told the age of the reading when it asked") {
   StandbyList standby;
-  CHECK_FALSE(standby.StateAt(kNow));
+  const std::string digest = DigestOf(MakeList(0));
+  CHECK_FALSE(standby.StateAt(kNow, digest));
   auto list = MakeList(1);
   standby.ApplyListing(list, kNow);
-  CHECK(standby.StateAt(kNow + 400ms)->age_ms == 400);
-  CHECK(standby.StateAt(kNow - 100ms)->age_ms == 0);
-  CHECK(standby.StateAt(kNow)->version == 0);
+  CHECK(standby.StateAt(kNow + 400ms, digest)->age_ms == 400);
+  CHECK(standby.StateAt(kNow - 100ms, digest)->age_ms == 0);
+  CHECK(standby.StateAt(kNow, digest)->version == 0);
   list[0].started_ms = 0;
   standby.ApplyListing(list, kNow);
-  CHECK_FALSE(standby.StateAt(kNow));
+  CHECK_FALSE(standby.StateAt(kNow, digest));
+  CHECK_FALSE(standby.StateAt(kNow, ""));
+}
+
+// Guards against replicas that vouch for nothing, to nobody, as long as one
+// endpoint drains whose start time is unknown.
+TEST_CASE("An entry that knows of unreported drains is told the age") {
+  StandbyList standby;
+  auto list = MakeList(2);
+  list[0].started_ms = 0;
+  standby.ApplyListing(list, kNow);
+  // The other drain can be reported, so that the entry needn't know of it.
+  auto known = list;
+  known[1].draining = false;
+  CHECK(standby.StateAt(kNow + 400ms, DigestOf(known))->age_ms == 400);
+  known[0].draining = false;
+  CHECK_FALSE(standby.StateAt(kNow, DigestOf(known)));
+  standby.ApplyListing(MakeList(2), kNow);
+  CHECK(standby.StateAt(kNow, DigestOf(known)));
 }
 
 TEST_CASE("Entries that asked long ago are told no more") {
--- a/source/unit_tests/entry/listing_age_test.cc
+++ b/source/unit_tests/entry/listing_age_test.cc
@@ -128,6 +128,22 @@
   }
 }
 
+// Pattern: the list shows that an endpoint drains, but not since when it runs,
+// and the leader can't read the list any more. Guards against replicas that
+// tell nobody how current their drains are because they can't pass on this one,
+// though each entry has had it from the leader.
+TEST_CASE("Replicas vouch for drains without a start time that entries know") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    ListingFleet fleet(seed);
+    fleet.ListUnidentifiedDrain();
+    fleet.Run(2s);
+    fleet.stalled_readers = {fleet.Leader()};
+    fleet.Run(2 * ListingFleet::kMaxDrainDelay);
+    CHECK(fleet.OldestDrains() <= ListingFleet::kMaxDrainDelay);
+  }
+}
+
 // Guards against a fleet that asks and reads all the time, as a reading takes
 // somewhat longer than usual.
 TEST_CASE("A slow reading of the list makes nobody else read it") {
--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -73,6 +73,16 @@
   });
 }
 
+Duration ListingFleet::OldestDrains() const {
+  Duration oldest{0};
+  for (const Entry& entry : entries_) {
+    oldest = std::max(
+        oldest,
+        cluster_.now() - entry.driver->node.session().drains_confirmed_at());
+  }
+  return oldest;
+}
+
 bool ListingFleet::AllFollowLeader() const {
   const auto leader = cluster_.Leader();
   if (!leader)
@@ -97,8 +107,16 @@
   endpoint.service = "s";
   endpoint.address = "10.0.0.1:1";
   endpoint.draining = draining_;
-  readings_by_machine_[machine] = {
-      cluster_.now(), cluster_.now() + list_time, {endpoint}};
+  std::vector<protocol::ListedEndpoint> list{endpoint};
+  if (lists_unidentified_drain_) {
+    endpoint.id = "2";
+    endpoint.started_ms = 0;
+    endpoint.address = "10.0.0.2:1";
+    endpoint.draining = true;
+    list.push_back(std::move(endpoint));
+  }
+  readings_by_machine_[machine] = {cluster_.now(), cluster_.now() + list_time,
+                                   std::move(list)};
 }
 
 void ListingFleet::StepHost(std::size_t machine) {
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -51,10 +51,14 @@
   void FreezeLeader(Duration duration) { cluster_.Freeze(Leader(), duration); }
   void CrashLeader() { cluster_.Crash(Leader()); }
   void DrainEndpoint() { draining_ = true; }
+  /// Adds an endpoint to the list that drains and has no start time.
+  void ListUnidentifiedDrain() { lists_unidentified_drain_ = true; }
 
   /// Returns true if all entries know the endpoint, and that it drains if
   /// `draining` is true.
   bool AllKnow(bool draining) const;
+  /// Returns the age of what the entry knows of drains that knows least.
+  Duration OldestDrains() const;
   /// Returns true if the list of all entries is from the current leader.
   bool AllFollowLeader() const;
   /// Number of readings of the list so far.
@@ -88,6 +92,7 @@
   std::vector<Time> next_reading_;
   std::map<std::size_t, Reading> readings_by_machine_;
   bool draining_ = false;
+  bool lists_unidentified_drain_ = false;
   int readings_ = 0;
   int readings_by_others_ = 0;
 };
