Entry: Take no answer that was meant for the process before a restart

Sequence numbers of heartbeats and questions began at zero in each process, and replicas remember who has asked by the entry's name, for up to two seconds. An entry that had restarted took an answer to its former process for one to its own question of the same number.

The numbers now hold the incarnation in their upper 32 bits, which is drawn at random by each process, so that such an answer fits no question. Replicas repeat the number as they did.

Test: control_session_test "An answer to the process before a restart doesn't count", for heartbeats and for questions; both sections failed before. entry_routes_test "The first heartbeat of an entry says that it is starting" requires number 1, and so gives its entry the incarnation 0.

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -51,6 +51,9 @@
 /// Minimum time between a heartbeat and the next one to a leader that a contact
 /// has named.
 constexpr Duration kHintDelay = 100ms;
+/// Sequence numbers hold the lower bits of the incarnation in their upper 32
+/// bits, as replicas may still answer the process before a restart.
+constexpr unsigned kIncarnationShift = 32;
 
 }  // namespace
 
@@ -59,7 +62,10 @@
                                Duration timeout)
     : self_(std::move(self)),
       heartbeat_interval_(heartbeat_interval),
-      timeout_(timeout) {}
+      timeout_(timeout),
+      first_sequence_(self_.incarnation << kIncarnationShift),
+      sequence_(first_sequence_),
+      answered_sequence_(first_sequence_) {}
 
 std::optional<Heartbeat> ControlSession::OnTick(Time now) {
   if (now < next_heartbeat_)
@@ -291,8 +297,9 @@
 // control instances from electing one.
 Duration ControlSession::SearchInterval() const {
   const auto divisor = std::max<std::int64_t>(
-      1, kInitialHeartbeatDivisor - static_cast<std::int64_t>(sequence_) /
-                                        kHeartbeatsPerSearchInterval);
+      1, kInitialHeartbeatDivisor -
+             static_cast<std::int64_t>(sequence_ - first_sequence_) /
+                 kHeartbeatsPerSearchInterval);
   return heartbeat_interval_ / divisor;
 }
 
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -197,9 +197,10 @@
   Duration heartbeat_interval_;
   Duration timeout_;
   Time next_heartbeat_{};
-  std::uint64_t sequence_ = 0;
+  std::uint64_t first_sequence_;
+  std::uint64_t sequence_;
   /// Last heartbeat that a leader has answered.
-  std::uint64_t answered_sequence_ = 0;
+  std::uint64_t answered_sequence_;
   /// True if the next heartbeat is due as soon as the last one is answered.
   bool expedites_next_ = false;
   std::deque<SentHeartbeat> sent_;
--- a/source/core/protocol/heartbeat.h
+++ b/source/core/protocol/heartbeat.h
@@ -20,7 +20,8 @@
   EntryStatus status;
   /// Version of the member list that the entry holds.
   std::uint64_t members_version = 0;
-  /// Sequence number of the heartbeat, which the reply repeats.
+  /// Sequence number of the heartbeat, which the reply repeats. No other
+  /// process of the entry uses it.
   std::uint64_t sequence = 0;
   /// Version of the endpoint list that the entry holds.
   std::uint64_t endpoints_version = 0;
--- a/source/unit_tests/entry/control_session_test.cc
+++ b/source/unit_tests/entry/control_session_test.cc
@@ -1,5 +1,6 @@
 #include "core/entry/control_session.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -13,9 +14,10 @@
 constexpr Time kStart{100s};
 constexpr Duration kTimeout = 1s;
 
-ControlSession MakeSession() {
+ControlSession MakeSession(std::uint64_t incarnation = 1) {
   protocol::EntryStatus self;
   self.id = "e1";
+  self.incarnation = incarnation;
   return {self, 100ms, kTimeout};
 }
 
@@ -248,6 +250,42 @@
   }
 }
 
+// Guards against answers to an entry's former process, which replicas send to
+// the next one: they would tell it that it knows of drains, or is in contact
+// with a leader, since a later time than is true.
+TEST_CASE("An answer to the process before a restart doesn't count") {
+  ControlSession former = MakeSession(1);
+  ControlSession next = MakeSession(2);
+  SECTION("a heartbeat") {
+    const auto asked_before = former.OnTick(kStart);
+    const auto asked = next.OnTick(kStart + 500ms);
+    REQUIRE(asked_before);
+    REQUIRE(asked);
+    next.OnReply(MakeReply(asked_before->sequence, 5), kStart + 520ms);
+    CHECK(next.fleet() == nullptr);
+    CHECK_FALSE(next.InContact(kStart + 520ms));
+    next.OnReply(MakeReply(asked->sequence, 5), kStart + 540ms);
+    CHECK(next.fleet() != nullptr);
+    CHECK(next.InContact(kStart + 540ms));
+  }
+  SECTION("a question") {
+    GiveList(former);
+    GiveList(next);
+    const auto asked_before = former.TakeQuestion(kStart + 3s);
+    const auto asked = next.TakeQuestion(kStart + 3500ms);
+    REQUIRE(asked_before);
+    REQUIRE(asked);
+    protocol::HeartbeatReply reply;
+    reply.sequence = asked_before->sequence;
+    reply.listing = {0, 0, 200};
+    next.OnReply(reply, kStart + 3600ms);
+    CHECK(next.drains_confirmed_at() == kStart - 100ms);
+    reply.sequence = asked->sequence;
+    next.OnReply(reply, kStart + 3600ms);
+    CHECK(next.drains_confirmed_at() == kStart + 3300ms);
+  }
+}
+
 TEST_CASE("A drain of a later process at the same address counts") {
   ControlSession session = MakeSession();
   GiveList(session);
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -346,7 +346,10 @@
 // Guards against callers that are sent to an entry that has just started, by a
 // first heartbeat that doesn't say so.
 TEST_CASE("The first heartbeat of an entry says that it is starting") {
-  EntryDriver driver(MakeOptions());
+  EntryOptions options = MakeOptions();
+  // Sequence numbers begin with the incarnation.
+  options.self.incarnation = 0;
+  EntryDriver driver(std::move(options));
   driver.Step(Tick{});
   REQUIRE(driver.last_heartbeat.sequence == 1);
   CHECK(driver.last_heartbeat.status.starting);
