--- a/source/core/control/control_node_leader.cc
+++ b/source/core/control/control_node_leader.cc
@@ -32,7 +32,7 @@
     const std::string digest = heartbeat.endpoint_digest.value_or("");
     if (!digest.empty()) {
       reply.drains = standby_list_.DrainsFor(digest);
-      reply.listing = standby_list_.StateAt(clock.now);
+      reply.listing = standby_list_.StateAt(clock.now, digest);
     }
     if (heartbeat.lacks_settings)
       AddAskedSettings(heartbeat, reply);
@@ -102,7 +102,7 @@
     reply.leader_hint = LeaderInstance();
     reply.revision = state_.revision();
     reply.drains = standby_list_.DrainsFor(asker.digest);
-    reply.listing = standby_list_.StateAt(asker.asked);
+    reply.listing = standby_list_.StateAt(asker.asked, asker.digest);
     told += reply.drains.empty() ? 0 : 1;
     SendToEntry(entry, std::move(reply));
   }
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -58,10 +58,14 @@
   std::uint64_t revision() const { return revision_; }
   /// Returns true if that revision is in force at all entries.
   bool AllHoldSettings() const;
+  /// Adds an endpoint to the list that drains and has no start time.
+  void ListUnidentifiedDrain() { lists_unidentified_drain_ = true; }
 
   /// Returns true if all entries know the endpoint, and that it drains if
   /// `draining` is true.
   bool AllKnow(bool draining) const;
+  /// Returns the age of what the entry knows of drains that knows least.
+  Duration OldestDrains() const;
   /// Returns true if the list of all entries is from the current leader.
   bool AllFollowLeader() const;
   /// Number of readings of the list so far.
@@ -97,6 +101,7 @@
   bool draining_ = false;
   int changes_ = 0;
   std::uint64_t revision_ = 0;
+  bool lists_unidentified_drain_ = false;
   int readings_ = 0;
   int readings_by_others_ = 0;
 };
