Consensus: Let learners wait for no other change of the members

Traced in virtual time: five voters bear that at every moment of the replacement, as three are left whether the first lost one is still a voter, has been removed or has been added again. But the founder waits for machines that are no contacts for a second only. Those that start later were added one after the other: a learner waited until the change before it was committed, then caught up, and only when it was a voter the next one was let in. The first settings wait for a full group for 4 s at most, so that they were acknowledged by three or four voters, of which two lost disks leave no majority.

Majorities consist of voters. A change of learners leaves them as they are, so that it is safe at any time, also before the leader has committed an entry of its term; and the next change of the voters needs to wait for the last change of the voters alone. ConfigurationSettled() now says that the voters are committed. Late machines catch up beside each other and while the leader's first entry waits for disks.

--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -58,13 +58,13 @@
   /// Appends a command. Returns its log index, or kNotLeader.
   Result<std::uint64_t> Propose(std::string payload, Time now);
 
-  /// Adds a replica as a learner and, once it has caught up, promotes it to a
-  /// voter. Has caught up what has all that was committed a short time ago: it
-  /// never has all entries while more are appended during each of its syncs.
-  /// It replaces any other replica of the same instance. If the group is
-  /// full, it is added only while a voter is silent for `replace_after`, which
-  /// DropSurplusVoter() then removes. Takes one step of this per call, so it
-  /// must be called repeatedly.
+  /// Adds a replica as a learner at once and, when it has caught up and the
+  /// last change of the voters is committed, promotes it to a voter. Has caught
+  /// up what has all that was committed a short time ago: it never has all
+  /// entries while more are appended during each of its syncs. It replaces any
+  /// other replica of the same instance. If the group is full, it is added only
+  /// while a voter is silent for `replace_after`, which DropSurplusVoter() then
+  /// removes. Takes one step of this per call, so it must be called repeatedly.
   void AdmitReplica(const std::string& id, Time now);
 
   /// Removes the voter that has been silent for longest from a group that has
@@ -114,8 +114,9 @@
   const protocol::Configuration& configuration() const {
     return configuration_;
   }
-  /// On the leader, returns true if the current configuration is committed and
-  /// thus survives further failures.
+  /// On the leader, returns true if the voters of the current configuration are
+  /// committed and thus survive further failures. Learners count for no
+  /// majority, so that no change needs to wait for theirs.
   bool ConfigurationSettled() const;
 
  private:
@@ -233,6 +234,9 @@
   std::map<std::string, Progress> progress_;
   Time heartbeat_due_{};
   std::uint64_t first_index_of_term_ = 0;
+  /// Index of the last entry of this term that changes the voters; 0 if there
+  /// is none.
+  std::uint64_t last_voter_change_ = 0;
   /// Set while a leadership transfer is in progress.
   std::optional<Time> transfer_started_;
 
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -33,7 +33,7 @@
 void Replica::AdmitReplica(const std::string& id, Time now) {
   if (role_ != ReplicaRole::kLeader || halted_ || transfer_started_)
     return;
-  if (!ConfigurationSettled() || configuration_.IsVoter(id))
+  if (configuration_.IsVoter(id))
     return;
   Configuration next = configuration_;
   if (!configuration_.IsLearner(id)) {
@@ -49,7 +49,7 @@
     ChangeConfiguration(next, now);
     return;
   }
-  if (!HasCaughtUp(id, now))
+  if (!ConfigurationSettled() || !HasCaughtUp(id, now))
     return;
   // Changes one voter at a time. A replaced incarnation has lost its disk and
   // counts for nothing, so it is removed before the new one is added. A silent
@@ -191,6 +191,7 @@
   transfer_started_.reset();
   progress_.clear();
   first_index_of_term_ = AppendLocally(LogEntryKind::kNoop, "");
+  last_voter_change_ = 0;
   Broadcast(now);
   heartbeat_due_ = now + options_.heartbeat;
 }
@@ -384,14 +385,16 @@
 }
 
 bool Replica::ConfigurationSettled() const {
-  return log_.LastConfigurationIndex() <= commit_index_ &&
-         commit_index_ >= first_index_of_term_;
+  return commit_index_ >= std::max(first_index_of_term_, last_voter_change_);
 }
 
 void Replica::ChangeConfiguration(const Configuration& configuration,
                                   Time now) {
-  AppendLocally(LogEntryKind::kConfiguration,
-                wire::EncodeConfiguration(configuration));
+  const bool changes_voters = configuration.voters != configuration_.voters;
+  const std::uint64_t index = AppendLocally(
+      LogEntryKind::kConfiguration, wire::EncodeConfiguration(configuration));
+  if (changes_voters)
+    last_voter_change_ = index;
   UpdateConfiguration();
   Broadcast(now);
 }
--- a/source/core/consensus/replica_log.cc
+++ b/source/core/consensus/replica_log.cc
@@ -68,6 +68,7 @@
       .value_or(base_.configuration);
 }
 
+// Returns the index of the entry or snapshot with the last configuration.
 std::uint64_t ReplicaLog::LastConfigurationIndex() const {
   for (std::uint64_t index = last_index(); index > base_.index; --index) {
     if (At(index).kind == LogEntryKind::kConfiguration)
--- a/source/core/consensus/replica_log.h
+++ b/source/core/consensus/replica_log.h
@@ -45,14 +45,14 @@
 
   /// Returns the last configuration in the log, committed or not.
   protocol::Configuration LastConfiguration() const;
-  /// Returns the index of the entry or snapshot that contains it.
-  std::uint64_t LastConfigurationIndex() const;
 
   /// Returns true if a log that ends with (`term`, `index`) is at least as
   /// up-to-date as this one.
   bool IsUpToDate(std::uint64_t term, std::uint64_t index) const;
 
  private:
+  std::uint64_t LastConfigurationIndex() const;
+
   protocol::Snapshot base_;
   std::deque<protocol::LogEntry> entries_;
 };
--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -555,37 +555,43 @@
 
 TEST_CASE(
     "A replica with a lost disk is replaced in steps, after catching up") {
+  using Ids = std::vector<std::string>;
   Replica replica(Options("a#1"), GroupStart(), kStart);
   const ReplicaActions elected = Elect(replica, kLater);
-  replica.AdmitReplica("c#2", kLater);
-  // No change before the leader has committed an entry of its term.
-  CHECK(replica.configuration().learners.empty());
-  SyncAll(replica, elected, kLater);
-  replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), kLater);
-
-  replica.AdmitReplica("c#2", kLater);
-  CHECK(replica.configuration().learners == std::vector<std::string>{"c#2"});
-  // One change at a time.
   replica.AdmitReplica("d#1", kLater);
-  CHECK(replica.configuration().learners.size() == 1);
+  CHECK(replica.configuration().learners == Ids{"d#1"});
+  replica.OnMessage(Ack("d#1", replica.term(), replica.last_index()), kLater);
+  // No change of the voters before the leader has committed an entry of its
+  // term.
+  CHECK_FALSE(replica.ConfigurationSettled());
+  replica.AdmitReplica("d#1", kLater);
+  CHECK(replica.configuration().voters == Ids{"a#1", "b#1", "c#1"});
+  SyncAll(replica, elected, kLater);
   SyncAll(replica, replica.TakeActions(), kLater);
   replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), kLater);
   CHECK(replica.ConfigurationSettled());
 
+  replica.AdmitReplica("c#2", kLater);
+  CHECK(replica.configuration().learners == Ids{"d#1", "c#2"});
+
   // The replica stays a learner until it has caught up.
   replica.AdmitReplica("c#2", kLater);
   CHECK(replica.configuration().IsVoter("c#1"));
   CHECK(replica.configuration().IsLearner("c#2"));
   replica.OnMessage(Ack("c#2", replica.term(), replica.last_index()), kLater);
   replica.AdmitReplica("c#2", kLater);
-  CHECK(replica.configuration().voters ==
-        std::vector<std::string>{"a#1", "b#1"});
+  CHECK(replica.configuration().voters == Ids{"a#1", "b#1"});
+  // One change of the voters at a time.
+  CHECK_FALSE(replica.ConfigurationSettled());
+  for (const std::string learner : {"c#2", "d#1"}) {
+    replica.AdmitReplica(learner, kLater);
+    CHECK(replica.configuration().voters == Ids{"a#1", "b#1"});
+  }
   SyncAll(replica, replica.TakeActions(), kLater);
   replica.OnMessage(Ack("b#1", replica.term(), replica.last_index()), kLater);
   replica.OnMessage(Ack("c#2", replica.term(), replica.last_index()), kLater);
   replica.AdmitReplica("c#2", kLater);
-  CHECK(replica.configuration().voters ==
-        std::vector<std::string>{"a#1", "b#1", "c#2"});
+  CHECK(replica.configuration().voters == Ids{"a#1", "b#1", "c#2"});
 }
 
 TEST_CASE("The lease ends when a leadership transfer starts") {
--- a/source/unit_tests/control/slow_disk_test.cc
+++ b/source/unit_tests/control/slow_disk_test.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <variant>
@@ -22,6 +24,12 @@
 constexpr Duration kMaxAck = 4s;
 /// Interval at which an operator sends an unanswered change again.
 constexpr Duration kPatience = 1s;
+/// Time within which the soak expects the first configuration to be accepted,
+/// and shortest time between two disks that are lost there.
+constexpr Duration kMaxFirstAck = 20s;
+constexpr Duration kMinWipeInterval = 8s;
+/// Time within which the group must serve again, the platform's recovery_s.
+constexpr Duration kMaxRecovery = 15s;
 constexpr std::uint64_t kSeeds = 20;
 
 ControlCluster MakeCluster(std::uint64_t seed, Duration sync_time) {
@@ -80,6 +88,100 @@
   return term;
 }
 
+/// A group beside disks whose syncs take 0.3 to 1.9 s each, and clients whose
+/// requests are logged. Machines that are no contacts start 1.5 to 6.5 s after
+/// the others, as some processes do beside such disks.
+class LateGroup {
+ public:
+  explicit LateGroup(std::uint64_t seed)
+      : cluster_(seed, kLayout), random_(seed) {
+    cluster_.loss_percent = 0;
+    cluster_.duplicate_percent = 0;
+    for (std::size_t i = kLayout.contacts; i < kLayout.machines; ++i) {
+      cluster_.Crash(i);
+      starts_.emplace(cluster_.now() + RandomTime(1'500ms, 6'500ms), i);
+    }
+  }
+
+  void Run(Duration duration) {
+    for (const Time end = cluster_.now() + duration; cluster_.now() < end;)
+      Step();
+  }
+
+  /// Sends the first change to all replicas until one acknowledges it. Returns
+  /// the time since the start of the group; nothing after 20 s.
+  std::optional<Duration> AcknowledgeFirstChange() {
+    bool acknowledged = false;
+    cluster_.on_admin_reply = [&](const AdminReply& reply) {
+      acknowledged |= std::holds_alternative<ChangeAccepted>(reply.body);
+    };
+    const Time start = cluster_.now();
+    Time next_attempt = start;
+    AdminTicket ticket = 0;
+    while (!acknowledged && cluster_.now() < start + kMaxFirstAck) {
+      const bool sends = cluster_.now() >= next_attempt;
+      if (sends)
+        next_attempt = cluster_.now() + kPatience;
+      for (std::size_t i = 0; sends && i < cluster_.size(); ++i)
+        cluster_.InjectEvent(i, MakeChange("first", ++ticket));
+      Step();
+    }
+    cluster_.on_admin_reply = nullptr;
+    if (!acknowledged)
+      return std::nullopt;
+    return cluster_.now() - start;
+  }
+
+  /// A machine loses its disk and starts again soon.
+  void LoseDisk(std::size_t machine) {
+    cluster_.WipeDisk(machine);
+    starts_.emplace(cluster_.now() + RandomTime(0ms, 200ms), machine);
+  }
+
+  bool RegainsLeader(Duration limit) {
+    const Time end = cluster_.now() + limit;
+    while (!cluster_.Leader() && cluster_.now() < end)
+      Step();
+    return cluster_.Leader().has_value();
+  }
+
+  std::size_t VoterCount() const {
+    const auto leader = cluster_.Leader();
+    if (!leader)
+      return 0;
+    return cluster_.node(*leader)->replica()->configuration().voters.size();
+  }
+
+ private:
+  void Step() {
+    cluster_.sync_time = RandomTime(300ms, 1'900ms);
+    while (!starts_.empty() && starts_.begin()->first <= cluster_.now()) {
+      cluster_.Restart(starts_.begin()->second);
+      starts_.erase(starts_.begin());
+    }
+    if (const auto leader = cluster_.Leader()) {
+      const std::string number = std::to_string(++claims_);
+      cluster_.SendFromEntry(
+          "e1", *leader,
+          protocol::ClaimRequest{
+              "e1/1/" + number, {"caller", number}, 1, 5'000, ""});
+    }
+    cluster_.Run(15ms);
+  }
+
+  Duration RandomTime(std::chrono::milliseconds min,
+                      std::chrono::milliseconds max) {
+    const auto range = static_cast<std::uint64_t>((max - min).count() + 1);
+    return min + std::chrono::milliseconds(random_() % range);
+  }
+
+  ControlCluster cluster_;
+  std::mt19937_64 random_;
+  /// Machines that are down, by the time at which they start.
+  std::multimap<Time, std::size_t> starts_;
+  int claims_ = 0;
+};
+
 }  // namespace
 
 // Guards against a leader that takes the time which its followers' disks need
@@ -164,4 +266,33 @@
   }
 }
 
+// Guards against a group that is told its first settings before it can lose two
+// disks, as each machine that starts late is made a member only after the one
+// before it.
+TEST_CASE("Late machines are voters before the first change is acknowledged") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    LateGroup group(seed);
+    REQUIRE(group.AcknowledgeFirstChange());
+    CHECK(group.VoterCount() == kLayout.target_voters);
+  }
+}
+
+// Pattern: two machines lose their disks in turn, right after the first change.
+// Guards against a group that is left without a quorum by that.
+TEST_CASE("A group whose machines started late bears two lost disks") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    LateGroup group(seed);
+    REQUIRE(group.AcknowledgeFirstChange());
+    const std::size_t lost = seed % kLayout.machines;
+    group.LoseDisk(lost);
+    group.Run(kMinWipeInterval);
+    group.LoseDisk((lost + 1) % kLayout.machines);
+    // The lease of a leader that has lost its quorum ends.
+    group.Run(kContact);
+    CHECK(group.RegainsLeader(kMaxRecovery));
+  }
+}
+
 }  // namespace jacinth::control
