--- a/source/unit_tests/control/power_loss_test.cc
+++ b/source/unit_tests/control/power_loss_test.cc
@@ -153,8 +153,8 @@
     cluster_.Run(duration);
   }
 
-  /// Freezes a voter, and ends when it has been removed to be replaced.
-  void RunUntilVoterRemoved() {
+  /// Freezes a voter, and ends when the voters have changed to replace it.
+  void RunUntilVotersChange() {
     const std::size_t leader = cluster_.Leader().value();
     const auto voters = [&] {
       return cluster_.node(leader)->replica()->configuration().voters;
@@ -235,7 +235,7 @@
     CAPTURE(seed);
     Group group(seed);
     group.Change("service/a", {{"ttl_ms", "500"}});
-    group.RunUntilVoterRemoved();
+    group.RunUntilVotersChange();
     group.LosePowerAndDisks();
     const auto* values = group.state().tree().Find("service/a");
     REQUIRE(values != nullptr);
