Entry: Refuse by replaced settings on a leader's word only

What callers would see: 503 at an entry in touch, for settings that were replaced only a moment ago.

A leader names the newest one with each message, so that one which only another replica has named was accepted after the leader's last message, less than the control timeout ago: within the bound.

--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -179,6 +179,7 @@
   if (!confirmed && fleet_ == nullptr)
     return false;
   bool changed = LearnRevision(reply.revision);
+  leader_revision_ = std::max(leader_revision_, reply.revision);
   if (confirmed) {
     leader_ = reply.leader_hint;
     hinted_leader_.clear();
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -143,13 +143,14 @@
   /// heartbeat was sent that a leader has answered by naming their revision or
   /// an earlier one.
   Time settings_confirmed_at() const { return settings_confirmed_at_; }
-  /// Returns true if a newer revision is known, which may have replaced the
-  /// settings in force more than `bound` ago; never if `bound` is zero, if this
-  /// build can't apply the newer ones, or if no message of a leader has arrived
-  /// for the control timeout: they may not come for long then.
+  /// Returns true if a leader has named a newer revision, which may have
+  /// replaced the settings in force more than `bound` ago; never if `bound` is
+  /// zero, if this build can't apply the newer ones, or if no message of a
+  /// leader has arrived for the control timeout: they may not come for long
+  /// then.
   bool HasReplacedSettings(Time now, Duration bound) const {
-    return bound > Duration{0} && IsOutdated() && !needs_whole_tree_ &&
-           now < last_leader_message_ + timeout_ &&
+    return bound > Duration{0} && self_.revision < leader_revision_ &&
+           !needs_whole_tree_ && now < last_leader_message_ + timeout_ &&
            now > settings_confirmed_at_ + bound;
   }
   /// Returns true if newer settings may have been in force for some time, so
@@ -229,8 +230,9 @@
   Time last_leader_message_{};
   /// Highest term of a leader that has answered; 0 if none has told its term.
   std::uint64_t leader_term_ = 0;
-  /// Newest revision that a replica has named.
+  /// Newest revision that a replica has named, and that a leader has.
   std::uint64_t newest_revision_ = 0;
+  std::uint64_t leader_revision_ = 0;
   Time settings_confirmed_at_{};
   /// Last time at which each revision that isn't held yet was the newest one:
   /// when the heartbeat was sent whose answer named it.
