Entry test: Count reports of limits without requests

Each of 185 entries reports each of 318 limits every second, also those of endpoints to which it sends nothing: 58,830 reports a second, which the leader decodes and records with 0.15 of a core.

The test fails: an entry that sends nothing reports 60 limits 300 times in 5 s.

--- a/source/unit_tests/entry/rate_share_traffic_test.cc
+++ b/source/unit_tests/entry/rate_share_traffic_test.cc
@@ -102,6 +102,20 @@
     return count;
   }
 
+  /// Returns the number of limits that the entry's heartbeats report.
+  std::size_t CountReports(std::size_t entry, Duration duration) {
+    EntryDriver& driver = *fleet.entries()[entry].driver;
+    std::size_t count = 0;
+    const Time end = driver.now + duration;
+    while (driver.now < end) {
+      const std::uint64_t sequence = driver.last_heartbeat.sequence;
+      fleet.Run(NarrowFleet::kStep);
+      if (driver.last_heartbeat.sequence != sequence)
+        count += driver.last_heartbeat.rate_limits.size();
+    }
+    return count;
+  }
+
   /// Returns the bytes that an entry gets within the time of a delivery.
   std::size_t BytesPerEntry() {
     const std::size_t before = fleet.sent_bytes();
@@ -138,6 +152,17 @@
   CHECK(test.CountKnowing(endpoint, kLimit / 2) == kEntries);
 }
 
+// Guards against a leader whose time goes into reports of limits from entries
+// that send nothing to the endpoints, so that settings reach them seconds late
+// (docs/incidents/home.md).
+TEST_CASE("Entries don't report limits again that don't concern them") {
+  Fleet test;
+  test.fleet.Run(3s);
+  CHECK(test.CountReports(1, 5s) <= kEndpoints);
+  const std::string endpoint = test.SendRequest(kLimit / 2);
+  CHECK(test.CountReports(0, 1s) >= 1);
+}
+
 // Guards against entries that keep a limit that has changed or ended, because
 // the message with the change was lost.
 TEST_CASE("Entries know the limits although messages with changes were lost") {
