--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -10,6 +10,8 @@
 /// Interval of heartbeats in a fleet of 185 entries.
 constexpr Duration kHeartbeatInterval = 500ms;
 constexpr unsigned kTermShift = 32;
+/// What a link of 2 Mbit/s, the narrowest of the users, leaves beside callers.
+constexpr double kLinkBytesPerSecond = 2e6 / 8 * 0.9;
 
 }  // namespace
 
@@ -19,10 +21,7 @@
   cluster_.duplicate_percent = 0;
   cluster_.on_entry_message = [this](const std::string& entry,
                                      const protocol::Envelope& envelope) {
-    const auto* reply = std::get_if<protocol::HeartbeatReply>(&envelope);
-    if (reply != nullptr && loses && loses(entry, *reply))
-      return;
-    to_entries_.push_back({cluster_.now() + kOneWay, entry, envelope});
+    SendToEntry(entry, envelope);
   };
   cluster_.on_list_endpoints = [this](std::size_t machine) {
     StartReading(machine);
@@ -50,6 +49,27 @@
   Run(5s);
 }
 
+void ListingFleet::SendToEntry(const std::string& id,
+                               const protocol::Envelope& envelope) {
+  const auto* reply = std::get_if<protocol::HeartbeatReply>(&envelope);
+  if (reply != nullptr && loses && loses(id, *reply))
+    return;
+  Time due = cluster_.now();
+  for (Entry& entry : entries_) {
+    if (entry.driver->node.session().self().id != id)
+      continue;
+    const std::size_t bytes =
+        reply != nullptr ? reply->settings_piece.bytes.size() : 0;
+    settings_bytes += bytes;
+    const std::chrono::duration<double> transfer(static_cast<double>(bytes) /
+                                                 kLinkBytesPerSecond);
+    entry.link_free = std::max(entry.link_free, due) +
+                      std::chrono::duration_cast<Duration>(transfer);
+    due = entry.link_free;
+  }
+  to_entries_.push_back({due + kOneWay, id, envelope});
+}
+
 void ListingFleet::Run(Duration duration) {
   const Time end = cluster_.now() + duration;
   while (cluster_.now() < end) {
@@ -83,6 +103,20 @@
   });
 }
 
+Duration ListingFleet::RunUntilSettings(Duration limit) {
+  Duration passed{0};
+  for (; passed < limit && !AllHoldSettings(); passed += kStep)
+    Run(kStep);
+  return passed;
+}
+
+void ListingFleet::CutReplica(std::size_t machine) {
+  for (std::size_t other = 0; other < kReplicas; ++other) {
+    cluster_.BlockLink(other, machine);
+    cluster_.BlockLink(machine, other);
+  }
+}
+
 bool ListingFleet::AllKnow(bool draining) const {
   return std::all_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
     const auto& endpoints = entry.driver->node.session().endpoints();
@@ -179,8 +213,13 @@
   });
   for (const entry::OutgoingMessage& message :
        std::exchange(driver.messages, {})) {
+    const auto* heartbeat = std::get_if<protocol::Heartbeat>(&message.envelope);
     for (std::size_t i = 0; i < kReplicas; ++i) {
-      if (cluster_.instance(i) == message.to_instance)
+      if (cluster_.instance(i) != message.to_instance)
+        continue;
+      const bool is_lost = heartbeat != nullptr && loses_question &&
+                           loses_question(i, *heartbeat);
+      if (!is_lost)
         cluster_.SendFromEntry(driver.node.session().self().id, i,
                                message.envelope);
     }
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -39,8 +39,13 @@
   std::set<std::size_t> stalled_readers;
   /// True if that holds for whoever leads.
   bool leader_cannot_read = false;
+  /// Returns true if a message of an entry to a replica is lost.
+  std::function<bool(std::size_t machine, const protocol::Heartbeat& message)>
+      loses_question;
   /// Time that a reading takes.
   Duration list_time = kListTime;
+  /// Bytes of settings that were sent to entries so far.
+  std::size_t settings_bytes = 0;
 
   void Run(Duration duration);
   /// Runs until just before the leader's next reading.
@@ -50,6 +55,9 @@
   bool HasLeader() const { return cluster_.Leader().has_value(); }
   void FreezeLeader(Duration duration) { cluster_.Freeze(Leader(), duration); }
   void CrashLeader() { cluster_.Crash(Leader()); }
+  void Crash(std::size_t machine) { cluster_.Crash(machine); }
+  /// Keeps a replica from hearing the others.
+  void CutReplica(std::size_t machine);
   void DrainEndpoint() { draining_ = true; }
   /// Passes a change of the settings to the leader, and runs until it is
   /// acknowledged.
@@ -58,6 +66,8 @@
   std::uint64_t revision() const { return revision_; }
   /// Returns true if that revision is in force at all entries.
   bool AllHoldSettings() const;
+  /// Runs until that is so, at most for `limit`, and returns the time.
+  Duration RunUntilSettings(Duration limit);
   /// Adds an endpoint to the list that drains and has no start time.
   void ListUnidentifiedDrain() { lists_unidentified_drain_ = true; }
 
@@ -77,6 +87,8 @@
   struct Entry {
     std::unique_ptr<EntryDriver> driver;
     Time start;
+    /// Time until which its link passes on pieces of settings.
+    Time link_free{};
   };
   struct ToEntry {
     Time due;
@@ -89,6 +101,8 @@
     std::vector<protocol::ListedEndpoint> list;
   };
 
+  void SendToEntry(const std::string& entry,
+                   const protocol::Envelope& envelope);
   void StartReading(std::size_t machine);
   void StepHost(std::size_t machine);
   void StepEntry(Entry& entry);
