--- /dev/null
+++ b/source/unit_tests/entry/settings_refusal_test.cc
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "core/common/hash.h"
+#include "unit_tests/support/narrow_fleet.h"
+
+namespace jacinth::entry {
+namespace {
+
+using test::EntryDriver;
+using test::NarrowEntry;
+using test::NarrowFleet;
+
+/// `config_propagation_ms` of the users' deployment of 185 entries.
+constexpr Duration kPropagation = 3s;
+constexpr const char* kHost = "h.example";
+
+protocol::BranchChange RouteChange(int index, const std::string& service) {
+  const auto number = static_cast<std::uint64_t>(index);
+  return {"route/r-" + std::to_string(index),
+          {{"host", kHost},
+           {"path_prefix", "/" + std::to_string(Hash64("path", number)) + "/"},
+           {"execution", "repeatable"},
+           {"service", service}}};
+}
+
+/// A fleet with the routes 0 and 1, whose links delay messages.
+struct SlowFleet {
+  explicit SlowFleet(Duration link_delay) {
+    fleet.Change({{"service/s", {{"probe_interval_ms", "0"}}},
+                  {"service/t", {{"probe_interval_ms", "0"}}},
+                  RouteChange(0, "s"),
+                  RouteChange(1, "s")});
+    fleet.Run(2s);
+    for (NarrowEntry& entry : fleet.entries())
+      entry.link_delay = link_delay;
+    fleet.Run(5s);
+  }
+
+  /// Sends the requests of route 0 elsewhere and adds routes, from 2 on.
+  void Change(int added) {
+    std::vector<protocol::BranchChange> changes = {RouteChange(0, "t")};
+    for (int i = 2; i < 2 + added; ++i)
+      changes.push_back(RouteChange(i, "s"));
+    fleet.Change(changes);
+  }
+
+  NarrowFleet fleet{8, kPropagation};
+};
+
+// Returns true if the entry waits for newer settings before it decides requests
+// of the route.
+bool WaitsForSettings(NarrowEntry& entry, int route) {
+  EntryDriver& driver = *entry.driver;
+  RequestArrived arrival;
+  arrival.ticket = ++driver.last_ticket;
+  arrival.host = kHost;
+  arrival.method = "GET";
+  arrival.path = RouteChange(route, "s").values.at("path_prefix") + "x";
+  driver.Step(arrival);
+  const RefuseRequest* refusal = driver.FindRefusal(arrival.ticket);
+  return refusal != nullptr && refusal->error.kind == ErrorKind::kNotReady;
+}
+
+}  // namespace
+
+// Guards against a fleet that refuses all requests at once, because a large
+// change comes to all entries later than its bound.
+TEST_CASE("A late change stops no request that it doesn't concern") {
+  const Duration link_delay = GENERATE(400ms, 800ms);
+  const int added = GENERATE(1'400, 6'000);
+  CAPTURE(link_delay.count(), added);
+  SlowFleet test(link_delay);
+  test.Change(added);
+  int refused = 0;
+  int refused_at_once = 0;
+  int sent_by_old_settings = 0;
+  constexpr Duration kCheckInterval = 100ms;
+  for (Duration passed{0}; passed < 6s; passed += kCheckInterval) {
+    test.fleet.Run(kCheckInterval);
+    const int before = refused;
+    for (NarrowEntry& entry : test.fleet.entries()) {
+      refused += WaitsForSettings(entry, 1) ? 1 : 0;
+      if (passed < kPropagation ||
+          entry.session().self().revision == test.fleet.revision())
+        continue;
+      for (const int concerned : {0, 2, added})
+        sent_by_old_settings += WaitsForSettings(entry, concerned) ? 0 : 1;
+    }
+    refused_at_once = std::max(refused_at_once, refused - before);
+  }
+  CAPTURE(refused_at_once);
+  CHECK(refused == 0);
+  CHECK(sent_by_old_settings == 0);
+  for (NarrowEntry& entry : test.fleet.entries())
+    CHECK(entry.session().self().revision == test.fleet.revision());
+}
+
+}  // namespace jacinth::entry
--- a/source/unit_tests/support/narrow_fleet.cc
+++ b/source/unit_tests/support/narrow_fleet.cc
@@ -31,11 +31,12 @@
 
 }  // namespace
 
-NarrowEntry::NarrowEntry(int index) {
+NarrowEntry::NarrowEntry(int index, Duration settings_bound) {
   entry::EntryOptions options = EntryDriver::DefaultOptions();
   options.self.id = "e" + std::to_string(index);
   options.heartbeat = 300ms;
   options.control_timeout = 2s;
+  options.limits.settings_bound = settings_bound;
   driver = std::make_unique<EntryDriver>(options);
 }
 
@@ -49,10 +50,10 @@
       {link_free + link_delay + kOneWay, *wire::DecodeEnvelope(bytes)});
 }
 
-NarrowFleet::NarrowFleet(int entries)
+NarrowFleet::NarrowFleet(int entries, Duration settings_bound)
     : node_(*control::ControlNode::Create(Options(), {}, clock_)) {
   for (int i = 0; i < entries; ++i) {
-    NarrowEntry& entry = entries_.emplace_back(i);
+    NarrowEntry& entry = entries_.emplace_back(i, settings_bound);
     entry.driver->now = clock_.now;
     entry_by_id_[entry.session().self().id] = entries_.size() - 1;
   }
--- a/source/unit_tests/support/narrow_fleet.h
+++ b/source/unit_tests/support/narrow_fleet.h
@@ -21,7 +21,9 @@
     protocol::Envelope envelope;
   };
 
-  explicit NarrowEntry(int index);
+  /// `settings_bound` is the time for which the entry may use replaced
+  /// settings; no limit if zero.
+  explicit NarrowEntry(int index, Duration settings_bound = Duration{0});
 
   const entry::ControlSession& session() const {
     return driver->node.session();
@@ -49,7 +51,7 @@
  public:
   static constexpr Duration kStep = 10ms;
 
-  explicit NarrowFleet(int entries);
+  explicit NarrowFleet(int entries, Duration settings_bound = Duration{0});
 
   void Run(Duration duration);
 
