Entry: Show questions about the list that long intervals cause

Entries take what they know of drains for old after 1.8 s, whatever the interval at which the leader reads the platform's list.

--- a/source/unit_tests/entry/listing_age_test.cc
+++ b/source/unit_tests/entry/listing_age_test.cc
@@ -155,4 +155,37 @@
   CHECK(fleet.readings_by_others() == before);
 }
 
+// Guards against a fleet that asks and reads all the time, as the deployment
+// lets the leader read the list at long intervals.
+TEST_CASE("A long interval between readings makes nobody else read the list") {
+  const Duration interval = GENERATE(2s, 5s);
+  CAPTURE(interval.count());
+  ListingFleet fleet(1, interval);
+  fleet.Run(interval);
+  int questions = 0;
+  fleet.loses_question = [&](std::size_t /*machine*/,
+                             const protocol::Heartbeat& message) {
+    questions += message.asks_listing ? 1 : 0;
+    return false;
+  };
+  const int before = fleet.readings_by_others();
+  fleet.Run(4 * interval);
+  CHECK(questions == 0);
+  CHECK(fleet.readings_by_others() == before);
+}
+
+// Guards against entries that leave the list to a leader which can't read it
+// any more, because its readings come at long intervals.
+TEST_CASE("A leader that ceases to read at long intervals is noticed") {
+  const Duration interval = GENERATE(2s, 5s);
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(interval.count(), seed);
+    ListingFleet fleet(seed, interval);
+    fleet.Run(interval);
+    fleet.stalled_readers = {fleet.Leader()};
+    fleet.Run(2 * interval);
+    CHECK(fleet.OldestDrains() <= interval + ListingFleet::kMaxDrainDelay);
+  }
+}
+
 }  // namespace jacinth::entry
--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-ListingFleet::ListingFleet(std::uint64_t seed)
-    : cluster_(seed, {kReplicas, kReplicas, 0, 500ms, 120ms}) {
+ListingFleet::ListingFleet(std::uint64_t seed, Duration list_interval)
+    : cluster_(seed, {kReplicas, kReplicas, 0, 500ms, 120ms}),
+      list_interval_(list_interval) {
   cluster_.loss_percent = 0;
   cluster_.duplicate_percent = 0;
   cluster_.on_entry_message = [this](const std::string& entry,
@@ -178,7 +179,7 @@
   if (cluster_.now() >= next_reading_[machine] &&
       readings_by_machine_.count(machine) == 0) {
     next_reading_[machine] =
-        std::max(next_reading_[machine] + kListInterval, cluster_.now());
+        std::max(next_reading_[machine] + list_interval_, cluster_.now());
     if (cluster_.node(machine)->Leads())
       StartReading(machine);
   }
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -29,7 +29,8 @@
   static constexpr int kEntries = 12;
   static constexpr std::size_t kReplicas = 5;
 
-  explicit ListingFleet(std::uint64_t seed);
+  explicit ListingFleet(std::uint64_t seed,
+                        Duration list_interval = kListInterval);
 
   /// Returns true if a message of a replica to an entry is lost.
   std::function<bool(const std::string& entry,
@@ -110,6 +111,7 @@
   void StepEntry(Entry& entry);
 
   ControlCluster cluster_;
+  Duration list_interval_;
   std::vector<Entry> entries_;
   std::deque<ToEntry> to_entries_;
   std::vector<Time> next_reading_;
