Entry: Hand requests over with a digest of what decides them

Callers could be served in a region that their route forbids: an entry out of contact ran a hand-over by its own settings, although the entry that handed it over had named newer ones. Others got 503: one in contact refused a hand-over for any newer revision, so that a series of changes could use up the three entries that a request is handed to.

Cause: the revision alone doesn't tell whether two entries decide a request alike.

A hand-over also names a digest of the route, or of the kind of a request without one, by the settings in force where it is handed over. An entry with older settings runs it if its own have the same digest, in contact or not, and refuses it as not ready otherwise. With the same or newer settings it decides as before. Entries of earlier builds read the revision at the end of the header and leave the rest alone; what they hand over is judged by the revision.

The digest is computed for hand-overs only: once by the entry that hands over, and once by one with older settings.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -54,8 +54,10 @@
   std::string entry;
   /// Address at which it serves callers.
   std::string address;
-  /// Revision of the settings by which this entry decides.
+  /// Revision of the settings by which this entry decides, and the digest of
+  /// those that decide this request.
   std::uint64_t revision = 0;
+  std::uint64_t decision = 0;
   Execution execution = Execution::kRepeatable;
   Duration connect_timeout{0};
   /// Time limit of the whole relay.
--- a/source/core/entry/entry_event.h
+++ b/source/core/entry/entry_event.h
@@ -64,6 +64,9 @@
   /// Revision of the settings by which that entry decided; 0 if it doesn't say,
   /// like those of earlier builds.
   std::uint64_t relay_revision = 0;
+  /// Digest of the settings that decide this request there; 0 if it doesn't
+  /// say.
+  std::uint64_t relay_decision = 0;
 };
 
 /// An attempt ended.
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -157,6 +157,8 @@
   bool CanRelay(const RequestRecord& record, Time now) const;
   const protocol::EntryStatus* SelectRelayEntry(const RequestRecord& record,
                                                 Time now) const;
+  std::uint64_t DecisionOn(const RequestArrived& arrival) const;
+  bool IsDecidedElsewhere(const RequestArrived& event, Time now) const;
   bool StartRelay(RequestRecord& record, Time now);
   void On(const RelayEnded& event, Time now);
   void RelayWaitingRequests(Time now);
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -5,6 +5,7 @@
 
 #include "core/common/hash.h"
 #include "core/entry/entry_node.h"
+#include "core/settings/route_digest.h"
 #include "core/steering/isolated_entries.h"
 
 namespace jacinth::entry {
@@ -19,6 +20,8 @@
 /// Time for which no request is handed to an entry that could not be reached or
 /// reached no endpoint: a few heartbeats, after which the member list tells.
 constexpr Duration kAvoidEntryTime = 2s;
+/// Digest that says that no settings match a request.
+constexpr std::uint64_t kNoDecision = 1;
 
 // Returns true if a request may be served in the region; an empty list allows
 // all regions.
@@ -100,6 +103,35 @@
                     candidates.size()];
 }
 
+// Returns a digest of the settings in force that decide the request.
+std::uint64_t EntryNode::DecisionOn(const RequestArrived& arrival) const {
+  if (!arrival.host.empty()) {
+    const settings::RouteSettings* route =
+        session_.fleet()->FindRoute(arrival.host, arrival.path);
+    return route == nullptr ? kNoDecision : settings::DigestOf(*route);
+  }
+  const auto service_state = services_.find(arrival.service);
+  if (service_state == services_.end() || service_state->second.removed)
+    return kNoDecision;
+  const settings::KindSettings* kind =
+      service_state->second.settings.FindKind(arrival.method, arrival.path);
+  return kind == nullptr ? kNoDecision : settings::DigestOf(*kind);
+}
+
+// Returns true if the request comes from an entry with newer settings, by which
+// it may be served otherwise than by those in force here.
+bool EntryNode::IsDecidedElsewhere(const RequestArrived& event,
+                                   Time now) const {
+  if (event.relay_revision <= session_.fleet()->revision)
+    return false;
+  if (event.relay_decision != 0)
+    return event.relay_decision != DecisionOn(event);
+  // Entries of earlier builds tell the revision only. Without contact to a
+  // leader, the newer settings may not come for long, and all callers are
+  // served by those that are held.
+  return session_.InContact(now);
+}
+
 // Hands the request to another entry. Returns false if there is none.
 bool EntryNode::StartRelay(RequestRecord& record, Time now) {
   const EntryStatus* entry = SelectRelayEntry(record, now);
@@ -114,6 +146,7 @@
   relay.entry = entry->id;
   relay.address = entry->address;
   relay.revision = session_.fleet()->revision;
+  relay.decision = DecisionOn(record.arrival);
   relay.execution = record.kind.execution;
   relay.timeout = record.deadline - now;
   relay.connect_timeout = std::min(
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -194,10 +194,7 @@
                  "no settings received from the control role yet"};
   if (AwaitsEndpoints())
     return Error{ErrorKind::kNotReady, "no endpoint list received yet"};
-  // Without contact to a leader, the newer settings may not come for long, and
-  // all callers are served by those that are held.
-  if (event.relay_revision > session_.fleet()->revision &&
-      session_.InContact(now)) {
+  if (IsDecidedElsewhere(event, now)) {
     return Error{ErrorKind::kNotReady,
                  "the settings are older than those of the instance that "
                  "handed the request over"};
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -159,10 +159,11 @@
   pending.started = MonotonicNow();
   pending.forwarded = std::move(forwarded);
   pending.forwarded.arrival.ticket = ticket;
-  const std::string_view relay_tag =
-      http::HeaderValue(transaction->request().headers, kRelayedHeader);
-  pending.forwarded.arrival.relayed = !relay_tag.empty();
-  pending.forwarded.arrival.relay_revision = ParseRelayTag(relay_tag).revision;
+  const RelayTag relay_tag = ParseRelayTag(
+      http::HeaderValue(transaction->request().headers, kRelayedHeader));
+  pending.forwarded.arrival.relayed = !relay_tag.entry.empty();
+  pending.forwarded.arrival.relay_revision = relay_tag.revision;
+  pending.forwarded.arrival.relay_decision = relay_tag.decision;
   pending.forwarded.arrival.message_bytes =
       http::MessageSize(transaction->request());
   std::erase_if(pending.forwarded.outgoing.headers, [](const auto& field) {
@@ -259,7 +260,8 @@
   client_call.address = relay.address;
   client_call.request = adapter_.MakeRelayRequest(pending.forwarded, relay);
   client_call.request.headers.emplace_back(
-      kRelayedHeader, FormatRelayTag({settings_.LinkName(), relay.revision}));
+      kRelayedHeader,
+      FormatRelayTag({settings_.LinkName(), relay.revision, relay.decision}));
   client_call.limits = {relay.connect_timeout, relay.timeout,
                         server_.limits().max_body_bytes};
   client_call.max_idle = relay.execution == Execution::kRepeatable
@@ -386,7 +388,7 @@
                                 snapshot_ != nullptr &&
                                 snapshot_->fleet != nullptr;
     const RelayTag tag{settings_.LinkName(),
-                       names_revision ? snapshot_->fleet->revision : 0};
+                       names_revision ? snapshot_->fleet->revision : 0, 0};
     response.headers.emplace_back(kUnavailableHeader, FormatRelayTag(tag));
   }
   return response;
--- a/source/jacinthroute/relay_tag.h
+++ b/source/jacinthroute/relay_tag.h
@@ -14,14 +14,17 @@
   std::string entry;
   /// Revision of the settings; 0 if it isn't stated.
   std::uint64_t revision = 0;
+  /// Digest of those that decide the request; 0 if it isn't stated.
+  std::uint64_t decision = 0;
 
   bool operator==(const RelayTag&) const = default;
 };
 
-/// Returns the text of a tag, `ENTRY;revision=N` or `ENTRY`.
+/// Returns the text of a tag, `ENTRY;decision=N;revision=N` without the numbers
+/// that aren't stated. Earlier builds read the revision at the end.
 std::string FormatRelayTag(const RelayTag& tag);
 
-/// Parses a tag. The revision of a text without a well-formed one is 0.
+/// Parses a tag. Numbers that a text lacks or that are malformed are 0.
 RelayTag ParseRelayTag(std::string_view text);
 
 }  // namespace jacinth
--- a/source/unit_tests/entry/entry_hand_over_test.cc
+++ b/source/unit_tests/entry/entry_hand_over_test.cc
@@ -76,6 +76,7 @@
   arrival.path = "/a/x";
   arrival.relayed = true;
   arrival.relay_revision = relay.revision;
+  arrival.relay_decision = relay.decision;
   driver.Step(arrival);
 }
 
--- a/source/unit_tests/http/relay_tag_test.cc
+++ b/source/unit_tests/http/relay_tag_test.cc
@@ -6,10 +6,12 @@
 
 namespace jacinth {
 
-TEST_CASE("A relay tag keeps the entry and the revision") {
+TEST_CASE("A relay tag keeps the entry, the revision and the decision") {
+  constexpr std::uint64_t kMax = std::numeric_limits<std::uint64_t>::max();
   const RelayTag tag =
-      GENERATE(RelayTag{"e1@west", 0}, RelayTag{"e1@west", 17},
-               RelayTag{"e;1", std::numeric_limits<std::uint64_t>::max()});
+      GENERATE_COPY(RelayTag{"e1@west", 0, 0}, RelayTag{"e1@west", 17, 0},
+                    RelayTag{"e1@west", 0, kMax}, RelayTag{"e;1", kMax, 0},
+                    RelayTag{"e;1", kMax, 4});
   CHECK(ParseRelayTag(FormatRelayTag(tag)) == tag);
 }
 
