Entry: Know hand-overs by a key that callers can't name

Any caller could name Jacinth-Relayed and was believed to be an entry: its first attempts were left out of the retry budget, it wasn't handed on, and it was refused if it named a newer revision.

A hand-over also names the incarnation of the entry that it goes to, 64 random bits that only entries learn, from the member list. Without it the header is that of a caller: it is ignored and goes no further. Incarnations of earlier builds have 32 bits, all others are above, so that the header without a key is still believed if it names a member of an earlier build. An entry that restarts serves what was meant for its last process like a caller's request. An entry compares nothing for requests without the header.

--- a/source/core/entry/entry_actions.h
+++ b/source/core/entry/entry_actions.h
@@ -52,6 +52,7 @@
   RequestTicket ticket = 0;
   /// Id of the other entry instance.
   std::string entry;
+  std::uint64_t incarnation = 0;
   /// Address at which it serves callers.
   std::string address;
   /// Revision of the settings by which this entry decides, and the digest of
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -144,6 +144,7 @@
   entry::StartRelay relay;
   relay.ticket = record.arrival.ticket;
   relay.entry = entry->id;
+  relay.incarnation = entry->incarnation;
   relay.address = entry->address;
   relay.revision = session_.fleet()->revision;
   relay.decision = DecisionOn(record.arrival);
--- a/source/jacinthroute/entry_host_impl.h
+++ b/source/jacinthroute/entry_host_impl.h
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <utility>
 #include <variant>
@@ -23,6 +22,7 @@
 #include "jacinthroute/endpoint_lister.h"
 #include "jacinthroute/entry_host.h"
 #include "jacinthroute/interface_adapter.h"
+#include "jacinthroute/relay_check.h"
 #include "jacinthroute/relay_tag.h"
 #include "jacinthroute/tick_timer.h"
 
@@ -53,7 +53,7 @@
 inline constexpr std::size_t kInitialMaxBodyBytes = 64UL << 20U;
 
 /// Header of a request that another entry has handed to this one; the RelayTag
-/// of that entry.
+/// of that entry. Callers can't set it; see IsFromEntry().
 inline constexpr std::string_view kRelayedHeader = "Jacinth-Relayed";
 /// Header of a refusal of such a request that other entries may be able to
 /// serve; the RelayTag of the entry that refused, with the revision only if it
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -3,7 +3,6 @@
 // Definitions of the members of EntryHostImpl; included only by its header.
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "core/common/process_clock.h"
@@ -61,7 +60,7 @@
     const Adapter& adapter) {
   entry::EntryOptions options;
   options.self.id = settings.LinkName();
-  options.self.incarnation = std::random_device{}();
+  options.self.incarnation = MakeIncarnation();
   options.self.region = settings.region;
   options.self.failure_domain = settings.failure_domain;
   options.self.address = settings.entry_address;
@@ -159,11 +158,10 @@
   pending.started = MonotonicNow();
   pending.forwarded = std::move(forwarded);
   pending.forwarded.arrival.ticket = ticket;
-  const RelayTag relay_tag = ParseRelayTag(
-      http::HeaderValue(transaction->request().headers, kRelayedHeader));
-  pending.forwarded.arrival.relayed = !relay_tag.entry.empty();
-  pending.forwarded.arrival.relay_revision = relay_tag.revision;
-  pending.forwarded.arrival.relay_decision = relay_tag.decision;
+  ApplyRelayTag(ParseRelayTag(http::HeaderValue(transaction->request().headers,
+                                                kRelayedHeader)),
+                node_.session().self(), node_.session().members(),
+                pending.forwarded.arrival);
   pending.forwarded.arrival.message_bytes =
       http::MessageSize(transaction->request());
   std::erase_if(pending.forwarded.outgoing.headers, [](const auto& field) {
@@ -261,7 +259,7 @@
   client_call.request = adapter_.MakeRelayRequest(pending.forwarded, relay);
   client_call.request.headers.emplace_back(
       kRelayedHeader,
-      FormatRelayTag({settings_.LinkName(), relay.revision, relay.decision}));
+      FormatRelayTag(MakeRelayTag(settings_.LinkName(), relay)));
   client_call.limits = {relay.connect_timeout, relay.timeout,
                         server_.limits().max_body_bytes};
   client_call.max_idle = relay.execution == Execution::kRepeatable
@@ -364,9 +362,10 @@
 http::Response EntryHostImpl<Adapter>::MakeResponse(
     const entry::RequestAnswer& answer,
     PendingRequest& pending) {
-  if (std::holds_alternative<entry::ForwardAnswer>(answer.body))
+  if (std::holds_alternative<entry::ForwardAnswer>(answer.body)) {
     return adapter_.MakeForwardedResponse(pending.forwarded,
                                           std::move(pending.last_response));
+  }
   if (const auto* replay = std::get_if<entry::ReplayAnswer>(&answer.body))
     return adapter_.MakeReplayedResponse(replay->answer);
   if (std::holds_alternative<entry::RelayedAnswer>(answer.body)) {
@@ -387,8 +386,9 @@
     const bool names_revision = refusal.error.kind == ErrorKind::kNotReady &&
                                 snapshot_ != nullptr &&
                                 snapshot_->fleet != nullptr;
-    const RelayTag tag{settings_.LinkName(),
-                       names_revision ? snapshot_->fleet->revision : 0, 0};
+    const RelayTag tag{
+        .entry = settings_.LinkName(),
+        .revision = names_revision ? snapshot_->fleet->revision : 0};
     response.headers.emplace_back(kUnavailableHeader, FormatRelayTag(tag));
   }
   return response;
--- a/source/jacinthroute/relay_tag.cc
+++ b/source/jacinthroute/relay_tag.cc
@@ -5,6 +5,7 @@
 namespace jacinth {
 namespace {
 
+constexpr std::string_view kKeyParameter = ";key=";
 constexpr std::string_view kDecisionParameter = ";decision=";
 constexpr std::string_view kRevisionParameter = ";revision=";
 
@@ -33,6 +34,7 @@
 
 std::string FormatRelayTag(const RelayTag& tag) {
   std::string text = tag.entry;
+  AppendNumber(text, kKeyParameter, tag.key);
   AppendNumber(text, kDecisionParameter, tag.decision);
   AppendNumber(text, kRevisionParameter, tag.revision);
   return text;
@@ -42,6 +44,7 @@
   RelayTag tag;
   tag.revision = TakeNumber(text, kRevisionParameter);
   tag.decision = TakeNumber(text, kDecisionParameter);
+  tag.key = TakeNumber(text, kKeyParameter);
   tag.entry = std::string(text);
   return tag;
 }
