Entry: Pass no endpoint's answer on as the refusal of an entry

Callers could get 503, which promises that a request hasn't run, for one that had: an endpoint that answers with Jacinth-Unavailable made the entry to which a request was handed over look as if it had refused, and the request was refused or sent to a third entry.

The header is taken out of the answers of endpoints.

"An answer of an endpoint can't pose as the refusal of an entry" failed before: CHECK( fleet.RunCount(id) == 0 ) with expansion: 1 == 0 CHECK( served > 0 ) with expansion: 0 > 0 and passes now.

--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -363,6 +363,10 @@
     const entry::RequestAnswer& answer,
     PendingRequest& pending) {
   if (std::holds_alternative<entry::ForwardAnswer>(answer.body)) {
+    // Only entries say this.
+    std::erase_if(pending.last_response.headers, [](const auto& field) {
+      return http::EqualsIgnoringCase(field.first, kUnavailableHeader);
+    });
     return adapter_.MakeForwardedResponse(pending.forwarded,
                                           std::move(pending.last_response));
   }
