Quarantine: Show a suspect that an entry leaves out for good

An entry leaves out of the leader's list what it has acquitted and hasn't told the leader yet, and takes the version of the list all the same. If the acquittal then makes room for others or grows old, the leader goes on holding the suspect and the entry never hears of it again.

Fails on this code, with 256 other acquittals and after 61 s: CHECK( quarantine.Judge(kRequest) == Verdict::kBlocked ) with expansion: 0 == 2

--- a/source/unit_tests/quarantine/request_quarantine_test.cc
+++ b/source/unit_tests/quarantine/request_quarantine_test.cc
@@ -56,6 +56,58 @@
   CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
 }
 
+// Guards against a suspect of the leader that an entry never learns of, as it
+// was skipped for an acquittal that the leader never got.
+TEST_CASE("A suspect that is skipped for an acquittal counts without it") {
+  RequestQuarantine quarantine;
+  Time now = Crash(quarantine, 2, Time{100s});
+  quarantine.OnAnswer(kRequest, now);
+  protocol::SuspectUpdate list = Update(kTerm1 + 5);
+  list.requests[0].left_ms = 600'000;
+  quarantine.ApplyUpdate(list, 0, now);
+  CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+  const auto forget_acquittal = [&] {
+    if (GENERATE(true, false)) {
+      now += 61s;
+      quarantine.Expire(now);
+      return;
+    }
+    // Acquittals of others take its place.
+    constexpr std::uint64_t kOthers = 256;
+    for (std::uint64_t other = kRequest + 1; other <= kRequest + kOthers;
+         ++other) {
+      for (const std::string endpoint : {"a", "b"}) {
+        quarantine.OnLost({other, "s", endpoint, 1, now}, now + 100ms);
+        now += 200ms;
+      }
+      quarantine.OnAnswer(other, now);
+    }
+  };
+  SECTION("if that is forgotten") {
+    forget_acquittal();
+    CHECK(quarantine.Judge(kRequest) == Verdict::kBlocked);
+  }
+  SECTION("unless the leader has got that") {
+    REQUIRE(quarantine.TakeAcquittals(3, now).size() == 1);
+    protocol::SuspectUpdate unchanged;
+    unchanged.version = kTerm1 + 5;
+    unchanged.unchanged = true;
+    quarantine.ApplyUpdate(unchanged, 3, now);
+    forget_acquittal();
+    CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+  }
+  SECTION("unless the leader has withdrawn it") {
+    protocol::SuspectUpdate withdrawal;
+    withdrawal.version = kTerm1 + 6;
+    withdrawal.base = GENERATE(kTerm1 + 5, 0);
+    if (withdrawal.base != 0)
+      withdrawal.removed = {kRequest};
+    quarantine.ApplyUpdate(withdrawal, 0, now);
+    forget_acquittal();
+    CHECK(quarantine.Judge(kRequest) == Verdict::kClear);
+  }
+}
+
 TEST_CASE("Suspects of the leader's list are blocked until they leave it") {
   RequestQuarantine quarantine;
   const Time now{100s};
