Quarantine: Count a withheld suspect when its acquittal is forgotten

An entry that had skipped a suspect of the leader's list for an acquittal of its own kept sending that request to endpoints, as clear, after the acquittal had made room for others or grown old without reaching the leader, while all other entries refused it.

Cause: the entry takes the version of a list of which it has left something out, and the leader doesn't send that again.

The crashes that the list tells are kept with the acquittal and count when it is forgotten. They are dropped when the leader has got the acquittal or withdraws the suspect. Not taking the version was weighed: the leader would send the entry all changes since then again each second, while requests turn suspect in numbers, which is when an entry skips some.

--- a/source/core/quarantine/request_quarantine.cc
+++ b/source/core/quarantine/request_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "core/quarantine/fingerprint.h"
 
@@ -69,9 +70,12 @@
   });
   // Those suspected make room for themselves; the others expire at the leader.
   if (suspected && acquittals_.size() >= kMaxAcquittals)
-    acquittals_.erase(acquittals_.begin());
-  if (acquittals_.size() < kMaxAcquittals)
-    acquittals_[fingerprint] = {now, {}};
+    Forget(acquittals_.begin(), now);
+  if (acquittals_.size() < kMaxAcquittals) {
+    Acquittal& acquittal = acquittals_[fingerprint];
+    acquittal.since = now;
+    acquittal.delivery = {};
+  }
   has_news_ |= suspected;
 }
 
@@ -99,27 +103,54 @@
   std::set<std::uint64_t> listed;
   for (const protocol::SuspectNotice& notice : update.requests) {
     listed.insert(notice.fingerprint);
+    CountedCrashes crashes{notice.endpoints,
+                           now + std::chrono::milliseconds(notice.left_ms)};
     // This entry's acquittal has not reached the leader yet.
-    if (acquittals_.count(notice.fingerprint) != 0)
-      continue;
-    MakeRoom();
-    CrashHistory& history = records_[notice.fingerprint];
-    const std::size_t before = history.Sequence().size();
-    history.SetCounted(notice.endpoints, now,
-                       now + std::chrono::milliseconds(notice.left_ms));
-    const std::size_t crashes = history.Sequence().size();
-    if (VerdictFor(crashes) > VerdictFor(before))
-      LogVerdict("suspect_received", notice.fingerprint, crashes);
+    const auto acquittal = acquittals_.find(notice.fingerprint);
+    if (acquittal != acquittals_.end())
+      acquittal->second.withheld = std::move(crashes);
+    else
+      Count(notice.fingerprint, std::move(crashes), now);
   }
   const std::set<std::uint64_t> removed(update.removed.begin(),
                                         update.removed.end());
   // A new leader may not know all suspects; see docs/design/quarantine.md.
   const bool is_complete = is_whole && !new_term;
+  const auto is_withdrawn = [&](std::uint64_t fingerprint) {
+    return removed.count(fingerprint) != 0 ||
+           (is_complete && listed.count(fingerprint) == 0);
+  };
   std::erase_if(records_, [&](const auto& item) {
-    const bool is_withdrawn = removed.count(item.first) != 0 ||
-                              (is_complete && listed.count(item.first) == 0);
-    return item.second.counted_until() != Time::min() && is_withdrawn;
+    return item.second.counted_until() != Time::min() &&
+           is_withdrawn(item.first);
   });
+  for (auto& [fingerprint, acquittal] : acquittals_) {
+    if (is_withdrawn(fingerprint))
+      acquittal.withheld = {};
+  }
+}
+
+// Counts crashes that the leader's list has.
+void RequestQuarantine::Count(std::uint64_t fingerprint,
+                              CountedCrashes crashes,
+                              Time now) {
+  MakeRoom();
+  CrashHistory& history = records_[fingerprint];
+  const std::size_t before = history.Sequence().size();
+  history.SetCounted(std::move(crashes.endpoints), now, crashes.until);
+  const std::size_t after = history.Sequence().size();
+  if (VerdictFor(after) > VerdictFor(before))
+    LogVerdict("suspect_received", fingerprint, after);
+}
+
+// Removes an acquittal that the leader hasn't got, and returns the next one.
+RequestQuarantine::Acquittals::iterator RequestQuarantine::Forget(
+    Acquittals::iterator acquittal,
+    Time now) {
+  CountedCrashes crashes = std::move(acquittal->second.withheld);
+  if (now < crashes.until)
+    Count(acquittal->first, std::move(crashes), now);
+  return acquittals_.erase(acquittal);
 }
 
 std::vector<protocol::CrashReport> RequestQuarantine::TakeReports(
@@ -180,9 +211,12 @@
   std::erase_if(reports_, [&](const Report& report) {
     return now >= report.ended + CrashHistory::kMaxAge;
   });
-  std::erase_if(acquittals_, [&](const auto& item) {
-    return now >= item.second.since + CrashHistory::kMaxAge;
-  });
+  for (auto it = acquittals_.begin(); it != acquittals_.end();) {
+    if (now >= it->second.since + CrashHistory::kMaxAge)
+      it = Forget(it, now);
+    else
+      ++it;
+  }
 }
 
 // Removes a record with the fewest crashes if the limit is reached.
--- a/source/core/quarantine/request_quarantine.h
+++ b/source/core/quarantine/request_quarantine.h
@@ -86,12 +86,23 @@
     Time ended{};
     Delivery delivery;
   };
+  /// The crashes of a suspect of the leader's list.
+  struct CountedCrashes {
+    std::vector<std::uint64_t> endpoints;
+    Time until{};
+  };
   struct Acquittal {
     Time since{};
     Delivery delivery;
+    /// What the leader's list says of the request. It counts if the acquittal
+    /// is forgotten before the leader has got it.
+    CountedCrashes withheld;
   };
+  using Acquittals = std::map<std::uint64_t, Acquittal>;
 
   static bool TakeTurn(Delivery& delivery, std::uint64_t sequence, Time now);
+  void Count(std::uint64_t fingerprint, CountedCrashes crashes, Time now);
+  Acquittals::iterator Forget(Acquittals::iterator acquittal, Time now);
   void MakeRoom();
   void LogVerdict(std::string_view event,
                   std::uint64_t fingerprint,
@@ -99,7 +110,7 @@
 
   std::unordered_map<std::uint64_t, CrashHistory> records_;
   std::deque<Report> reports_;
-  std::map<std::uint64_t, Acquittal> acquittals_;
+  Acquittals acquittals_;
   std::uint64_t version_ = 0;
   bool has_news_ = false;
   Time next_expiry_{};
