Entry: Ask again before a request leaves on a new connection

On kept connections they leave at once, and no request waits for a connection of the pool.

The client asks when a connection has opened and sends nothing if the request is withdrawn; the request then goes back to the queue, without costing a retry, as nothing was sent.

"A request that may not be sent any more leaves no byte" is new with the code.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -33,6 +33,7 @@
           "the endpoint refused without stating whether it ran the request"};
     case AttemptEnd::kNotConnected:
     case AttemptEnd::kMisdirected:
+    case AttemptEnd::kWithdrawn:
       return {ErrorKind::kNoEndpoint,
               "no connection to an endpoint could be established"};
     default:
@@ -131,9 +132,10 @@
   if (refused && event.load && event.load->HasIdleSlot())
     record.excluded_endpoints.erase(record.endpoint);
   record.endpoint.clear();
-  const bool should_requeue = refused &&
-                              !options_.limits.count_refusals_as_retries &&
-                              now < record.deadline;
+  const bool should_requeue =
+      now < record.deadline &&
+      (event.end == AttemptEnd::kWithdrawn ||
+       (refused && !options_.limits.count_refusals_as_retries));
   if (should_requeue) {
     LogAttemptEnd(record, event.end, /*will_retry=*/true, now);
     RequeueRequest(record, service_state, now);
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -65,6 +65,11 @@
 
   EntryActions Step(const EntryEvent& event, Time now);
 
+  /// Returns true if the settings in force still let the request go to the
+  /// endpoint or entry that it was last meant for. The host asks before bytes
+  /// leave on a new connection, which may have taken long to open.
+  bool MaySend(RequestTicket ticket) const;
+
   std::size_t active_requests() const { return requests_.size(); }
   const ControlSession& session() const { return session_; }
 
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -35,6 +35,7 @@
   switch (end) {
     case AttemptEnd::kNotConnected:
     case AttemptEnd::kRefused:
+    case AttemptEnd::kWithdrawn:
       return {ErrorKind::kNoEndpoint,
               "neither this instance nor other entries reach an endpoint"};
     case AttemptEnd::kTimedOut:
@@ -186,8 +187,9 @@
   record.may_have_run |= outcome != Outcome::kNotRun;
   ServiceState& service_state = services_.at(record.service);
   const bool may_repeat =
-      unavailable ? service_state.retries.TryRetry(now)
-                  : TryAcquireRetry(record, service_state, event.end, now);
+      event.end == AttemptEnd::kWithdrawn ||
+      (unavailable ? service_state.retries.TryRetry(now)
+                   : TryAcquireRetry(record, service_state, event.end, now));
   LogAttemptEnd(record, event.end, may_repeat, now);
   if (may_repeat && CanRelay(record, now) && StartRelay(record, now))
     return;
--- a/source/core/forwarding/attempt.cc
+++ b/source/core/forwarding/attempt.cc
@@ -19,6 +19,7 @@
     NamedValue<AttemptEnd>{AttemptEnd::kTimedOut, "timed_out"},
     NamedValue<AttemptEnd>{AttemptEnd::kAnswerTooLarge, "answer_too_large"},
     NamedValue<AttemptEnd>{AttemptEnd::kCancelled, "cancelled"},
+    NamedValue<AttemptEnd>{AttemptEnd::kWithdrawn, "withdrawn"},
 };
 
 }  // namespace
@@ -32,6 +33,7 @@
     case AttemptEnd::kRefused:
     case AttemptEnd::kMisdirected:
     case AttemptEnd::kNotConnected:
+    case AttemptEnd::kWithdrawn:
       return Outcome::kNotRun;
     case AttemptEnd::kAmbiguousRefusal:
     case AttemptEnd::kAnswerIncomplete:
--- a/source/core/forwarding/attempt.h
+++ b/source/core/forwarding/attempt.h
@@ -30,6 +30,9 @@
   kAnswerTooLarge,
   /// The caller disconnected, so the attempt was canceled.
   kCancelled,
+  /// The endpoint may not get the request any more, as was found before any
+  /// byte was sent.
+  kWithdrawn,
 };
 
 /// Returns whether the request ran, as far as the end of the attempt shows it.
--- a/source/core/forwarding/endpoint_table.cc
+++ b/source/core/forwarding/endpoint_table.cc
@@ -107,7 +107,7 @@
   --inflight_;
   if (load)
     UpdateBusyShare(*load);
-  if (end == AttemptEnd::kCancelled)
+  if (end == AttemptEnd::kCancelled || end == AttemptEnd::kWithdrawn)
     return;
   if (end == AttemptEnd::kMisdirected) {
     state.misdirected = true;
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -21,6 +21,9 @@
   /// The response was truncated, or its end can't be determined.
   kIncomplete,
   kTooLarge,
+  /// The connection was open when the caller gave the request up, so no byte
+  /// was sent.
+  kWithdrawn,
 };
 
 /// Result of an exchange. `response` is complete only for kAnswered.
--- a/source/core/http/event_client.h
+++ b/source/core/http/event_client.h
@@ -29,6 +29,9 @@
   /// Longest idle time of a connection to be reused. Zero forces a new
   /// connection.
   Duration max_idle{0};
+  /// Returns true if the request may still be sent on a connection that has
+  /// just been opened for it. If empty, it may.
+  std::function<bool()> may_send;
   /// Returns true if the connection of a response may be reused. If empty, all
   /// may.
   std::function<bool(const Response&)> keeps_connection;
--- a/source/core/http/event_connection.cc
+++ b/source/core/http/event_connection.cc
@@ -59,6 +59,7 @@
 void EventConnection::StartExchange(CallId id, const ClientCall& call) {
   call_id_ = id;
   limits_ = call.limits;
+  may_send_ = call.may_send;
   keeps_connection_ = call.keeps_connection;
   deadline_ = MonotonicNow() + call.limits.timeout;
   is_head_request_ = call.request.method == "HEAD";
@@ -142,6 +143,10 @@
           self->Finish(ExchangeEnd::kNotConnected);
           return;
         }
+        if (self->may_send_ && !self->may_send_()) {
+          self->Finish(ExchangeEnd::kWithdrawn);
+          return;
+        }
         asio::error_code ignored;
         self->socket_.set_option(tcp::no_delay(true), ignored);
         self->phase_ = Phase::kRunning;
--- a/source/core/http/event_connection.h
+++ b/source/core/http/event_connection.h
@@ -69,6 +69,7 @@
   Phase phase_ = Phase::kNew;
   CallId call_id_ = 0;
   ExchangeLimits limits_;
+  std::function<bool()> may_send_;
   std::function<bool(const Response&)> keeps_connection_;
   Time deadline_{};
   Time idle_since_{};
--- a/source/jacinthroute/attempt_end.cc
+++ b/source/jacinthroute/attempt_end.cc
@@ -19,6 +19,8 @@
       return AttemptEnd::kAnswerIncomplete;
     case ExchangeEnd::kTooLarge:
       return AttemptEnd::kAnswerTooLarge;
+    case ExchangeEnd::kWithdrawn:
+      return AttemptEnd::kWithdrawn;
   }
   return AttemptEnd::kConnectionLost;
 }
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -212,6 +212,9 @@
                                ? kMaxIdleTimeRepeatable
                                : kMaxIdleTimeAtMostOnce;
   }
+  client_call.may_send = [this, ticket = attempt.ticket] {
+    return node_.MaySend(ticket);
+  };
   client_call.keeps_connection =
       [this, ticket = attempt.ticket](const http::Response& response) {
         const auto request = pending_requests_.find(ticket);
@@ -265,6 +268,9 @@
   client_call.max_idle = relay.execution == Execution::kRepeatable
                              ? kMaxIdleTimeRepeatable
                              : kMaxIdleTimeAtMostOnce;
+  client_call.may_send = [this, ticket = relay.ticket] {
+    return node_.MaySend(ticket);
+  };
   client_call.keeps_connection =
       [this, ticket = relay.ticket](const http::Response& response) {
         const auto request = pending_requests_.find(ticket);
--- a/source/unit_tests/http/event_client_test.cc
+++ b/source/unit_tests/http/event_client_test.cc
@@ -88,6 +88,30 @@
   CHECK(Exchange(address).end == ExchangeEnd::kNotConnected);
 }
 
+// Guards against bytes that leave by a decision from before the connection was
+// opened (docs/incidents/home.md).
+TEST_CASE("A request that may not be sent any more leaves no byte") {
+  asio::io_context context;
+  EventClient client(context, 4);
+  test::RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  std::optional<ExchangeResult> ended;
+  const bool may_send = GENERATE(true, false);
+  ClientCall call;
+  call.address = server.address();
+  call.request.method = "GET";
+  call.request.target = "/";
+  call.limits = kLimits;
+  call.may_send = [&] { return may_send; };
+  client.Start(call, [&](ExchangeResult result) {
+    ended = std::move(result);
+    context.stop();
+  });
+  context.run();
+  CHECK(ended.value().end ==
+        (may_send ? ExchangeEnd::kAnswered : ExchangeEnd::kWithdrawn));
+  CHECK(server.request_count() == (may_send ? 1 : 0));
+}
+
 TEST_CASE("The end handler of a canceled call is not called") {
   asio::io_context context;
   EventClient client(context, 4);
