Entry: Send by the settings in force when the connection is open

Callers' requests, with their bodies, could go to an endpoint or entry in a region that the route didn't allow any more, or to an endpoint that was drained, gone or replaced, if the settings or the list arrived while the connection was opened: 250 ms by default, and as long as connect_timeout_ms says.

Before the first byte leaves, MaySend() compares the endpoint with the newest settings and list held: it is there, is the same process, isn't drained, and its region is allowed; for a hand-over the same of the entry. Otherwise the request is decided anew, without costing a retry or an attempt.

entry_sends_test failed before, in five checks: CHECK_FALSE( driver.node.MaySend(ticket) ) with expansion: !true and passes now; entry_test 175 cases without the known failure.

--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -166,6 +166,8 @@
   bool IsDecidedElsewhere(const RequestArrived& event, Time now) const;
   bool StartRelay(RequestRecord& record, Time now);
   void On(const RelayEnded& event, Time now);
+  bool MayHandOverTo(const std::string& id,
+                     const std::vector<std::string>& regions) const;
   void RelayWaitingRequests(Time now);
   void RelayRunningRequests(Time now);
   void SpreadCallers();
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "core/common/hash.h"
+#include "core/entry/allowed_regions.h"
 #include "core/entry/entry_node.h"
 #include "core/settings/route_digest.h"
 #include "core/steering/isolated_entries.h"
@@ -23,14 +24,6 @@
 /// Digest that says that no settings match a request.
 constexpr std::uint64_t kNoDecision = 1;
 
-// Returns true if a request may be served in the region; an empty list allows
-// all regions.
-bool IsAllowedRegion(const std::vector<std::string>& allowed,
-                     const std::string& region) {
-  return allowed.empty() ||
-         std::find(allowed.begin(), allowed.end(), region) != allowed.end();
-}
-
 Error ErrorForRelayEnd(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotConnected:
--- a/source/core/entry/entry_sends.cc
+++ b/source/core/entry/entry_sends.cc
@@ -1,9 +1,39 @@
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "core/entry/allowed_regions.h"
 #include "core/entry/entry_node.h"
 
 namespace jacinth::entry {
 
 bool EntryNode::MaySend(RequestTicket ticket) const {
-  return requests_.count(ticket) != 0;
+  const auto found = requests_.find(ticket);
+  if (found == requests_.end())
+    return false;
+  const RequestRecord& record = found->second;
+  const std::vector<std::string>& regions = AllowedRegions(record);
+  if (!record.relay_entry.empty())
+    return MayHandOverTo(record.relay_entry, regions);
+  const forwarding::EndpointTable& endpoints =
+      services_.at(record.service).endpoints;
+  const settings::EndpointSettings* endpoint = endpoints.Find(record.endpoint);
+  return endpoint != nullptr && !endpoint->drained &&
+         endpoints.ProcessOf(record.endpoint) == record.process &&
+         IsAllowedRegion(regions, endpoint->region);
+}
+
+// Returns true if the entry is still listed, isn't drained, and is in one of
+// the regions.
+bool EntryNode::MayHandOverTo(const std::string& id,
+                              const std::vector<std::string>& regions) const {
+  const std::vector<protocol::EntryStatus>& members = session_.members();
+  const auto entry = std::find_if(
+      members.begin(), members.end(),
+      [&](const protocol::EntryStatus& member) { return member.id == id; });
+  return entry != members.end() && !entry->draining &&
+         session_.fleet()->drained_entries.count(id) == 0 &&
+         IsAllowedRegion(regions, entry->region);
 }
 
 }  // namespace jacinth::entry
