Entry: Move requests that wait along with their routes

A request that waited for a slot, or was tried again, ran at the old service of its route for as long as its deadline allowed, though a change had moved the route to another one.

Cause: the service was kept from the arrival; only the regions were looked up again.

When a change moves a route, the requests that wait are admitted to its new service, with their deadlines. So are those whose attempt ends without having run. A request that may have run ends with an unknown outcome, as its caller can tell better whether to repeat it. One that the new service can't serve is refused as not run, at once. Requests whose route is gone are completed by the old one, as before, and so are those with claims, which belong to a service. The log says `request_moved`. A change looks up one route for each request that waits, and nothing while none does.

entry_moves_test failed before: CHECK( driver.attempts[1].endpoint == "t1" ) with expansion: "s1" == "t1" REQUIRE( driver.attempts.size() == 2 ) with expansion: 1 == 2 CHECK( driver.attempts.size() == 1 ) with expansion: 2 == 1 REQUIRE( driver.FindRefusal(waiting) != nullptr ) with expansion: nullptr != nullptr and passes now. "A request that may have run ends when its route moves" is new with the code; without either guard it fails: REQUIRE( driver.FindRefusal(ticket) != nullptr ).

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -132,8 +132,18 @@
   if (refused && event.load && event.load->HasIdleSlot())
     record.excluded_endpoints.erase(record.endpoint);
   record.endpoint.clear();
+  const Outcome outcome = forwarding::OutcomeOf(event.end);
+  const bool should_move = outcome == Outcome::kNotRun &&
+                           !record.may_have_run && now < record.deadline &&
+                           HasMoved(record);
+  if (should_move) {
+    LogAttemptEnd(record, event.end, /*will_retry=*/true, now);
+    MoveRequest(event.ticket, now);
+    DispatchRequests(service_state, now);
+    return;
+  }
   const bool should_requeue =
-      now < record.deadline &&
+      now < record.deadline && !HasMoved(record) &&
       (event.end == AttemptEnd::kWithdrawn ||
        (refused && !options_.limits.count_refusals_as_retries));
   if (should_requeue) {
@@ -141,7 +151,6 @@
     RequeueRequest(record, service_state, now);
     return;
   }
-  const Outcome outcome = forwarding::OutcomeOf(event.end);
   const bool may_retry = event.end != AttemptEnd::kAnswered &&
                          TryAcquireRetry(record, service_state, event.end, now);
   record.may_have_run |= outcome != Outcome::kNotRun;
@@ -260,7 +269,7 @@
                                 AttemptEnd end,
                                 Time now) const {
   if (now >= record.deadline || record.attempts >= record.kind.max_attempts ||
-      !CanEndBeforeStop(record, service_state, now))
+      !CanEndBeforeStop(record, service_state, now) || HasMoved(record))
     return false;
   if (quarantine_.Judge(record.suspect_id) != quarantine::Verdict::kClear)
     return false;
--- /dev/null
+++ b/source/core/entry/entry_moves.cc
@@ -0,0 +1,97 @@
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "core/entry/entry_node.h"
+
+namespace jacinth::entry {
+
+// Returns the route that matches the request by the settings in force; null for
+// a request to a service.
+const settings::RouteSettings* EntryNode::RouteOf(
+    const RequestRecord& record) const {
+  return record.arrival.host.empty()
+             ? nullptr
+             : session_.fleet()->FindRoute(record.arrival.host,
+                                           record.arrival.path);
+}
+
+bool EntryNode::LeadsTo(const settings::RouteSettings& route,
+                        const std::string& service) {
+  return std::any_of(route.shares.begin(), route.shares.end(),
+                     [&](const settings::RouteShare& share) {
+                       return share.service == service;
+                     });
+}
+
+// Returns true if the route of the request leads to other services by now. A
+// request whose route is gone is completed by its old one, as nothing newer
+// says how to serve it. Claims belong to a service.
+bool EntryNode::HasMoved(const RequestRecord& record) const {
+  if (record.revision == session_.fleet()->revision || !record.claim_id.empty())
+    return false;
+  const settings::RouteSettings* route = RouteOf(record);
+  return route != nullptr && !LeadsTo(*route, record.service);
+}
+
+// Moves the queued requests whose routes lead to other services by now, and
+// ends those that an endpoint may have run.
+void EntryNode::MoveWaitingRequests(Time now) {
+  std::vector<RequestTicket> moved;
+  for (const auto& [ticket, record] : requests_) {
+    if (record.phase == RequestPhase::kWaiting && HasMoved(record))
+      moved.push_back(ticket);
+  }
+  for (const RequestTicket ticket : moved) {
+    const RequestRecord& record = requests_.at(ticket);
+    services_.at(record.service).queue.Remove(ticket);
+    if (!record.may_have_run) {
+      MoveRequest(ticket, now);
+      continue;
+    }
+    Refuse(ticket,
+           {ErrorKind::kEndpointFailed,
+            "an attempt was lost, and the route leads to another service now"},
+           now);
+  }
+}
+
+// Admits a request, which is neither queued nor at an endpoint and hasn't run,
+// anew to a service of its route.
+void EntryNode::MoveRequest(RequestTicket ticket, Time now) {
+  RequestRecord record = std::move(requests_.extract(ticket).mapped());
+  services_.at(record.service)
+      .queue.Release(record.kind.name, record.phase == RequestPhase::kRunning);
+  ceilings_.Release(record.kind.rank);
+  SettleBandwidth(record, now);
+  auto resolved = Resolve(record.arrival);
+  std::optional<Error> error;
+  if (resolved)
+    error = CheckService(*resolved, now);
+  else
+    error = resolved.error();
+  if (error) {
+    RefuseRequest refusal{*error, Outcome::kNotRun, RetryAfter(record)};
+    LogRequestEnd(record, refusal, now);
+    actions_.answers.push_back({ticket, std::move(refusal), record.kind.rank});
+    return;
+  }
+  AddLogRecord("request_moved")
+      .With("request", record.arrival.request_id)
+      .With("ticket", ticket)
+      .With("service", resolved->service)
+      .With("before", record.service)
+      .With("revision", resolved->revision);
+  resolved->suspect_id = record.suspect_id;
+  resolved->arrived = record.arrived;
+  resolved->deadline = std::min(
+      record.deadline, record.arrived + resolved->kind.request_timeout);
+  resolved->wait_until = std::min(record.wait_until, resolved->deadline);
+  resolved->attempts = record.attempts;
+  resolved->tried_entries = std::move(record.tried_entries);
+  ServiceState& service_state = services_.at(resolved->service);
+  Admit(std::move(*resolved), service_state, now);
+}
+
+}  // namespace jacinth::entry
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -312,7 +312,8 @@
                            members_version_ == session_.members_version());
   if (is_unchanged)
     return;
-  if (fleet->revision != fleet_revision_)
+  const bool is_new_revision = fleet->revision != fleet_revision_;
+  if (is_new_revision)
     client_map_ = steering::BuildClientMap(*fleet);
   LogUpdates(now);
   fleet_revision_ = fleet->revision;
@@ -330,13 +331,16 @@
     endpoint_count += service_state.settings.endpoints.size();
     ApplyFleetLimits(service_state);
     service_state.endpoints.SetRateShares(RateSharesOf(name), now);
-    DispatchRequests(service_state, now);
   }
   links_.SetEndpointCount(endpoint_count);
   for (auto& [name, service_state] : services_) {
     if (fleet->services.count(name) == 0)
       service_state.MarkRemoved(now);
   }
+  if (is_new_revision)
+    MoveWaitingRequests(now);
+  for (const auto& [name, service] : fleet->services)
+    DispatchRequests(services_.at(name), now);
 }
 
 // Returns the service's settings with the kinds of the routes that target it
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -190,6 +190,14 @@
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
   void DispatchRequests(ServiceState& service_state, Time now);
 
+  // Requests whose routes move to other services.
+  const settings::RouteSettings* RouteOf(const RequestRecord& record) const;
+  static bool LeadsTo(const settings::RouteSettings& route,
+                      const std::string& service);
+  bool HasMoved(const RequestRecord& record) const;
+  void MoveWaitingRequests(Time now);
+  void MoveRequest(RequestTicket ticket, Time now);
+
   // Attempts of requests.
   void On(const AttemptEnded& event, Time now);
   void SetObjectPlacement(const RequestRecord& record,
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -170,17 +170,11 @@
 // service.
 const std::vector<std::string>& EntryNode::AllowedRegions(
     const RequestRecord& record) const {
-  const settings::FleetSettings& fleet = *session_.fleet();
-  if (record.revision == fleet.revision || record.arrival.host.empty())
+  if (record.revision == session_.fleet()->revision)
     return record.kind.regions;
-  const settings::RouteSettings* route =
-      fleet.FindRoute(record.arrival.host, record.arrival.path);
+  const settings::RouteSettings* route = RouteOf(record);
   const bool leads_to_service =
-      route != nullptr &&
-      std::any_of(route->shares.begin(), route->shares.end(),
-                  [&](const settings::RouteShare& share) {
-                    return share.service == record.service;
-                  });
+      route != nullptr && LeadsTo(*route, record.service);
   return leads_to_service ? route->kind.regions : record.kind.regions;
 }
 
--- a/source/unit_tests/entry/entry_moves_test.cc
+++ b/source/unit_tests/entry/entry_moves_test.cc
@@ -114,6 +114,33 @@
   CHECK(driver.node.active_requests() == 0);
 }
 
+// Guards against a request that is tried again at an old service after it has
+// waited there, or is promised not to have run.
+TEST_CASE("A request that may have run ends when its route moves") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText("s"));
+  const RequestTicket ticket = SendRequest(driver);
+  REQUIRE(driver.attempts.size() == 1);
+  driver.EndAttempt(driver.attempts[0], AttemptEnd::kConnectionLost);
+  REQUIRE(driver.attempts.size() == 2);
+  driver.settings_text = SettingsText("t");
+  SECTION("while it waits") {
+    driver.AdvanceTime(100ms);
+    driver.EndAttempt(driver.attempts[1], AttemptEnd::kRefused);
+    CHECK(driver.answers.count(ticket) == 0);
+    ++driver.revision;
+    driver.AnswerHeartbeat();
+  }
+  SECTION("while it is at an endpoint") {
+    driver.ApplySettings(driver.settings_text);
+    driver.EndAttempt(driver.attempts[1], AttemptEnd::kRefused);
+  }
+  CHECK(driver.attempts.size() == 2);
+  REQUIRE(driver.FindRefusal(ticket) != nullptr);
+  CHECK(driver.FindRefusal(ticket)->outcome == Outcome::kUnknown);
+  CHECK(driver.node.active_requests() == 0);
+}
+
 TEST_CASE("A request that can't move with its route is refused as not run") {
   EntryDriver driver;
   driver.ApplySettings(SettingsText("s"));
