Entry: Test requests while their routes move to and fro

A property over arrivals, moves of a route, ends of all kinds and callers that leave: each request goes to the newest service of its route, is answered once, and leaves nothing held.

--- a/source/unit_tests/entry/entry_moves_test.cc
+++ b/source/unit_tests/entry/entry_moves_test.cc
@@ -1,3 +1,6 @@
+#include <array>
+#include <map>
+#include <rapidcheck.h>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -158,4 +161,75 @@
   CHECK(driver.node.active_requests() == 1);
 }
 
+// Guards against requests that are lost, answered twice or sent to an old
+// service while their route moves to and fro.
+TEST_CASE("Property: requests keep to the newest service of their route") {
+  const bool passed = rc::check([] {
+    constexpr std::array<AttemptEnd, 6> kEnds = {
+        AttemptEnd::kAnswered,     AttemptEnd::kRefused,
+        AttemptEnd::kNotConnected, AttemptEnd::kWithdrawn,
+        AttemptEnd::kTimedOut,     AttemptEnd::kConnectionLost};
+    constexpr std::array<const char*, 2> kServices = {"s", "t"};
+    EntryDriver driver;
+    std::string service;
+    std::map<RequestTicket, StartAttempt> open;
+    std::size_t checked = 0;
+    const auto check_attempts = [&] {
+      for (; checked < driver.attempts.size(); ++checked) {
+        const StartAttempt& attempt = driver.attempts[checked];
+        RC_ASSERT(attempt.endpoint == service + "1");
+        RC_ASSERT(driver.answers.count(attempt.ticket) == 0);
+        open[attempt.ticket] = attempt;
+      }
+    };
+    const auto move = [&] {
+      driver.AdvanceTime(100ms);
+      check_attempts();
+      service = kServices.at(*rc::gen::inRange<std::size_t>(0, 2));
+      driver.settings_text = SettingsText(service);
+      ++driver.revision;
+      driver.AnswerHeartbeat();
+      check_attempts();
+    };
+    move();
+    const int steps = *rc::gen::inRange(5, 80);
+    for (int step = 0; step < steps; ++step) {
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+          move();
+          break;
+        case 1:
+          if (open.empty())
+            break;
+          driver.EndAttempt(open.extract(open.begin()).mapped(),
+                            kEnds.at(*rc::gen::inRange<std::size_t>(0, 6)));
+          break;
+        case 2:
+          if (*rc::gen::inRange(0, 4) == 0 && driver.last_ticket != 0) {
+            open.erase(driver.last_ticket);
+            driver.Step(RequestAbandoned{driver.last_ticket});
+          }
+          break;
+        default:
+          SendRequest(driver);
+      }
+      check_attempts();
+    }
+    // Longer than a request may take.
+    for (int heartbeat = 0; heartbeat < 100; ++heartbeat) {
+      while (!open.empty()) {
+        driver.EndAttempt(open.extract(open.begin()).mapped(),
+                          AttemptEnd::kAnswered);
+        check_attempts();
+      }
+      Pass(driver, 1);
+      check_attempts();
+    }
+    RC_ASSERT(open.empty());
+    RC_ASSERT(driver.node.active_requests() == 0);
+    RC_ASSERT(driver.answers.size() == driver.last_ticket);
+  });
+  CHECK(passed);
+}
+
 }  // namespace jacinth::entry
