Entry: Show two requests that leave by a replaced route

A route that moves to another service while a connection is opened doesn't keep a request from the old one, and a hand-over leaves with the digest of settings that were replaced.

Both fail on this code: CHECK_FALSE( driver.node.MaySend(ticket) ) with expansion: !true

--- a/source/unit_tests/entry/entry_sends_test.cc
+++ b/source/unit_tests/entry/entry_sends_test.cc
@@ -98,6 +98,27 @@
   CHECK(driver.node.MaySend(ticket));
 }
 
+// Guards against requests that an old service gets, as their route moved while
+// a connection was opened.
+TEST_CASE("A request isn't sent to an old service of its route") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText("west"));
+  const RequestTicket ticket = SendRequest(driver);
+  REQUIRE(driver.attempts.size() == 1);
+  std::string moved = SettingsText("west");
+  moved.replace(moved.find("service = s"), 11, "service = t");
+  moved +=
+      "[service/t]\nprobe_interval_ms = 600000\n"
+      "[service/t/endpoint/other]\naddress = 127.0.0.1:14\nregion = west\n"
+      "failure_domain = west-a\n";
+  driver.ApplySettings(moved);
+  CHECK_FALSE(driver.node.MaySend(ticket));
+  driver.EndAttempt(driver.attempts[0], AttemptEnd::kWithdrawn);
+  REQUIRE(driver.attempts.size() == 2);
+  CHECK(driver.attempts[1].endpoint == "other");
+  CHECK(driver.node.MaySend(ticket));
+}
+
 TEST_CASE("A request is sent where newer settings still allow it") {
   EntryDriver driver;
   driver.ApplySettings(SettingsText("west"));
@@ -138,4 +159,33 @@
   CHECK(driver.node.MaySend(ticket));
 }
 
+// Guards against hand-overs that tell of settings which were replaced while a
+// connection was opened.
+TEST_CASE("A hand-over doesn't leave by a decision that was replaced") {
+  const std::vector<protocol::EntryStatus> members = {
+      MakeMember("e1", "west"), MakeMember("e2", "west"),
+      MakeMember("e3", "west"), MakeMember("e4", "east")};
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText("west"));
+  SetMembers(driver, members);
+  const RequestTicket ticket = SendRequest(driver);
+  for (std::size_t i = 0; i < driver.attempts.size(); ++i) {
+    AttemptEnded ended;
+    ended.ticket = ticket;
+    ended.end = AttemptEnd::kNotConnected;
+    ended.connection_refused = true;
+    driver.Step(ended);
+  }
+  REQUIRE(driver.relays.size() == 1);
+  REQUIRE(driver.relays[0].entry != "e4");
+  CHECK(driver.node.MaySend(ticket));
+  driver.ApplySettings(SettingsText("west,north"));
+  SetMembers(driver, members);
+  CHECK_FALSE(driver.node.MaySend(ticket));
+  driver.Step(RelayEnded{ticket, AttemptEnd::kWithdrawn});
+  REQUIRE(driver.relays.size() == 2);
+  CHECK(driver.relays[1].decision != driver.relays[0].decision);
+  CHECK(driver.node.MaySend(ticket));
+}
+
 }  // namespace jacinth::entry
