--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -65,6 +65,11 @@
 
   EntryActions Step(const EntryEvent& event, Time now);
 
+  /// Returns true if the settings in force still let the request go to the
+  /// endpoint or entry that it was last meant for. The host asks before bytes
+  /// leave on a new connection, which may have taken long to open.
+  bool MaySend(RequestTicket ticket) const;
+
   std::size_t active_requests() const { return requests_.size(); }
   const ControlSession& session() const { return session_; }
 
@@ -157,8 +162,12 @@
   bool CanRelay(const RequestRecord& record, Time now) const;
   const protocol::EntryStatus* SelectRelayEntry(const RequestRecord& record,
                                                 Time now) const;
+  std::uint64_t DecisionOn(const RequestArrived& arrival) const;
+  bool IsDecidedElsewhere(const RequestArrived& event, Time now) const;
   bool StartRelay(RequestRecord& record, Time now);
   void On(const RelayEnded& event, Time now);
+  bool MayHandOverTo(const std::string& id,
+                     const std::vector<std::string>& regions) const;
   void RelayWaitingRequests(Time now);
   void RelayRunningRequests(Time now);
   void SpreadCallers();
@@ -181,6 +190,14 @@
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
   void DispatchRequests(ServiceState& service_state, Time now);
 
+  // Requests whose routes move to other services.
+  const settings::RouteSettings* RouteOf(const RequestRecord& record) const;
+  static bool LeadsTo(const settings::RouteSettings& route,
+                      const std::string& service);
+  bool HasMoved(const RequestRecord& record) const;
+  void MoveWaitingRequests(Time now);
+  void MoveRequest(RequestTicket ticket, Time now);
+
   // Attempts of requests.
   void On(const AttemptEnded& event, Time now);
   void SetObjectPlacement(const RequestRecord& record,
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -4,7 +4,9 @@
 #include <vector>
 
 #include "core/common/hash.h"
+#include "core/entry/allowed_regions.h"
 #include "core/entry/entry_node.h"
+#include "core/settings/route_digest.h"
 #include "core/steering/isolated_entries.h"
 
 namespace jacinth::entry {
@@ -19,19 +21,14 @@
 /// Time for which no request is handed to an entry that could not be reached or
 /// reached no endpoint: a few heartbeats, after which the member list tells.
 constexpr Duration kAvoidEntryTime = 2s;
-
-// Returns true if a request may be served in the region; an empty list allows
-// all regions.
-bool IsAllowedRegion(const std::vector<std::string>& allowed,
-                     const std::string& region) {
-  return allowed.empty() ||
-         std::find(allowed.begin(), allowed.end(), region) != allowed.end();
-}
+/// Digest that says that no settings match a request.
+constexpr std::uint64_t kNoDecision = 1;
 
 Error ErrorForRelayEnd(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotConnected:
     case AttemptEnd::kRefused:
+    case AttemptEnd::kWithdrawn:
       return {ErrorKind::kNoEndpoint,
               "neither this instance nor other entries reach an endpoint"};
     case AttemptEnd::kTimedOut:
@@ -100,6 +97,35 @@
                     candidates.size()];
 }
 
+// Returns a digest of the settings in force that decide the request.
+std::uint64_t EntryNode::DecisionOn(const RequestArrived& arrival) const {
+  if (!arrival.host.empty()) {
+    const settings::RouteSettings* route =
+        session_.fleet()->FindRoute(arrival.host, arrival.path);
+    return route == nullptr ? kNoDecision : settings::DigestOf(*route);
+  }
+  const auto service_state = services_.find(arrival.service);
+  if (service_state == services_.end() || service_state->second.removed)
+    return kNoDecision;
+  const settings::KindSettings* kind =
+      service_state->second.settings.FindKind(arrival.method, arrival.path);
+  return kind == nullptr ? kNoDecision : settings::DigestOf(*kind);
+}
+
+// Returns true if the request comes from an entry with newer settings, by which
+// it may be served otherwise than by those in force here.
+bool EntryNode::IsDecidedElsewhere(const RequestArrived& event,
+                                   Time now) const {
+  if (event.relay_revision <= session_.fleet()->revision)
+    return false;
+  if (event.relay_decision != 0)
+    return event.relay_decision != DecisionOn(event);
+  // Entries of earlier builds tell the revision only. Without contact to a
+  // leader, the newer settings may not come for long, and all callers are
+  // served by those that are held.
+  return session_.InContact(now);
+}
+
 // Hands the request to another entry. Returns false if there is none.
 bool EntryNode::StartRelay(RequestRecord& record, Time now) {
   const EntryStatus* entry = SelectRelayEntry(record, now);
@@ -112,8 +138,10 @@
   entry::StartRelay relay;
   relay.ticket = record.arrival.ticket;
   relay.entry = entry->id;
+  relay.incarnation = entry->incarnation;
   relay.address = entry->address;
   relay.revision = session_.fleet()->revision;
+  relay.decision = DecisionOn(record.arrival);
   relay.execution = record.kind.execution;
   relay.timeout = record.deadline - now;
   relay.connect_timeout = std::min(
@@ -152,8 +180,9 @@
   record.may_have_run |= outcome != Outcome::kNotRun;
   ServiceState& service_state = services_.at(record.service);
   const bool may_repeat =
-      unavailable ? service_state.retries.TryRetry(now)
-                  : TryAcquireRetry(record, service_state, event.end, now);
+      event.end == AttemptEnd::kWithdrawn ||
+      (unavailable ? service_state.retries.TryRetry(now)
+                   : TryAcquireRetry(record, service_state, event.end, now));
   LogAttemptEnd(record, event.end, may_repeat, now);
   if (may_repeat && CanRelay(record, now) && StartRelay(record, now))
     return;
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -3,7 +3,6 @@
 // Definitions of the members of EntryHostImpl; included only by its header.
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "core/common/process_clock.h"
@@ -61,7 +60,7 @@
     const Adapter& adapter) {
   entry::EntryOptions options;
   options.self.id = settings.LinkName();
-  options.self.incarnation = std::random_device{}();
+  options.self.incarnation = MakeIncarnation();
   options.self.region = settings.region;
   options.self.failure_domain = settings.failure_domain;
   options.self.address = settings.entry_address;
@@ -159,10 +158,10 @@
   pending.started = MonotonicNow();
   pending.forwarded = std::move(forwarded);
   pending.forwarded.arrival.ticket = ticket;
-  const std::string_view relay_tag =
-      http::HeaderValue(transaction->request().headers, kRelayedHeader);
-  pending.forwarded.arrival.relayed = !relay_tag.empty();
-  pending.forwarded.arrival.relay_revision = ParseRelayTag(relay_tag).revision;
+  ApplyRelayTag(ParseRelayTag(http::HeaderValue(transaction->request().headers,
+                                                kRelayedHeader)),
+                node_.session().self(), node_.session().members(),
+                pending.forwarded.arrival);
   pending.forwarded.arrival.message_bytes =
       http::MessageSize(transaction->request());
   std::erase_if(pending.forwarded.outgoing.headers, [](const auto& field) {
@@ -213,6 +212,9 @@
                                ? kMaxIdleTimeRepeatable
                                : kMaxIdleTimeAtMostOnce;
   }
+  client_call.may_send = [this, ticket = attempt.ticket] {
+    return node_.MaySend(ticket);
+  };
   client_call.keeps_connection =
       [this, ticket = attempt.ticket](const http::Response& response) {
         const auto request = pending_requests_.find(ticket);
@@ -259,12 +261,16 @@
   client_call.address = relay.address;
   client_call.request = adapter_.MakeRelayRequest(pending.forwarded, relay);
   client_call.request.headers.emplace_back(
-      kRelayedHeader, FormatRelayTag({settings_.LinkName(), relay.revision}));
+      kRelayedHeader,
+      FormatRelayTag(MakeRelayTag(settings_.LinkName(), relay)));
   client_call.limits = {relay.connect_timeout, relay.timeout,
                         server_.limits().max_body_bytes};
   client_call.max_idle = relay.execution == Execution::kRepeatable
                              ? kMaxIdleTimeRepeatable
                              : kMaxIdleTimeAtMostOnce;
+  client_call.may_send = [this, ticket = relay.ticket] {
+    return node_.MaySend(ticket);
+  };
   client_call.keeps_connection =
       [this, ticket = relay.ticket](const http::Response& response) {
         const auto request = pending_requests_.find(ticket);
@@ -362,9 +368,14 @@
 http::Response EntryHostImpl<Adapter>::MakeResponse(
     const entry::RequestAnswer& answer,
     PendingRequest& pending) {
-  if (std::holds_alternative<entry::ForwardAnswer>(answer.body))
+  if (std::holds_alternative<entry::ForwardAnswer>(answer.body)) {
+    // Only entries say this.
+    std::erase_if(pending.last_response.headers, [](const auto& field) {
+      return http::EqualsIgnoringCase(field.first, kUnavailableHeader);
+    });
     return adapter_.MakeForwardedResponse(pending.forwarded,
                                           std::move(pending.last_response));
+  }
   if (const auto* replay = std::get_if<entry::ReplayAnswer>(&answer.body))
     return adapter_.MakeReplayedResponse(replay->answer);
   if (std::holds_alternative<entry::RelayedAnswer>(answer.body)) {
@@ -385,8 +396,9 @@
     const bool names_revision = refusal.error.kind == ErrorKind::kNotReady &&
                                 snapshot_ != nullptr &&
                                 snapshot_->fleet != nullptr;
-    const RelayTag tag{settings_.LinkName(),
-                       names_revision ? snapshot_->fleet->revision : 0};
+    const RelayTag tag{
+        .entry = settings_.LinkName(),
+        .revision = names_revision ? snapshot_->fleet->revision : 0};
     response.headers.emplace_back(kUnavailableHeader, FormatRelayTag(tag));
   }
   return response;
