Steering: Count entries that failed as missing from their region, for a time

Callers of a region of which most entries were killed stayed with those that were left, as entries that had vanished without notice were no members of the region: two of six bore the load of all. And a single one that was gone for good was lost until the directory's process restarted, so that callers left their region for as long, and the list of lost entries grew.

Lost entries are members now, so that others stand in for each that the region lacks below 60 %. They are lost for 7 s: routes with regions bind callers again 15 s after a failure, and callers keep an answer for up to 6 s. After that they count as gone, like those that stopped as planned, and are forgotten after a minute (AbsentEntries, before LostEntries).

"Restarted directories know ..." (known red) waits for 2 s, as with 500 ms the lists still showed the entries as they were before they failed.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -138,7 +138,7 @@
     if (!changed)
       return;
     SpreadCallers();
-    lost_entries_.Update(session_.members());
+    absent_entries_.Update(session_.members(), now);
     ApplyFleetSettings(now);
     PublishSnapshot();
     return;
@@ -162,6 +162,8 @@
     for (const std::string& contact : session_.StandbyContacts())
       actions_.messages.push_back({contact, *question});
   }
+  if (absent_entries_.Expire(now))
+    PublishSnapshot();
   AskForSettings(now);
   MaybeListEndpoints(now);
   RefuseExpired(now);
@@ -416,7 +418,7 @@
   snapshot->fleet = session_.fleet();
   snapshot->clients = client_map_;
   snapshot->members = session_.members();
-  snapshot->lost_entries = lost_entries_.regions();
+  snapshot->absent_entries = absent_entries_.entries();
   snapshot->self = session_.self();
   snapshot->contact_until = session_.contact_until();
   snapshot->is_outdated = session_.IsOutdated();
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -24,7 +24,7 @@
 #include "core/forwarding/link_monitor.h"
 #include "core/quarantine/request_quarantine.h"
 #include "core/settings/fleet_limits.h"
-#include "core/steering/lost_entries.h"
+#include "core/steering/absent_entries.h"
 
 namespace jacinth::entry {
 
@@ -267,7 +267,7 @@
   std::map<std::string, Time> avoided_entries_;
   /// Entries that the last member list shows as isolated.
   std::set<std::string> isolated_entries_;
-  steering::LostEntries lost_entries_;
+  steering::AbsentEntries absent_entries_;
   bool was_in_contact_ = false;
   std::string logged_leader_;
   /// Set during a planned stop.
--- a/source/core/steering/isolated_entries.h
+++ b/source/core/steering/isolated_entries.h
@@ -15,9 +15,9 @@
 struct RegionEntries {
   /// Entries that callers may use.
   std::size_t usable = 0;
-  /// Those and the isolated ones. Entries that are about to stop are no
-  /// members, nor are those that start: callers need not leave their region for
-  /// planned work.
+  /// Those, the isolated ones and the lost ones. Entries that are about to stop
+  /// are no members, nor are those that start: callers need not leave their
+  /// region for planned work.
   std::size_t members = 0;
   /// Entries that vanished without notice.
   std::size_t lost = 0;
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -32,10 +32,12 @@
 
 std::size_t CountLost(const SteeringSnapshot& snapshot,
                       std::string_view region) {
-  const auto& lost = snapshot.lost_entries;
+  const auto& absent = snapshot.absent_entries;
   return static_cast<std::size_t>(
-      std::count_if(lost.begin(), lost.end(), [&](const auto& entry) {
-        return entry.second == region && !IsDrained(snapshot, entry.first);
+      std::count_if(absent.begin(), absent.end(), [&](const auto& entry) {
+        return entry.second.region == region &&
+               entry.second.absence == Absence::kLost &&
+               !IsDrained(snapshot, entry.first);
       }));
 }
 
@@ -129,11 +131,13 @@
   std::vector<const EntryStatus*> available = UsableEntries(snapshot);
   RegionEntries entries;
   entries.lost = CountLost(snapshot, region);
-  entries.members = static_cast<std::size_t>(std::count_if(
-      available.begin(), available.end(), [&](const EntryStatus* entry) {
-        return entry->region == region &&
-               !LatestStatus(snapshot, *entry).starting;
-      }));
+  entries.members =
+      entries.lost +
+      static_cast<std::size_t>(std::count_if(
+          available.begin(), available.end(), [&](const EntryStatus* entry) {
+            return entry->region == region &&
+                   !LatestStatus(snapshot, *entry).starting;
+          }));
   DropIsolated(snapshot, available);
   std::vector<const EntryStatus*> chosen;
   std::vector<const EntryStatus*> in_region;
--- a/source/core/steering/steering_snapshot.h
+++ b/source/core/steering/steering_snapshot.h
@@ -8,6 +8,7 @@
 #include "core/common/time.h"
 #include "core/protocol/entry_status.h"
 #include "core/settings/fleet_settings.h"
+#include "core/steering/absent_entries.h"
 #include "core/steering/client_map.h"
 
 namespace jacinth::steering {
@@ -20,8 +21,8 @@
   std::shared_ptr<const ClientMap> clients;
   /// Entry instances that the control role considers alive.
   std::vector<protocol::EntryStatus> members;
-  /// Region by id of the entries that vanished without notice.
-  std::map<std::string, std::string> lost_entries;
+  /// Entry instances that served callers and don't any more, by id.
+  std::map<std::string, AbsentEntry> absent_entries;
   /// The answering instance.
   protocol::EntryStatus self;
   /// Time until which the control role is known to consider this instance
--- a/source/unit_tests/entry/planned_work_test.cc
+++ b/source/unit_tests/entry/planned_work_test.cc
@@ -154,8 +154,7 @@
 // Guards against the same when entries are added.
 TEST_CASE("Entries that join send no callers to other regions") {
   RegionalFleet fleet(6);
-  for (const int index : RegionalFleet::First(3))
-    fleet.End(index);
+  fleet.Stop(RegionalFleet::First(3));
   fleet.Run(5s);
   CHECK(fleet.TakeShareElsewhere() == 0);
   for (const int index : RegionalFleet::First(3))
--- a/source/unit_tests/entry/unplanned_loss_test.cc
+++ b/source/unit_tests/entry/unplanned_loss_test.cc
@@ -76,7 +76,7 @@
   RegionalFleet fleet(6);
   for (const int index : RegionalFleet::First(6))
     fleet.End(index);
-  fleet.Run(500ms);
+  fleet.Run(2s);
   StartUnevenly(fleet, {0, 1}, {2, 3, 4, 5});
   fleet.Run(1200ms);
   REQUIRE(fleet.Entry(0).session().members().size() == 18);
