Steering: Keep only callers of hosts with regions beside planned work

Callers of every host were kept in their region while its entries stopped and started as planned, as a route may have regions. Where no route has, they stayed with what planned work left there, down to one entry that bore the load of all; if that one failed without notice, they had no other address until the directory noticed. After a restart of everything it was the same, as entries that start count as planned work if nobody has seen them fail.

The name in the call of the directory tells the host. If one of its routes has regions, all its callers are kept as before, as they get one answer for all routes; so are those of a host that isn't known here yet. For other hosts, entries that stop, start or were stopped lately count as lacking too (RegionRule::kPrefer), so that others stand in once less than 60 % are usable. A host that gets its first route with regions may have callers elsewhere for the 6 s for which they keep an answer, and only if its region lacks entries just then: keeping all callers of all hosts for that would cost more.

Failing before, passing now: platform_test, "Callers of a host without regions use others" (1 > 1, beside entries that start and beside entries that stop).

--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -30,17 +30,33 @@
          !IsDrained(snapshot, entry.id);
 }
 
-std::size_t CountLost(const SteeringSnapshot& snapshot,
-                      std::string_view region) {
+std::size_t CountAbsent(const SteeringSnapshot& snapshot,
+                        std::string_view region,
+                        Absence absence) {
   const auto& absent = snapshot.absent_entries;
   return static_cast<std::size_t>(
       std::count_if(absent.begin(), absent.end(), [&](const auto& entry) {
         return entry.second.region == region &&
-               entry.second.absence == Absence::kLost &&
+               entry.second.absence == absence &&
                !IsDrained(snapshot, entry.first);
       }));
 }
 
+// Returns the number of a region's entries that stop or start as planned.
+std::size_t CountRestarting(const SteeringSnapshot& snapshot,
+                            std::string_view region) {
+  std::size_t count = CountAbsent(snapshot, region, Absence::kGone);
+  for (const EntryStatus& member : snapshot.members) {
+    const EntryStatus& status = LatestStatus(snapshot, member);
+    const bool restarts = (status.draining || status.starting) &&
+                          member.region == region &&
+                          !IsDrained(snapshot, member.id) &&
+                          snapshot.absent_entries.count(member.id) == 0;
+    count += restarts ? 1 : 0;
+  }
+  return count;
+}
+
 std::vector<const EntryStatus*> UsableEntries(
     const SteeringSnapshot& snapshot) {
   std::vector<const EntryStatus*> usable;
@@ -127,10 +143,11 @@
 std::vector<const EntryStatus*> NearestEntries(const SteeringSnapshot& snapshot,
                                                std::string_view region,
                                                std::string_view failure_domain,
-                                               std::size_t limit) {
+                                               std::size_t limit,
+                                               RegionRule rule) {
   std::vector<const EntryStatus*> available = UsableEntries(snapshot);
   RegionEntries entries;
-  entries.lost = CountLost(snapshot, region);
+  entries.lost = CountAbsent(snapshot, region, Absence::kLost);
   entries.members =
       entries.lost +
       static_cast<std::size_t>(std::count_if(
@@ -138,6 +155,8 @@
             return entry->region == region &&
                    !LatestStatus(snapshot, *entry).starting;
           }));
+  if (rule == RegionRule::kPrefer)
+    entries.members += CountRestarting(snapshot, region);
   DropIsolated(snapshot, available);
   std::vector<const EntryStatus*> chosen;
   std::vector<const EntryStatus*> in_region;
