Entry: Count an entry without endpoints as missing after a minute

An entry announced itself as starting until it had its endpoints. One that never gets them, as neither the control role nor the platform answers it, counted as absent by plan for ever, so that callers of routes with regions stayed with the few others of their region. It says so for a minute now; after that it is isolated only, and counts as lacking.

Failing before, passing now: entry_test, "An entry that has no endpoints a minute after its start is missed" (2 == 6).

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -27,6 +27,8 @@
 /// Time for which an entry that has settings waits for its first list: a leader
 /// that has just been elected has to read the list first.
 constexpr Duration kFirstListWait = 3s;
+/// Time after which an entry that has no endpoints isn't starting any more.
+constexpr Duration kMaxStartTime = 60s;
 /// Minimum time between two reads of the list.
 constexpr Duration kMinEndpointListInterval = 1s;
 /// Number of entries that may read the list as often as that. With more, the
@@ -121,7 +123,7 @@
   if (!started_)
     started_ = now;
   std::visit([&](const auto& body) { On(body, now); }, event);
-  AnnounceIsolation();
+  AnnounceIsolation(now);
   LogStateChanges(now);
   for (protocol::Envelope& message : claim_client_.CollectDueMessages(now))
     actions_.messages.push_back({session_.leader(), std::move(message)});
@@ -294,10 +296,11 @@
 }
 
 // Keeps callers away from an instance that can't forward their requests.
-void EntryNode::AnnounceIsolation() {
-  const bool starting = AwaitsEndpoints();
+void EntryNode::AnnounceIsolation(Time now) {
+  const bool awaits_endpoints = AwaitsEndpoints();
+  const bool starting = awaits_endpoints && now < *started_ + kMaxStartTime;
   const bool isolated =
-      links_.state() == forwarding::LinkState::kLost || starting;
+      links_.state() == forwarding::LinkState::kLost || awaits_endpoints;
   const protocol::EntryStatus& self = session_.self();
   if (isolated == self.isolated && starting == self.starting)
     return;
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -81,7 +81,7 @@
   void MaybeListEndpoints(Time now);
   /// Returns true until the first endpoint list is known.
   bool AwaitsEndpoints() const;
-  void AnnounceIsolation();
+  void AnnounceIsolation(Time now);
   void ApplyFleetSettings(Time now);
   settings::ServiceSettings BuildServiceSettings(
       const settings::ServiceSettings& service,
--- a/source/core/protocol/entry_status.h
+++ b/source/core/protocol/entry_status.h
@@ -22,8 +22,8 @@
   /// True if the instance reaches no endpoint. It still serves callers through
   /// other entries, but look-ups must name others if there are any.
   bool isolated = false;
-  /// True if the instance has known no endpoints since its start. It is
-  /// isolated then, but no callers have lost it.
+  /// True if the instance has started lately and has known no endpoints since.
+  /// It is isolated then, but no callers have lost it.
   bool starting = false;
 
   bool operator==(const EntryStatus&) const = default;
--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -66,8 +66,8 @@
   }
   // Callers close their connections to entries that an answer doesn't name, so
   // that an instance that can't serve them must not name itself alone.
-  if (usable.empty() && !snapshot.self.starting &&
-      IsUsable(snapshot, snapshot.self)) {
+  const bool can_serve = !snapshot.self.starting && !snapshot.awaits_endpoints;
+  if (usable.empty() && can_serve && IsUsable(snapshot, snapshot.self)) {
     usable.push_back(&snapshot.self);
   }
   return usable;
