Steering: Take a restart of most of the fleet for a failure

After all machines had lost power, no instance remembered any entry, so that all that started counted as planned work, and callers of hosts with regions stayed with the first entry of their region that was ready, while others were ready elsewhere.

Entries that start while at least 75 % of the fleet do count as lost. Planned work never takes so many, also in small fleets: two of three or three of five may start at once. (Replicas that have restarted too can't tell more, and entries have no disk.)

New: "Entries that start together with most of the fleet are lost".

--- a/source/core/steering/absent_entries.cc
+++ b/source/core/steering/absent_entries.cc
@@ -1,5 +1,7 @@
 #include "core/steering/absent_entries.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace jacinth::steering {
@@ -13,15 +15,36 @@
 /// intent.
 constexpr Duration kMaxGoneTime = 60s;
 
+/// Percentage of the fleet that planned work doesn't restart at once.
+constexpr std::size_t kMinRestartedPercent = 75;
+
+bool IsStarting(const protocol::EntryStatus& member) {
+  return member.starting && !member.draining;
+}
+
+// Returns true if the whole fleet must have failed. A control role that has
+// failed as well knows nothing of what was before.
+bool HasFleetRestarted(const std::vector<protocol::EntryStatus>& members) {
+  const auto starting = static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), IsStarting));
+  return starting * 100 >= members.size() * kMinRestartedPercent;
+}
+
 }  // namespace
 
 void AbsentEntries::Update(const std::vector<protocol::EntryStatus>& members,
                            Time now) {
   std::map<std::string, std::string> vanished = std::exchange(serving_, {});
   std::map<std::string, std::string> stopped = std::exchange(stopping_, {});
+  const bool fleet_restarted = HasFleetRestarted(members);
   for (const protocol::EntryStatus& member : members) {
-    if (!member.draining && member.starting)
+    if (IsStarting(member)) {
+      if (fleet_restarted) {
+        entries_.try_emplace(member.id,
+                             AbsentEntry{member.region, Absence::kLost, now});
+      }
       continue;
+    }
     vanished.erase(member.id);
     stopped.erase(member.id);
     entries_.erase(member.id);
--- a/source/core/steering/absent_entries.h
+++ b/source/core/steering/absent_entries.h
@@ -12,7 +12,8 @@
 /// Why an entry instance doesn't serve callers.
 enum class Absence {
   /// It vanished from the member list, or restarted, without having announced a
-  /// stop. Entries that stop as planned announce it with `draining`.
+  /// stop, or together with most of the fleet. Entries that stop as planned
+  /// announce it with `draining`.
   kLost,
   /// It stopped as planned, or has been lost for some time.
   kGone,
--- a/source/unit_tests/steering/absent_entries_test.cc
+++ b/source/unit_tests/steering/absent_entries_test.cc
@@ -134,4 +134,26 @@
   CHECK_FALSE(absent.Expire(kNow + 69s));
 }
 
+// Guards against a restart of everything that is taken for planned work, as
+// nobody remembers what was before.
+TEST_CASE("Entries that start together with most of the fleet are lost") {
+  const int serving = GENERATE(0, 1, 2);
+  AbsentEntries absent;
+  std::vector<EntryStatus> members(4);
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    members[i].id = "w" + std::to_string(i);
+    members[i].region = "west";
+    members[i].starting = i >= static_cast<std::size_t>(serving);
+  }
+  absent.Update(members, kNow);
+  CAPTURE(serving);
+  const int starting = 4 - serving;
+  CHECK(LostRegions(absent).size() ==
+        static_cast<std::size_t>(starting >= 3 ? starting : 0));
+  for (EntryStatus& member : members)
+    member.starting = false;
+  absent.Update(members, kNow);
+  CHECK(LostRegions(absent) == kNone);
+}
+
 }  // namespace jacinth::steering
