Consensus: Show an acknowledgement of entries that aren't on disk

A follower whose entries are replaced by a leader, and then sent again by a later one, acknowledges them as soon as the write is synced that had them first.

--- a/source/unit_tests/consensus/replica_test.cc
+++ b/source/unit_tests/consensus/replica_test.cc
@@ -500,6 +500,41 @@
   CHECK(answer().message.index == 3);
 }
 
+// Guards against a write that was queued before a leader replaced its entries
+// and that vouches for them, when a later leader sends them again, before the
+// write that brings them back is synced.
+TEST_CASE("An earlier write doesn't vouch for entries that were replaced") {
+  ReplicaStart start = GroupStart();
+  start.snapshot.configuration = {{"a#1", "b#1", "c#1", "d#1", "e#1"}, {}};
+  Replica replica(Options("a#1"), std::move(start), kStart);
+  const auto append = [&](const std::string& leader, std::uint64_t term,
+                          const LogEntry& entry) {
+    PeerMessage message =
+        Message(PeerMessageKind::kAppend, leader, "a#1", term);
+    message.index = 1;
+    message.log_term = 1;
+    message.entries = {entry};
+    replica.OnMessage(message, kLater);
+    return replica.TakeActions();
+  };
+  const LogEntry entry{2, 2, LogEntryKind::kCommand, "x"};
+  const ReplicaActions first = append("b#1", 2, entry);
+  append("c#1", 3, {2, 3, LogEntryKind::kNoop, ""});
+  const ReplicaActions again = append("b#1", 4, entry);
+  const auto acknowledged = [&] {
+    PeerMessage heartbeat = Message(PeerMessageKind::kAppend, "b#1", "a#1", 4);
+    heartbeat.index = 2;
+    heartbeat.log_term = 2;
+    replica.OnMessage(heartbeat, kLater);
+    return FindMessage(replica.TakeActions(), PeerMessageKind::kAppendReply)
+        ->message.index;
+  };
+  SyncAll(replica, first, kLater);
+  CHECK(acknowledged() == 1);
+  SyncAll(replica, again, kLater);
+  CHECK(acknowledged() == 2);
+}
+
 // Guards against a candidate that gives up before anybody has its request.
 TEST_CASE("A replica begins no election while its vote is being synced") {
   Replica replica(Options("a#1"), GroupStart(), kStart);
