Consensus: Let replaced writes vouch for no entries

Callers could lose an acknowledged change: a follower's entries are replaced by a new leader while the write that holds them waits for the disk, a third leader sends them again, and when the first write is synced, the follower counts them as on disk, though the write that cuts them off comes next and the one that brings them back after that. Power lost between the two loses them. It takes two changes of leader within one sync, as beside a disk that stalls.

Cause: a synced write vouches for its last entry if the log has that entry's term at this index again. Writes under way are now cut off with the log.

The test "An earlier write doesn't vouch for entries that were replaced" printed "acknowledged() == 1 with expansion: 2 == 1" before and passes now, as do all of consensus_test and control_test.

--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -191,6 +191,7 @@
   // replica_follower.cc
   void OnAppend(const protocol::PeerMessage& message, Time now);
   void OnSnapshot(const protocol::PeerMessage& message, Time now);
+  void TruncateFrom(std::uint64_t index);
   void AcceptAppend(const protocol::PeerMessage& message,
                     std::uint64_t matched);
   void ReplyToAppend(const protocol::PeerMessage& message,
--- a/source/core/consensus/replica_follower.cc
+++ b/source/core/consensus/replica_follower.cc
@@ -46,8 +46,7 @@
       return;
     }
     if (entry.index <= log_.last_index()) {
-      log_.TruncateFrom(entry.index);
-      stable_index_ = std::min(stable_index_, entry.index - 1);
+      TruncateFrom(entry.index);
       configuration_changed = true;
     }
     if (first_unwritten_index_ == 0 || entry.index < first_unwritten_index_)
@@ -62,6 +61,19 @@
   AcceptAppend(message, matched);
 }
 
+// Removes the entries from `index` on. Writes that are under way vouch for none
+// of them any more, even if a later leader sends the same ones again.
+void Replica::TruncateFrom(std::uint64_t index) {
+  log_.TruncateFrom(index);
+  stable_index_ = std::min(stable_index_, index - 1);
+  for (PendingWrite& write : pending_writes_) {
+    if (write.last_index < index)
+      continue;
+    write.last_index = index - 1;
+    write.last_term = log_.last_term();
+  }
+}
+
 // Answers a message that added nothing to the log at once, with what is on
 // disk: the leader would take the time of a sync for silence.
 void Replica::AcceptAppend(const PeerMessage& message, std::uint64_t matched) {
