--- a/source/unit_tests/forwarding/retry_budget_test.cc
+++ b/source/unit_tests/forwarding/retry_budget_test.cc
@@ -83,4 +83,21 @@
   }));
 }
 
+// Guards against retries that are forgotten with the bucket that counts them,
+// before the window has passed them.
+TEST_CASE("The reserve is used once in a window of any position") {
+  RetryBudget budget = MakeBudget();
+  const Time start{100s};
+  budget.OnFirstAttempt(start);
+  const Time used = start + kWindow / 20 - 1ms;
+  while (budget.TryRetry(used)) {
+  }
+  int early_retries = 0;
+  Time now = start;
+  for (; now < used + kWindow; now += 10ms)
+    early_retries += budget.TryRetry(now) ? 1 : 0;
+  CHECK(early_retries == 0);
+  CHECK(budget.TryRetry(now + kWindow / 20));
+}
+
 }  // namespace jacinth::forwarding
