Forwarding: Let a new sender to cold endpoints wait for the last one

Entries without a list were not the cause: they send as one of 1,024.

An entry sends to a cold endpoint if all lists of the last two seconds select it. A first list that names no more entries than may send takes nobody's place. The lists are shared by all services; earlier ones are looked at only by entries that the newest one selects.

All of forwarding_test and entry_test pass.

--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -321,6 +321,12 @@
   std::size_t endpoint_count = 0;
   auto parts_by_service = CollectServiceParts(*fleet, session_.endpoints());
   const LastStarts last_starts = FindLastStarts(session_.endpoints(), *fleet);
+  const forwarding::SenderSelection senders = KnownSenders();
+  warmup_senders_.Set(senders.entry_count() != 0
+                          ? senders
+                          : forwarding::SenderSelection::OfUnknownFleet(
+                                options_.self.id, kMaxAssumedEntries),
+                      now);
   for (const auto& [name, service] : fleet->services) {
     ServiceState& service_state = services_[name];
     settings::ServiceSettings service_settings =
@@ -328,7 +334,7 @@
     DrainReplaced(last_starts, service_settings.endpoints);
     service_state.Update(std::move(service_settings), now);
     endpoint_count += service_state.settings.endpoints.size();
-    ApplyFleetLimits(service_state);
+    ApplyFleetLimits(senders, service_state);
     service_state.endpoints.SetRateShares(RateSharesOf(name), now);
     DispatchRequests(service_state, now);
   }
@@ -378,15 +384,13 @@
 
 // Configures this entry's share of the limits that apply to all entries
 // together.
-void EntryNode::ApplyFleetLimits(ServiceState& service_state) const {
+void EntryNode::ApplyFleetLimits(const forwarding::SenderSelection& senders,
+                                 ServiceState& service_state) const {
   const settings::FleetLimits& limits = options_.limits;
-  std::vector<std::string> entries;
-  for (const protocol::EntryStatus& member : session_.members())
-    entries.push_back(member.id);
-  const bool knows_members = !entries.empty();
+  const std::size_t members = session_.members().size();
   if (limits.retry_ratio > 0) {
-    const auto entry_count = knows_members
-                                 ? std::max(entries.size(), kMinAssumedEntries)
+    const auto entry_count = members != 0
+                                 ? std::max(members, kMinAssumedEntries)
                                  : kMaxAssumedEntries;
     const auto reserve = limits.retry_reserve / static_cast<int>(entry_count);
     service_state.retries.Configure(limits.retry_ratio, reserve,
@@ -396,19 +400,22 @@
         service_state.settings.retry_budget_percent / kPercent,
         kDefaultRetryReserve, limits.retry_window);
   }
-  const forwarding::SenderSelection senders(options_.self.id,
-                                            std::move(entries));
   service_state.endpoints.SetSenders(senders);
   if (service_state.settings.warmup_per_s <= 0)
     return;
   const double max_rate =
       service_state.settings.warmup_per_s * limits.warmup_factor +
       limits.warmup_slack;
-  service_state.endpoints.SetWarmupGate(forwarding::WarmupGate(
-      knows_members ? senders
-                    : forwarding::SenderSelection::OfUnknownFleet(
-                          options_.self.id, kMaxAssumedEntries),
-      max_rate));
+  service_state.endpoints.SetWarmupGate(
+      forwarding::WarmupGate(warmup_senders_, max_rate));
+}
+
+// Returns the live entries, as far as they are known.
+forwarding::SenderSelection EntryNode::KnownSenders() const {
+  std::vector<std::string> entries;
+  for (const protocol::EntryStatus& member : session_.members())
+    entries.push_back(member.id);
+  return {options_.self.id, std::move(entries)};
 }
 
 void EntryNode::PublishSnapshot() {
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -22,6 +22,7 @@
 #include "core/entry/weighted_round_robin.h"
 #include "core/forwarding/demand_meter.h"
 #include "core/forwarding/link_monitor.h"
+#include "core/forwarding/sender_history.h"
 #include "core/quarantine/request_quarantine.h"
 #include "core/settings/fleet_limits.h"
 #include "core/steering/lost_entries.h"
@@ -90,7 +91,9 @@
   settings::EndpointSettings BuildEndpointSettings(
       const protocol::ListedEndpoint& descriptor,
       Time now) const;
-  void ApplyFleetLimits(ServiceState& service_state) const;
+  forwarding::SenderSelection KnownSenders() const;
+  void ApplyFleetLimits(const forwarding::SenderSelection& senders,
+                        ServiceState& service_state) const;
   void PublishSnapshot();
 
   // Planned stops.
@@ -250,6 +253,8 @@
   std::uint64_t fleet_revision_ = 0;
   std::uint64_t endpoint_changes_ = 0;
   std::uint64_t members_version_ = 0;
+  /// Entries that send to cold endpoints.
+  forwarding::SenderHistory warmup_senders_;
   std::uint64_t rate_shares_version_ = 0;
   /// Time of the first event.
   std::optional<Time> started_;
--- a/source/core/forwarding/endpoint_choice.cc
+++ b/source/core/forwarding/endpoint_choice.cc
@@ -216,7 +216,7 @@
   if (now >= state.cold_until)
     return true;
   return now >= state.last_cold_request + WarmupGate::interval() &&
-         warmup_gate_.CanSendTo(state.settings.name);
+         warmup_gate_.CanSendTo(state.settings.name, now);
 }
 
 double EndpointTable::CapacityOf(const EndpointState& state) const {
--- a/source/core/forwarding/sender_selection.cc
+++ b/source/core/forwarding/sender_selection.cc
@@ -15,7 +15,11 @@
 
 SenderSelection::SenderSelection(std::string self,
                                  std::vector<std::string> entries)
-    : self_(std::move(self)), entries_(std::move(entries)) {}
+    : self_(std::move(self)),
+      entries_(std::make_shared<const std::vector<std::string>>(
+          std::move(entries))) {}
+
+SenderSelection::SenderSelection() : SenderSelection("", {}) {}
 
 SenderSelection SenderSelection::OfUnknownFleet(std::string self,
                                                 std::size_t max_entries) {
@@ -26,7 +30,7 @@
 
 bool SenderSelection::IsSelected(const std::string& endpoint,
                                  std::size_t max_senders) const {
-  if (std::max(entries_.size(), assumed_entries_) <= max_senders)
+  if (std::max(entries_->size(), assumed_entries_) <= max_senders)
     return true;
   const std::uint64_t seed = Hash64(endpoint);
   const std::uint64_t own_hash = Hash64(self_, seed);
@@ -36,9 +40,14 @@
                static_cast<double>(assumed_entries_);
   }
   const auto entries_ahead = std::count_if(
-      entries_.begin(), entries_.end(),
+      entries_->begin(), entries_->end(),
       [&](const std::string& entry) { return Hash64(entry, seed) > own_hash; });
   return static_cast<std::size_t>(entries_ahead) < max_senders;
 }
 
+bool SenderSelection::operator==(const SenderSelection& other) const {
+  return self_ == other.self_ && assumed_entries_ == other.assumed_entries_ &&
+         *entries_ == *other.entries_;
+}
+
 }  // namespace jacinth::forwarding
--- a/source/core/forwarding/sender_selection.h
+++ b/source/core/forwarding/sender_selection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -12,7 +13,7 @@
  public:
   /// `entries` are the live entry instances, including `self`.
   SenderSelection(std::string self, std::vector<std::string> entries);
-  SenderSelection() = default;
+  SenderSelection();
 
   /// Returns the selection of an entry that doesn't know the others. Each entry
   /// is selected with such a probability that of `max_entries` entries those
@@ -24,11 +25,17 @@
   /// to the endpoint.
   bool IsSelected(const std::string& endpoint, std::size_t max_senders) const;
 
-  std::size_t entry_count() const { return entries_.size(); }
+  std::size_t entry_count() const { return entries_->size(); }
+
+  /// Returns true for the selection of an entry that doesn't know the others.
+  bool IsOfUnknownFleet() const { return assumed_entries_ != 0; }
+
+  bool operator==(const SenderSelection& other) const;
 
  private:
   std::string self_;
-  std::vector<std::string> entries_;
+  /// Shared by the copies of the selection.
+  std::shared_ptr<const std::vector<std::string>> entries_;
   /// Assumed number of entries if they are unknown, or 0.
   std::size_t assumed_entries_ = 0;
 };
--- a/source/core/forwarding/warmup_gate.cc
+++ b/source/core/forwarding/warmup_gate.cc
@@ -13,13 +13,13 @@
 
 }  // namespace
 
-WarmupGate::WarmupGate(SenderSelection senders, double per_second)
+WarmupGate::WarmupGate(SenderHistory senders, double per_second)
     : senders_(std::move(senders)),
       max_senders_(static_cast<std::size_t>(
           std::max(1.0, per_second * kUsedRateFraction))) {}
 
-bool WarmupGate::CanSendTo(const std::string& name) const {
-  return senders_.IsSelected(name, max_senders_);
+bool WarmupGate::CanSendTo(const std::string& name, Time now) const {
+  return senders_.IsSelected(name, max_senders_, now);
 }
 
 Duration WarmupGate::interval() {
--- a/source/core/forwarding/warmup_gate.h
+++ b/source/core/forwarding/warmup_gate.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "core/common/time.h"
-#include "core/forwarding/sender_selection.h"
+#include "core/forwarding/sender_history.h"
 
 namespace jacinth::forwarding {
 
@@ -15,17 +15,18 @@
 /// per second, a hash of the endpoint's and the entry's names selects N of the
 /// live entries, and each of them sends at most one request per `interval()`.
 /// The interval is longer than a second, so the rate holds in every second,
-/// however the entries' intervals are aligned.
+/// however the entries' intervals are aligned. While the list of entries
+/// changes, SenderHistory keeps it.
 class WarmupGate {
  public:
   /// `per_second` is the limit for one cold endpoint and all entries together,
   /// at least 1.
-  WarmupGate(SenderSelection senders, double per_second);
+  WarmupGate(SenderHistory senders, double per_second);
   WarmupGate() = default;
 
   /// Returns true if this entry is one of those that may send requests to the
   /// cold endpoint `name`.
-  bool CanSendTo(const std::string& name) const;
+  bool CanSendTo(const std::string& name, Time now) const;
 
   /// Returns the minimum time between two requests of one entry to the same
   /// cold endpoint. It is longer than a second because requests can be delayed
@@ -33,7 +34,7 @@
   static Duration interval();
 
  private:
-  SenderSelection senders_;
+  SenderHistory senders_;
   std::size_t max_senders_ = 0;
 };
 
--- a/source/unit_tests/forwarding/endpoint_table_test.cc
+++ b/source/unit_tests/forwarding/endpoint_table_test.cc
@@ -325,7 +325,8 @@
   service.warmup = 3s;
   service.warmup_per_s = 4;
   table.Update(service, kNow);
-  table.SetWarmupGate(WarmupGate(SenderSelection("e1", {"e1"}), 4));
+  table.SetWarmupGate(
+      WarmupGate(SenderHistory(SenderSelection("e1", {"e1"})), 4));
   service.endpoints = MakeService(2, 10).endpoints;
   service.endpoints.erase(service.endpoints.begin());
   table.Update(service, kNow);
--- a/source/unit_tests/forwarding/warmup_gate_test.cc
+++ b/source/unit_tests/forwarding/warmup_gate_test.cc
@@ -7,6 +7,11 @@
 #include <catch2/catch.hpp>
 
 namespace jacinth::forwarding {
+namespace {
+
+constexpr Time kNow{100s};
+
+}  // namespace
 
 TEST_CASE(
     "Property: all entries together respect a cold endpoint's rate limit") {
@@ -20,8 +25,8 @@
     const auto endpoint = "p" + std::to_string(*rc::gen::inRange(0, 1'000));
     int senders = 0;
     for (const std::string& entry : entries) {
-      if (WarmupGate(SenderSelection(entry, entries), max_rate)
-              .CanSendTo(endpoint))
+      if (WarmupGate(SenderHistory(SenderSelection(entry, entries)), max_rate)
+              .CanSendTo(endpoint, kNow))
         ++senders;
     }
     // Each sender sends one request per interval, which is longer than a
@@ -43,8 +48,8 @@
     for (int i = 0; i < kEntryCount; ++i) {
       const auto selection = SenderSelection::OfUnknownFleet(
           "e" + std::to_string(i), /*max_entries=*/1'024);
-      if (WarmupGate(selection, kMaxRate)
-              .CanSendTo("p" + std::to_string(endpoint)))
+      if (WarmupGate(SenderHistory(selection), kMaxRate)
+              .CanSendTo("p" + std::to_string(endpoint), kNow))
         ++senders;
     }
     CHECK(senders <= kMaxRate);
@@ -53,4 +58,25 @@
   CHECK(senders_to_any > 0);
 }
 
+// Guards against an entry that takes the place of another, which has just sent
+// a request or hasn't heard of it yet.
+TEST_CASE("An entry that takes another's place waits for it") {
+  constexpr std::size_t kMaxSenders = 1;
+  const std::string endpoint = "p";
+  const bool is_e1_first =
+      SenderSelection("e1", {"e1", "e2"}).IsSelected(endpoint, kMaxSenders);
+  const std::string first = is_e1_first ? "e1" : "e2";
+  const std::string second = is_e1_first ? "e2" : "e1";
+  SenderHistory history(SenderSelection(second, {first, second}));
+  CHECK_FALSE(history.IsSelected(endpoint, kMaxSenders, kNow));
+  history.Set(SenderSelection(second, {second}), kNow);
+  CHECK_FALSE(history.IsSelected(endpoint, kMaxSenders, kNow));
+  const Time end = kNow + SenderHistory::kHandoverTime;
+  CHECK_FALSE(history.IsSelected(endpoint, kMaxSenders, end - 1ms));
+  CHECK(history.IsSelected(endpoint, kMaxSenders, end));
+  // The same selection again replaces none.
+  history.Set(SenderSelection(second, {second}), end);
+  CHECK(history.IsSelected(endpoint, kMaxSenders, end));
+}
+
 }  // namespace jacinth::forwarding
