Entry: Show endpoints that are lost behind an earlier process

If the platform's list names an id twice, for a process that has ended and for the one that started under its id elsewhere, the last row is taken, whichever it is.

--- a/source/unit_tests/control/endpoint_catalog_test.cc
+++ b/source/unit_tests/control/endpoint_catalog_test.cc
@@ -119,4 +119,22 @@
   }));
 }
 
+// Guards against a process that has ended, and is listed for some seconds
+// beside the one that has started under its id elsewhere, and takes its place.
+TEST_CASE("Of two processes of an id the one that started last is listed") {
+  const bool is_last_first = GENERATE(false, true);
+  CAPTURE(is_last_first);
+  ListedEndpoint last = Endpoint("a");
+  last.started_ms = 2;
+  last.address = "10.0.0.2:1";
+  std::vector<ListedEndpoint> list = {Endpoint("a", true), last};
+  if (is_last_first)
+    std::swap(list[0], list[1]);
+  EndpointCatalog catalog;
+  catalog.Reset(1);
+  catalog.ApplyListing(list, kNow);
+  CHECK(catalog.Endpoints(kNow) == std::vector{last});
+  CHECK_FALSE(catalog.ApplyListing(list, kNow));
+}
+
 }  // namespace jacinth::control
--- a/source/unit_tests/entry/endpoint_regions_test.cc
+++ b/source/unit_tests/entry/endpoint_regions_test.cc
@@ -182,4 +182,19 @@
   CHECK(entry.SendRequests("/west/") == Addresses{kFirst});
 }
 
+// Guards against a process that has ended, and is listed for some seconds
+// beside the one that has started under its id elsewhere, and takes its place.
+TEST_CASE("An id that is listed twice is that of the process started last") {
+  const bool is_last_first = GENERATE(false, true);
+  CAPTURE(is_last_first);
+  RegionalEntry entry(ListSource::kPlatform);
+  std::vector<protocol::ListedEndpoint> list = {
+      MakeListed("a", "east-a", kFirst, 1),
+      MakeListed("a", "west-a", kSecond, 2)};
+  if (is_last_first)
+    std::swap(list[0], list[1]);
+  entry.List(list);
+  CHECK(entry.SendRequests("/west/") == Addresses{kSecond});
+}
+
 }  // namespace jacinth::entry
