Protocol: Take the process that started last of those listed under an id

Callers could miss an endpoint that has started again under its id at another address or in another failure domain: while the list also shows the process that has ended, the last row was taken, whichever it was, and a leader's list changed with each reading. No request could leave its region by that, as the address and the failure domain are of the same row.

Rows of a process that another one of the same id and service has followed are left out, by the start that the list gives, at the leader and at entries that read the list. It costs a map of the rows for each reading; not measured.

--- a/source/core/control/endpoint_catalog.cc
+++ b/source/core/control/endpoint_catalog.cc
@@ -37,9 +37,11 @@
   const std::uint64_t next = version_ == 0 ? first_version_ : version_ + 1;
   bool changed = version_ == 0;
   std::set<std::string> listed;
+  const protocol::LastProcesses last_processes(list);
   for (const ListedEndpoint& endpoint : list) {
     listed.insert(endpoint.id);
-    changed |= UpdateEndpoint(endpoint, next, now);
+    if (!last_processes.IsFollowed(endpoint))
+      changed |= UpdateEndpoint(endpoint, next, now);
   }
   std::erase_if(endpoints_, [&](const auto& item) {
     if (listed.count(item.first) != 0)
--- a/source/core/entry/control_session_lists.cc
+++ b/source/core/entry/control_session_lists.cc
@@ -78,9 +78,10 @@
   endpoints_version_ = 0;
   list_replaced_after_ = sequence_;
   std::set<std::string> listed_ids;
+  const protocol::LastProcesses last_processes(list);
   for (const protocol::ListedEndpoint& endpoint : list) {
     listed_ids.insert(endpoint.id);
-    if (SetEndpoint(endpoint, now))
+    if (!last_processes.IsFollowed(endpoint) && SetEndpoint(endpoint, now))
       ++endpoint_changes_;
   }
   const std::size_t before = endpoints_.size();
--- a/source/core/protocol/endpoint_list.h
+++ b/source/core/protocol/endpoint_list.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jacinth::protocol {
@@ -46,6 +49,20 @@
 std::vector<DrainReport> ListedDrains(
     const std::vector<ListedEndpoint>& endpoints);
 
+/// Finds the processes in a list that another one has followed under the same
+/// id and in the same service: a list may show both for some time. Refers to
+/// the list.
+class LastProcesses {
+ public:
+  explicit LastProcesses(const std::vector<ListedEndpoint>& endpoints);
+
+  bool IsFollowed(const ListedEndpoint& endpoint) const;
+
+ private:
+  /// Start of the last process by id and service.
+  std::map<std::pair<std::string_view, std::string_view>, std::int64_t> starts_;
+};
+
 /// How current the endpoints are that a replica tells an entry of.
 struct ListingState {
   /// Version of the leader's list; 0 if the sender doesn't lead.
