Control: Show that voters may all stand in one region

What callers could see: the large fleet has fifteen control instances in nine failure domains of three regions, and five voters. After the loss of a region no change was acknowledged, although ten of fifteen instances ran. Cause: voters are chosen, replaced and dropped without regard to where they stand. Evidence: LargeGroup plays such a group in virtual time. "A change is acknowledged after the loss of any region" gets no acknowledgement within 5 s in 7 of 36 plays; "A group without a region bears two lost disks and spreads again" replaces the silent voters and bears two lost disks, but is left with three or four voters in one region once the lost region is back. "Voters stay where they are in calm" passes.

--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -12,6 +12,7 @@
 
 #include "core/common/time.h"
 #include "core/control/control_node.h"
+#include "core/protocol/location.h"
 #include "core/storage/log_store.h"
 
 namespace jacinth::test {
@@ -46,6 +47,8 @@
     Duration election_timeout = kElectionTimeout;
     Duration heartbeat = kHeartbeat;
     Duration replace_after = kReplaceAfter;
+    /// Tells where a machine stands; nullptr if the machines have no locations.
+    protocol::Location (*locate)(std::size_t machine) = nullptr;
   };
 
   explicit ControlCluster(std::uint64_t seed);
@@ -76,6 +79,10 @@
   void WipeDisk(std::size_t machine);
   /// Suspends a process for `duration`; messages to it wait.
   void Freeze(std::size_t machine, Duration duration);
+  /// Completes no sync of a machine's disk until ResumeDisk(). Its process goes
+  /// on.
+  void StallDisk(std::size_t machine) { stalled_disks_.insert(machine); }
+  void ResumeDisk(std::size_t machine) { stalled_disks_.erase(machine); }
   /// Drops all messages from one machine to the other.
   void BlockLink(std::size_t from, std::size_t to);
   void UnblockLinks();
@@ -153,6 +160,7 @@
   std::vector<Machine> machines_;
   std::vector<InFlightMessage> network_;
   std::set<std::pair<std::string, std::string>> blocked_links_;
+  std::set<std::size_t> stalled_disks_;
 };
 
 }  // namespace jacinth::test
