--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -180,6 +180,8 @@
                           Time now);
   void AdvanceCommit();
   void LeaderTick(Time now);
+
+  // replica_membership.cc
   std::string PreviousIncarnation(const std::string& learner) const;
   bool NeedsVoter(Time now) const;
   bool HasCaughtUp(const std::string& learner, Time now) const;
