Consensus: Choose voters that stand apart

Cause: founders, the learner that fills a place and the surplus voter that is dropped were taken by order, name or silence alone, so that three to five of five voters could stand in one region. Change: each replica tells its region and failure domain, in answers to probes and to a leader that asks for it (optional fields, asked for once a term; builds that don't know them count as standing alone). The founder takes those that stand furthest apart of the machines that have answered by then, and so does a leader with learners and surplus voters. If a region or failure domain still holds too many voters, a learner elsewhere is added and then one of these removed, in calm only. Weighed: locations in the log (a change of its format, and of no use, as all but silent replicas tell within a heartbeat); waiting for better founders (first settings later). "A group is founded across regions" is new with the choice. Cost: no work per request. Tests changed: codec_test's full message has the new fields.

--- a/source/core/consensus/formation.cc
+++ b/source/core/consensus/formation.cc
@@ -1,8 +1,11 @@
 #include "core/consensus/formation.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
+#include "core/consensus/voter_spread.h"
+
 namespace jacinth::consensus {
 namespace {
 
@@ -21,10 +24,12 @@
 Formation::Formation(std::string id,
                      std::vector<std::string> contacts,
                      bool may_create_group,
-                     std::size_t target_voters)
+                     std::size_t target_voters,
+                     protocol::Location location)
     : id_(std::move(id)),
       may_create_group_(may_create_group),
-      target_voters_(target_voters) {
+      target_voters_(target_voters),
+      location_(std::move(location)) {
   SetContacts(std::move(contacts));
 }
 
@@ -75,8 +80,8 @@
       group_instances_.emplace(InstanceFromReplicaId(voter));
     return;
   }
-  instances_without_log_[std::string(InstanceFromReplicaId(message.from))] =
-      message.from;
+  instances_without_log_[std::string(InstanceFromReplicaId(message.from))] = {
+      message.from, message.location};
 }
 
 Formation::Decision Formation::decision() const {
@@ -92,21 +97,45 @@
 }
 
 protocol::Configuration Formation::configuration() const {
+  std::vector<Candidate> candidates = Candidates();
+  const std::size_t size = std::max(contacts_.size(), target_voters_);
   protocol::Configuration configuration;
   configuration.voters.push_back(id_);
-  for (const auto& [instance, id] : instances_without_log_) {
+  std::vector<protocol::Location> locations = {location_};
+  while (configuration.voters.size() < size && !candidates.empty()) {
+    auto best = candidates.begin();
+    std::optional<VoterSpread> least;
+    for (auto it = candidates.begin(); it != candidates.end(); ++it) {
+      locations.push_back(it->location);
+      const VoterSpread spread = MeasureSpread(locations);
+      locations.pop_back();
+      if (least && !(spread < *least))
+        continue;
+      least = spread;
+      best = it;
+    }
+    configuration.voters.push_back(best->id);
+    locations.push_back(best->location);
+    candidates.erase(best);
+  }
+  std::sort(configuration.voters.begin(), configuration.voters.end());
+  return configuration;
+}
+
+// Returns the replicas that have no log: contacts, and then others in the order
+// in which they asked.
+std::vector<Formation::Candidate> Formation::Candidates() const {
+  std::vector<Candidate> candidates;
+  for (const auto& [instance, candidate] : instances_without_log_) {
     if (IsContact(instance))
-      configuration.voters.push_back(id);
+      candidates.push_back(candidate);
   }
   for (const std::string& instance : others_) {
     const auto found = instances_without_log_.find(instance);
-    if (found == instances_without_log_.end() || IsContact(instance))
-      continue;
-    if (configuration.voters.size() < target_voters_)
-      configuration.voters.push_back(found->second);
+    if (found != instances_without_log_.end() && !IsContact(instance))
+      candidates.push_back(found->second);
   }
-  std::sort(configuration.voters.begin(), configuration.voters.end());
-  return configuration;
+  return candidates;
 }
 
 bool Formation::IsContact(const std::string& instance) const {
@@ -129,13 +158,15 @@
 PeerMessage MakeProbeReply(const PeerMessage& probe,
                            const std::string& id,
                            bool has_log,
-                           const protocol::Configuration& members) {
+                           const protocol::Configuration& members,
+                           const protocol::Location& location) {
   PeerMessage reply;
   reply.kind = PeerMessageKind::kProbeReply;
   reply.from = id;
   reply.to = probe.from;
   reply.granted = has_log;
   reply.configuration = members;
+  reply.location = location;
   return reply;
 }
 
--- a/source/core/consensus/formation.h
+++ b/source/core/consensus/formation.h
@@ -20,7 +20,8 @@
 /// group, and only after all other contacts have replied that they have no log.
 /// Other instances that ask to join become first members as well, up to the
 /// size of the group, if they reply the same soon after the contacts: a group
-/// that has to grow needs several syncs for each voter that it adds.
+/// that has to grow needs several syncs for each voter that it adds. Of those
+/// that have replied by then, the ones are taken that stand furthest apart.
 /// All other replicas, and a founder that lost its disk, wait for a group that
 /// they can join.
 class Formation {
@@ -41,7 +42,8 @@
   Formation(std::string id,
             std::vector<std::string> contacts,
             bool may_create_group,
-            std::size_t target_voters = 0);
+            std::size_t target_voters = 0,
+            protocol::Location location = {});
 
   /// Replaces the contacts when the settings change.
   void SetContacts(std::vector<std::string> contacts);
@@ -63,6 +65,12 @@
   Time NextTickTime() const { return next_probe_time_; }
 
  private:
+  struct Candidate {
+    std::string id;
+    protocol::Location location;
+  };
+
+  std::vector<Candidate> Candidates() const;
   bool IsFounder() const;
   bool IsContact(const std::string& instance) const;
   bool HasHeardAllContacts() const;
@@ -71,8 +79,9 @@
   std::vector<std::string> contacts_;
   bool may_create_group_;
   std::size_t target_voters_;
-  /// Replica ids by instance, for the instances that have no log.
-  std::map<std::string, std::string> instances_without_log_;
+  protocol::Location location_;
+  /// By instance, the replicas that have no log.
+  std::map<std::string, Candidate> instances_without_log_;
   /// Instances that are no contacts and sent probes, in the order of the first
   /// ones.
   std::vector<std::string> others_;
@@ -91,6 +100,7 @@
     const protocol::PeerMessage& probe,
     const std::string& id,
     bool has_log,
-    const protocol::Configuration& members = {});
+    const protocol::Configuration& members = {},
+    const protocol::Location& location = {});
 
 }  // namespace jacinth::consensus
--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -14,6 +14,7 @@
 #include "core/consensus/replica_actions.h"
 #include "core/consensus/replica_log.h"
 #include "core/consensus/replica_options.h"
+#include "core/consensus/voter_spread.h"
 #include "core/protocol/hard_state.h"
 
 namespace jacinth::consensus {
@@ -63,12 +64,15 @@
   /// up what has all that was committed a short time ago: it never has all
   /// entries while more are appended during each of its syncs. It replaces any
   /// other replica of the same instance. If the group is full, it is added only
-  /// while a voter is silent for `replace_after`, which DropSurplusVoter() then
-  /// removes. Takes one step of this per call, so it must be called repeatedly.
+  /// while a voter is silent for `replace_after`, or if the group then bears
+  /// the loss of a region or failure domain better; DropSurplusVoter() then
+  /// removes a voter. Takes one step of this per call, so it must be called
+  /// repeatedly.
   void AdmitReplica(const std::string& id, Time now);
 
-  /// Removes the voter that has been silent for longest from a group that has
-  /// more than `target_voters`.
+  /// Removes a voter from a group that has more than `target_voters`: the one
+  /// that has been silent for longest or, if all answer, the one without which
+  /// the voters stand furthest apart.
   void DropSurplusVoter(Time now);
 
   /// Removes a learner that has been silent for `replace_after`. The learner
@@ -135,6 +139,8 @@
     /// Time since which no reply has confirmed further entries, while some are
     /// sent and unconfirmed.
     Time waiting_since{};
+    /// Where this replica stands, once it has told.
+    protocol::Location location;
     /// Set while a snapshot is in flight.
     std::optional<Time> snapshot_sent;
   };
@@ -184,6 +190,15 @@
   // replica_membership.cc
   std::string PreviousIncarnation(const std::string& learner) const;
   bool NeedsVoter(Time now) const;
+  bool MayBecomeVoter(const std::string& learner, Time now) const;
+  bool IsBestSuccessor(const std::string& learner, Time now) const;
+  bool SpreadsVoters(const std::string& learner, Time now) const;
+  bool IsCalm(Time now) const;
+  VoterSpread SpreadWith(const std::string& learner,
+                         const std::string& dropped) const;
+  VoterSpread BestSpreadWith(const std::string& learner) const;
+  std::string VoterToSpare() const;
+  protocol::Location LocationOf(const std::string& id) const;
   bool HasCaughtUp(const std::string& learner, Time now) const;
   std::string LongestSilentVoter() const;
   bool IsSilent(const std::string& id, Duration duration, Time now) const;
@@ -239,6 +254,8 @@
   /// Index of the last entry of this term that changes the voters; 0 if there
   /// is none.
   std::uint64_t last_voter_change_ = 0;
+  /// Time of that change, or of the start of the term.
+  Time voters_changed_{};
   /// Set while a leadership transfer is in progress.
   std::optional<Time> transfer_started_;
 
--- a/source/core/consensus/replica_follower.cc
+++ b/source/core/consensus/replica_follower.cc
@@ -107,6 +107,8 @@
   reply.granted = accepted;
   reply.index = index;
   reply.round = message.round;
+  if (message.asks_location)
+    reply.location = options_.location;
   Send(std::move(reply), wait_for_sync);
 }
 
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -48,6 +48,7 @@
   progress_.clear();
   first_index_of_term_ = AppendLocally(LogEntryKind::kNoop, "");
   last_voter_change_ = 0;
+  voters_changed_ = now;
   Broadcast(now);
   heartbeat_due_ = now + options_.heartbeat;
 }
@@ -108,6 +109,7 @@
   message.log_term = log_.TermAt(message.index).value_or(0);
   message.commit = commit_index_;
   message.round = lease_->StartRound(now);
+  message.asks_location = !progress.location.IsKnown();
   if (!message.entries.empty()) {
     // The time of waiting for a reply begins here, however long ago the last
     // entry was.
@@ -125,6 +127,7 @@
   PeerMessage message = MakeMessage(PeerMessageKind::kSnapshot, to);
   message.snapshot = log_.base();
   message.round = lease_->StartRound(now);
+  message.asks_location = !progress.location.IsKnown();
   progress.next = log_.base().index + 1;
   progress.waiting_since = now;
   progress.snapshot_sent = now;
@@ -146,6 +149,8 @@
     return;
   lease_->RecordReply(message.from, message.round);
   Progress& progress = found->second;
+  if (message.location.IsKnown())
+    progress.location = message.location;
   if (progress.inflight > 0)
     --progress.inflight;
   if (!message.granted) {
--- a/source/core/consensus/replica_membership.cc
+++ b/source/core/consensus/replica_membership.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 
 #include "core/consensus/replica.h"
 #include "core/wire/state_codec.h"
@@ -45,7 +46,7 @@
     return;
   if (!replaced.empty()) {
     std::erase(next.voters, replaced);
-  } else if (NeedsVoter(now)) {
+  } else if (MayBecomeVoter(id, now)) {
     std::erase(next.learners, id);
     next.voters.push_back(id);
     std::sort(next.voters.begin(), next.voters.end());
@@ -85,6 +86,118 @@
          IsSilent(LongestSilentVoter(), options_.replace_after, now);
 }
 
+// Returns true if the group gains from a learner that has caught up, and from
+// no other one more.
+bool Replica::MayBecomeVoter(const std::string& learner, Time now) const {
+  return NeedsVoter(now) ? IsBestSuccessor(learner, now)
+                         : SpreadsVoters(learner, now);
+}
+
+// Returns true if no other learner that has caught up stands further from the
+// voters that stay.
+bool Replica::IsBestSuccessor(const std::string& learner, Time now) const {
+  const std::string longest_silent = LongestSilentVoter();
+  const std::string lost =
+      options_.target_voters != 0 &&
+              IsSilent(longest_silent, options_.replace_after, now)
+          ? longest_silent
+          : "";
+  const VoterSpread spread = SpreadWith(learner, lost);
+  return std::none_of(
+      configuration_.learners.begin(), configuration_.learners.end(),
+      [&](const std::string& other) {
+        return other != learner && SpreadWith(other, lost) < spread &&
+               PreviousIncarnation(other).empty() && HasCaughtUp(other, now);
+      });
+}
+
+// Returns true if the group bears the loss of a region or failure domain better
+// once `learner` has replaced another voter.
+bool Replica::SpreadsVoters(const std::string& learner, Time now) const {
+  if (configuration_.voters.size() != options_.target_voters)
+    return false;
+  const std::size_t excess = SpreadWith("", "").excess;
+  if (excess == 0 || !IsCalm(now))
+    return false;
+  // One whose link comes and goes would make the voters come and go.
+  if (now < progress_.at(learner).added + options_.replace_after)
+    return false;
+  const VoterSpread spread = BestSpreadWith(learner);
+  if (spread.excess >= excess)
+    return false;
+  return std::none_of(
+      configuration_.learners.begin(), configuration_.learners.end(),
+      [&](const std::string& other) {
+        return other != learner && BestSpreadWith(other) < spread &&
+               PreviousIncarnation(other).empty() && HasCaughtUp(other, now);
+      });
+}
+
+// Returns true if all voters have answered lately, and none was added or
+// removed for a while.
+bool Replica::IsCalm(Time now) const {
+  return now >= voters_changed_ + options_.replace_after &&
+         std::all_of(
+             configuration_.voters.begin(), configuration_.voters.end(),
+             [&](const std::string& voter) {
+               return LocationOf(voter).IsKnown() &&
+                      (voter == options_.id ||
+                       !IsSilent(voter, options_.election_timeout, now));
+             });
+}
+
+// Returns the spread of the voters with `learner` and without `dropped`, both
+// of which may be empty.
+VoterSpread Replica::SpreadWith(const std::string& learner,
+                                const std::string& dropped) const {
+  std::vector<protocol::Location> locations;
+  for (const std::string& voter : configuration_.voters) {
+    if (voter != dropped)
+      locations.push_back(LocationOf(voter));
+  }
+  if (!learner.empty())
+    locations.push_back(LocationOf(learner));
+  return MeasureSpread(locations);
+}
+
+// Returns the spread of the voters once `learner` has replaced one of them.
+VoterSpread Replica::BestSpreadWith(const std::string& learner) const {
+  VoterSpread best = SpreadWith("", "");
+  for (const std::string& voter : configuration_.voters) {
+    if (voter != options_.id)
+      best = std::min(best, SpreadWith(learner, voter));
+  }
+  return best;
+}
+
+// Returns the other voter without which the voters stand furthest apart. Of
+// several, returns the one whose last reply is oldest.
+std::string Replica::VoterToSpare() const {
+  std::string spare;
+  std::optional<VoterSpread> least;
+  for (const std::string& voter : configuration_.voters) {
+    if (voter == options_.id)
+      continue;
+    const VoterSpread spread = SpreadWith("", voter);
+    const bool is_better = !least || spread < *least ||
+                           (spread == *least && lease_->LastContact(voter) <
+                                                    lease_->LastContact(spare));
+    if (!is_better)
+      continue;
+    least = spread;
+    spare = voter;
+  }
+  return spare;
+}
+
+protocol::Location Replica::LocationOf(const std::string& id) const {
+  if (id == options_.id)
+    return options_.location;
+  const auto found = progress_.find(id);
+  return found == progress_.end() ? protocol::Location{}
+                                  : found->second.location;
+}
+
 // Returns the other voter whose last reply is oldest; empty if there is none.
 std::string Replica::LongestSilentVoter() const {
   std::string longest_silent;
@@ -120,13 +233,13 @@
                   });
   if (!knows_all)
     return;
-  const std::string dropped = LongestSilentVoter();
+  const std::string longest_silent = LongestSilentVoter();
+  const bool is_lost = IsSilent(longest_silent, options_.replace_after, now);
   // Waits while it may still be a busy one that falls silent.
-  if (IsSilent(dropped, options_.election_timeout, now) &&
-      !IsSilent(dropped, options_.replace_after, now))
+  if (IsSilent(longest_silent, options_.election_timeout, now) && !is_lost)
     return;
   Configuration next = configuration_;
-  std::erase(next.voters, dropped);
+  std::erase(next.voters, is_lost ? longest_silent : VoterToSpare());
   ChangeConfiguration(next, now);
 }
 
@@ -159,8 +272,10 @@
   const bool changes_voters = configuration.voters != configuration_.voters;
   const std::uint64_t index = AppendLocally(
       LogEntryKind::kConfiguration, wire::EncodeConfiguration(configuration));
-  if (changes_voters)
+  if (changes_voters) {
     last_voter_change_ = index;
+    voters_changed_ = now;
+  }
   UpdateConfiguration();
   Broadcast(now);
 }
--- a/source/core/consensus/replica_options.h
+++ b/source/core/consensus/replica_options.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/common/time.h"
+#include "core/protocol/location.h"
 
 namespace jacinth::consensus {
 
@@ -12,6 +13,8 @@
 struct ReplicaOptions {
   /// Replica id; see protocol::Configuration.
   std::string id;
+  /// Where this replica stands, for the choice of voters.
+  protocol::Location location;
   /// Minimum time without a message from the leader before an election. The
   /// actual time is random between this and twice this.
   Duration election_timeout{0};
--- a/source/core/control/control_node.cc
+++ b/source/core/control/control_node.cc
@@ -39,7 +39,8 @@
   if (!has_log) {
     node.formation_.emplace(node.options_.replica.id, node.options_.contacts,
                             node.options_.may_create_group,
-                            node.options_.replica.target_voters);
+                            node.options_.replica.target_voters,
+                            node.options_.replica.location);
     // With a term but no log, the replica may have voted before it received its
     // first entry, and that vote must be kept.
     if (start.hard_state.term == 0)
--- a/source/core/control/control_node_membership.cc
+++ b/source/core/control/control_node_membership.cc
@@ -32,7 +32,8 @@
         {std::string(protocol::InstanceFromReplicaId(message.from)),
          consensus::MakeProbeReply(
              message, options_.replica.id, has_log,
-             has_log ? replica_->configuration() : protocol::Configuration{})});
+             has_log ? replica_->configuration() : protocol::Configuration{},
+             options_.replica.location)});
     const bool may_join =
         options_.open_membership ||
         std::find(options_.contacts.begin(), options_.contacts.end(),
--- a/source/core/protocol/peer_message.h
+++ b/source/core/protocol/peer_message.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/protocol/configuration.h"
+#include "core/protocol/location.h"
 #include "core/protocol/log_entry.h"
 #include "core/protocol/snapshot.h"
 
@@ -56,6 +57,12 @@
   /// Probe reply: the members of the group; empty if there is none.
   Configuration configuration;
   Snapshot snapshot;
+  /// Append and snapshot: true while the leader doesn't know where the receiver
+  /// stands.
+  bool asks_location = false;
+  /// Probe reply, and append reply if the leader asked: where the sender
+  /// stands.
+  Location location;
 
   bool operator==(const PeerMessage&) const = default;
 };
--- a/source/core/wire/convert_peer.cc
+++ b/source/core/wire/convert_peer.cc
@@ -7,6 +7,17 @@
 using protocol::LogEntryKind;
 using protocol::PeerMessageKind;
 
+generated::Location ToWire(const protocol::Location& location) {
+  generated::Location out;
+  out.region = location.region;
+  out.failure_domain = location.failure_domain;
+  return out;
+}
+
+protocol::Location FromWire(const generated::Location& location) {
+  return {location.region, location.failure_domain};
+}
+
 }  // namespace
 
 generated::LogEntry ToWire(const protocol::LogEntry& entry) {
@@ -78,6 +89,10 @@
     out.__set_configuration(ToWire(message.configuration));
   if (message.kind == PeerMessageKind::kSnapshot)
     out.__set_snapshot(ToWire(message.snapshot));
+  if (message.asks_location)
+    out.__set_asks_location(true);
+  if (message.location.IsKnown())
+    out.__set_location(ToWire(message.location));
   return out;
 }
 
@@ -106,6 +121,9 @@
     out.configuration = FromWire(message.configuration);
   if (message.__isset.snapshot)
     out.snapshot = FromWire(message.snapshot);
+  out.asks_location = message.__isset.asks_location && message.asks_location;
+  if (message.__isset.location)
+    out.location = FromWire(message.location);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -6,11 +6,13 @@
   1: i64 index, 2: i64 term, 3: Configuration configuration, 4: binary state
 }
 struct HardState { 1: i64 term, 2: string vote }
+struct Location { 1: string region, 2: string failure_domain }
 struct PeerMessage {
   1: i32 kind, 2: string sender, 3: string receiver, 4: i64 term, 5: i64 index,
   6: i64 log_term, 7: i64 commit, 8: i64 round, 9: bool granted,
   10: bool transfer, 11: list<LogEntry> entries,
-  12: optional Configuration configuration, 13: optional Snapshot snapshot
+  12: optional Configuration configuration, 13: optional Snapshot snapshot,
+  14: optional bool asks_location, 15: optional Location location
 }
 
 struct EntryStatus {
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -346,6 +346,7 @@
   control::ControlOptions options;
   options.replica.id =
       protocol::MakeReplicaId(settings_.LinkName(), folder_->incarnation());
+  options.replica.location = {settings_.region, settings_.failure_domain};
   options.replica.election_timeout = settings_.election_timeout;
   options.replica.heartbeat = settings_.replica_heartbeat;
   options.contacts = contacts_;
--- a/source/unit_tests/consensus/formation_test.cc
+++ b/source/unit_tests/consensus/formation_test.cc
@@ -72,6 +72,31 @@
   }
 }
 
+// Guards against a group whose founders stand in one region, though others have
+// answered.
+TEST_CASE("A group is founded across regions") {
+  Formation founder("a#1", {"a", "b", "c"}, true, 5, {"west", "west-1"});
+  const auto answer = [&](const std::string& instance,
+                          const protocol::Location& location) {
+    founder.OnProbe(instance, Time{1s});
+    protocol::PeerMessage reply = ProbeReply(instance + "#1", "a#1", false);
+    reply.location = location;
+    founder.OnProbeReply(reply);
+  };
+  answer("b", {"west", "west-1"});
+  answer("c", {"west", "west-2"});
+  answer("d", {"east", "east-1"});
+  answer("e", {"east", "east-1"});
+  // What has answered by now is taken as it is.
+  CHECK(founder.decision() == Formation::Decision::kCreateGroup);
+  CHECK(founder.configuration().voters ==
+        std::vector<std::string>{"a#1", "b#1", "c#1", "d#1", "e#1"});
+  answer("f", {"south", "south-1"});
+  answer("g", {"west", "west-3"});
+  CHECK(founder.configuration().voters ==
+        std::vector<std::string>{"a#1", "c#1", "d#1", "e#1", "f#1"});
+}
+
 // A contact may start late, and the group needs it.
 TEST_CASE("Others don't stand in for a contact") {
   Formation founder("a#1", {"a", "b", "c"}, true, 3);
--- a/source/unit_tests/control/voter_spread_test.cc
+++ b/source/unit_tests/control/voter_spread_test.cc
@@ -74,6 +74,57 @@
   }
 }
 
+// Pattern: all voters stand in one region, as the machines of the others start
+// late. Guards against a group that never leaves it, or that has fewer voters
+// than it may lose meanwhile.
+TEST_CASE("Voters leave a crowded region one at a time") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    LargeGroup group(seed, LargeGroup::Contacts::kInOneRegion);
+    group.CrashRegion(1);
+    group.CrashRegion(2);
+    group.RunWithClaims(LargeGroup::kContact);
+    REQUIRE(group.Voters().size() == LargeGroup::kVoters);
+    group.RestartAll();
+    const Time end = group.cluster.now() + 4 * LargeGroup::kContact;
+    while (group.cluster.now() < end) {
+      group.RunWithClaims(100ms);
+      const auto leader = group.cluster.Leader();
+      REQUIRE(leader);
+      const std::size_t size =
+          group.cluster.node(*leader)->replica()->configuration().voters.size();
+      CHECK(size >= LargeGroup::kVoters);
+      CHECK(size <= LargeGroup::kVoters + 1);
+    }
+    CHECK(group.Voters().size() == LargeGroup::kVoters);
+    CHECK(group.MostInRegion() <= kSparable);
+  }
+}
+
+// Pattern: a region is cut off and back again and again. Guards against voters
+// that go there each time, to be replaced soon after.
+TEST_CASE("Voters don't follow a region that comes and goes") {
+  const auto contacts = AllContacts();
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(static_cast<int>(contacts), seed);
+    LargeGroup group(seed, contacts);
+    group.cluster.Run(kMaxSpread);
+    const std::size_t lost = seed % LargeGroup::kRegions;
+    group.CrashRegion(lost);
+    group.cluster.Run(2 * LargeGroup::kContact);
+    const std::set<std::string> voters = group.Voters();
+    REQUIRE(voters.size() == LargeGroup::kVoters);
+    for (int i = 0; i < 4; ++i) {
+      group.RestartAll();
+      group.cluster.Run(2s);
+      CHECK(group.Voters() == voters);
+      group.CrashRegion(lost);
+      group.cluster.Run(LargeGroup::kContact);
+      CHECK(group.Voters() == voters);
+    }
+  }
+}
+
 // Guards against voters that are exchanged again and again in calm.
 TEST_CASE("Voters stay where they are in calm") {
   const auto contacts = AllContacts();
--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -65,6 +65,8 @@
   control::ControlOptions options;
   options.replica.id = protocol::MakeReplicaId(
       machine.instance, std::to_string(machine.incarnation));
+  if (layout_.locate != nullptr)
+    options.replica.location = layout_.locate(machine_index);
   options.replica.election_timeout = layout_.election_timeout;
   options.replica.heartbeat = layout_.heartbeat;
   for (std::size_t i = 0; i < layout_.contacts; ++i)
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -34,6 +34,8 @@
       {8, 9, protocol::LogEntryKind::kCommand, std::string("\0x", 2)}};
   message.configuration = {{"a#1"}, {"b#2"}};
   message.snapshot = {10, 11, {{"a#1"}, {}}, "state"};
+  message.asks_location = true;
+  message.location = {"west", "west-a"};
   return message;
 }
 
