--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -273,7 +273,7 @@
 void ControlCluster::SyncWrites(std::size_t machine_index) {
   Machine& machine = machines_[machine_index];
   // A frozen process handles its completed syncs after it resumes.
-  if (IsFrozen(machine_index) || stalled_disks_.count(machine_index) != 0)
+  if (IsFrozen(machine_index) || IsDiskStalled(machine_index))
     return;
   std::optional<consensus::SyncId> synced;
   while (!machine.writes.empty() && machine.writes.front().due <= now_) {
--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -83,6 +83,9 @@
   /// on.
   void StallDisk(std::size_t machine) { stalled_disks_.insert(machine); }
   void ResumeDisk(std::size_t machine) { stalled_disks_.erase(machine); }
+  bool IsDiskStalled(std::size_t machine) const {
+    return stalled_disks_.count(machine) != 0;
+  }
   /// Drops all messages from one machine to the other.
   void BlockLink(std::size_t from, std::size_t to);
   void UnblockLinks();
