--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -65,6 +65,8 @@
   control::ControlOptions options;
   options.replica.id = protocol::MakeReplicaId(
       machine.instance, std::to_string(machine.incarnation));
+  if (layout_.locate != nullptr)
+    options.replica.location = layout_.locate(machine_index);
   options.replica.election_timeout = layout_.election_timeout;
   options.replica.heartbeat = layout_.heartbeat;
   for (std::size_t i = 0; i < layout_.contacts; ++i)
@@ -271,7 +273,7 @@
 void ControlCluster::SyncWrites(std::size_t machine_index) {
   Machine& machine = machines_[machine_index];
   // A frozen process handles its completed syncs after it resumes.
-  if (IsFrozen(machine_index))
+  if (IsFrozen(machine_index) || IsDiskStalled(machine_index))
     return;
   std::optional<consensus::SyncId> synced;
   while (!machine.writes.empty() && machine.writes.front().due <= now_) {
