Entry: Let the leader tell how often it reads the platform's list

Entries took what they know of drains for old after 1.8 s, which fits a leader that reads the list each 750 ms. With a longer interval_ms they asked replicas all the time, which then read the list as well, and read it themselves.

ListingState now holds the leader's interval. What is known of drains counts as old after 1.8 s or the interval and 1.05 s, whichever is longer; an entry reads the list itself by the same bound. With the interval of the deployment nothing changes, and leaders of earlier builds tell none.

--- a/source/core/control/control_node.h
+++ b/source/core/control/control_node.h
@@ -39,6 +39,8 @@
   /// Region of each failure domain, for listed endpoints.
   std::map<std::string, std::string> failure_domain_regions;
   Duration entry_timeout{0};
+  /// Interval at which the host reads the platform's list while it leads.
+  Duration listing_interval{0};
   /// Number of log entries between snapshots.
   std::uint64_t snapshot_entries = 0;
   /// Differs between replicas and between their starts, so that proposal ids
--- a/source/core/control/control_node_delivery.cc
+++ b/source/core/control/control_node_delivery.cc
@@ -219,6 +219,7 @@
   reply.listing.emplace();
   reply.listing->version = catalog_.version();
   reply.listing->age_ms = ToMillis(now - list_read_at_);
+  reply.listing->interval_ms = ToMillis(options_.listing_interval);
   reply.leader = true;
   reply.leader_hint = LeaderInstance();
   reply.revision = state_.revision();
--- a/source/core/entry/control_session.cc
+++ b/source/core/entry/control_session.cc
@@ -40,11 +40,12 @@
 /// Number of contacts that are asked beside a leader that has not answered.
 constexpr std::size_t kStandbyContacts = 2;
 /// Age of what is known of drains after which others than the leader are asked.
-/// It is lower while the leader reads the platform's list at the interval of
-/// the deployment and answers heartbeats. What is left of the 3 s for which an
-/// endpoint that drains may get requests is enough for a question and its
-/// answer.
+/// It is lower while the leader reads the platform's list each 750 ms and
+/// answers heartbeats. What is left of the 3 s for which an endpoint that
+/// drains may get requests is enough for a question and its answer.
 constexpr Duration kMaxDrainsAge = 1800ms;
+/// The same beyond the leader's interval, if that is longer.
+constexpr Duration kMaxDrainsDelay = kMaxDrainsAge - 750ms;
 /// Time between two questions, which a replica that has to read the list first
 /// needs to answer.
 constexpr Duration kQuestionInterval = 400ms;
@@ -263,6 +264,7 @@
     return;
   }
   const protocol::ListingState& listing = *reply.listing;
+  listing_interval_ = std::chrono::milliseconds(listing.interval_ms);
   if (listing.version != 0 && endpoints_version_ == listing.version) {
     ConfirmEndpoints(sent - std::chrono::milliseconds(listing.age_ms));
     return;
@@ -292,7 +294,11 @@
 }
 
 bool ControlSession::AreDrainsOld(Time now) const {
-  return !endpoints_.empty() && now > drains_confirmed_at_ + kMaxDrainsAge;
+  return !endpoints_.empty() && now > drains_confirmed_at_ + MaxDrainsAge();
+}
+
+Duration ControlSession::MaxDrainsAge() const {
+  return std::max(kMaxDrainsAge, listing_interval_ + kMaxDrainsDelay);
 }
 
 void ControlSession::ExpediteHeartbeat(Time now) {
--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -100,6 +100,8 @@
   /// Returns true if drains may be missing here that the platform's list has
   /// shown for some time, so that others than the leader are asked.
   bool AreDrainsOld(Time now) const;
+  /// Age at which they count as old.
+  Duration MaxDrainsAge() const;
   /// Version of the leader's endpoint list; 0 if this instance has read the
   /// list from the platform.
   std::uint64_t endpoints_version() const { return endpoints_version_; }
@@ -281,6 +283,8 @@
   bool has_endpoint_list_ = false;
   Time endpoints_confirmed_at_{};
   Time drains_confirmed_at_{};
+  /// Interval at which the leader reads the platform's list; 0 if unknown.
+  Duration listing_interval_{0};
   /// True if the next heartbeat tells the leader that an update is missing, and
   /// the sequence number of the last heartbeat that did.
   bool lacks_endpoints_ = false;
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -19,10 +19,8 @@
 
 /// Time between ticks, which bounds the delay in detecting an expired deadline.
 constexpr Duration kTickInterval = 20ms;
-/// Age of what the control role tells of drains after which an entry reads the
-/// list from the platform.
-constexpr Duration kMaxEndpointListAge = 1800ms;
-/// The same for all other changes of the list, which may come later.
+/// Age of what the control role tells of the list after which an entry reads it
+/// from the platform, for all changes but drains, which may come later.
 constexpr Duration kMaxWholeListAge = 5s;
 /// Time for which an entry that has settings waits for its first list: a leader
 /// that has just been elected has to read the list first.
@@ -209,7 +207,7 @@
   const bool is_older = now - event.took <= session_.endpoints_confirmed_at();
   const bool leader_is_fresh =
       session_.InContact(now) &&
-      now < session_.endpoints_confirmed_at() + kMaxEndpointListAge;
+      now < session_.endpoints_confirmed_at() + session_.MaxDrainsAge();
   if (is_older || leader_is_fresh)
     return;
   session_.ApplyEndpointList(event.endpoints, event.took, now);
@@ -266,8 +264,9 @@
   const bool is_fresh =
       session_.fleet() == nullptr ||
       (!AwaitsEndpoints() &&
-       now < session_.drains_confirmed_at() + kMaxEndpointListAge &&
-       now < session_.endpoints_confirmed_at() + kMaxWholeListAge);
+       now < session_.drains_confirmed_at() + session_.MaxDrainsAge() &&
+       now < session_.endpoints_confirmed_at() +
+                 std::max(kMaxWholeListAge, session_.MaxDrainsAge()));
   if (is_fresh) {
     endpoint_list_due_.reset();
     next_endpoint_list_ = now + kMinEndpointListInterval;
--- a/source/core/protocol/endpoint_list.h
+++ b/source/core/protocol/endpoint_list.h
@@ -57,6 +57,9 @@
   /// platform's list until the entry's heartbeat arrived, in milliseconds by
   /// the sender's clock; 0 if the reading began after that.
   std::int64_t age_ms = 0;
+  /// Interval at which the leader reads that list, in milliseconds; 0 if the
+  /// message doesn't tell.
+  std::int64_t interval_ms = 0;
 
   bool operator==(const ListingState&) const = default;
 };
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -82,6 +82,8 @@
   out.version = static_cast<std::int64_t>(listing.version);
   out.sent_version = static_cast<std::int64_t>(listing.sent_version);
   out.age_ms = listing.age_ms;
+  if (listing.interval_ms != 0)
+    out.__set_interval_ms(listing.interval_ms);
   return out;
 }
 
@@ -90,6 +92,8 @@
   out.version = static_cast<std::uint64_t>(listing.version);
   out.sent_version = static_cast<std::uint64_t>(listing.sent_version);
   out.age_ms = std::min(listing.age_ms, kMaxListingAgeMs);
+  out.interval_ms =
+      std::clamp<std::int64_t>(listing.interval_ms, 0, kMaxListingAgeMs);
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -86,7 +86,9 @@
   1: i64 version, 2: i64 base, 3: list<ListedEndpoint> changed,
   4: list<string> removed, 5: optional list<i32> parts
 }
-struct ListingState { 1: i64 version, 2: i64 sent_version, 3: i64 age_ms }
+struct ListingState {
+  1: i64 version, 2: i64 sent_version, 3: i64 age_ms, 4: optional i64 interval_ms
+}
 struct MemberList {
   1: i64 version, 2: list<EntryStatus> entries, 3: optional i64 base,
   4: optional list<string> removed
--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -359,6 +359,7 @@
     options.replica.replace_after = kReplaceAfter;
   }
   options.entry_timeout = settings_.entry_timeout;
+  options.listing_interval = settings_.discovery_interval;
   options.snapshot_entries =
       static_cast<std::uint64_t>(settings_.snapshot_entries);
   options.proposal_seed = std::random_device{}();
--- a/source/unit_tests/support/control_cluster.cc
+++ b/source/unit_tests/support/control_cluster.cc
@@ -78,6 +78,7 @@
     options.replica.replace_after = layout_.replace_after;
   }
   options.entry_timeout = 500ms;
+  options.listing_interval = layout_.listing_interval;
   options.snapshot_entries = kSnapshotEntries;
   options.proposal_seed = static_cast<std::uint64_t>(++machine.starts);
   consensus::ReplicaStart start;
--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -46,6 +46,7 @@
     Duration election_timeout = kElectionTimeout;
     Duration heartbeat = kHeartbeat;
     Duration replace_after = kReplaceAfter;
+    Duration listing_interval{0};
   };
 
   explicit ControlCluster(std::uint64_t seed);
--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -16,7 +16,9 @@
 }  // namespace
 
 ListingFleet::ListingFleet(std::uint64_t seed, Duration list_interval)
-    : cluster_(seed, {kReplicas, kReplicas, 0, 500ms, 120ms}),
+    : cluster_(seed,
+               {kReplicas, kReplicas, 0, 500ms, 120ms,
+                ControlCluster::kReplaceAfter, list_interval}),
       list_interval_(list_interval) {
   cluster_.loss_percent = 0;
   cluster_.duplicate_percent = 0;
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -271,9 +271,10 @@
 // Guards against a list that never gets old, as another build tells an age or a
 // version out of range.
 TEST_CASE("The state of a list is unchanged by encoding, and bounded") {
-  const auto pass_on = [](std::uint64_t version, std::int64_t age_ms) {
+  const auto pass_on = [](std::uint64_t version, std::int64_t age_ms,
+                          std::int64_t interval_ms = 0) {
     protocol::HeartbeatReply reply;
-    reply.listing = {version, 3, age_ms};
+    reply.listing = {version, 3, age_ms, interval_ms};
     const auto decoded = DecodeEnvelope(EncodeEnvelope(reply));
     REQUIRE(decoded);
     return std::get<protocol::HeartbeatReply>(*decoded).listing;
@@ -283,6 +284,11 @@
   CHECK_FALSE(pass_on(1ULL << 63U, 250));
   CHECK(pass_on(7, std::numeric_limits<std::int64_t>::max())->age_ms <=
         3'600'000);
+  CHECK(pass_on(7, 250, 750) == protocol::ListingState{7, 3, 250, 750});
+  CHECK(pass_on(7, 250, -1)->interval_ms == 0);
+  CHECK(
+      pass_on(7, 250, std::numeric_limits<std::int64_t>::max())->interval_ms <=
+      3'600'000);
   protocol::Heartbeat heartbeat;
   heartbeat.lacks_endpoints = true;
   heartbeat.asks_listing = true;
