Entry: Test that settings count as the newest on a leader's word only

Whether an entry may take its settings for the newest on the word of a leader that hasn't applied all committed changes, or whose lease has lapsed, was open. It may not: a leader answers heartbeats as one only while it holds its lease, and holds it only after it has committed, and so applied, an entry of its own term. Messages that a lapsed leader still sends name a heartbeat that it got while it held the lease, and count from when that was sent.

The other asks a leader right after its lease has lapsed.

--- a/source/unit_tests/control/lapsed_lease_test.cc
+++ b/source/unit_tests/control/lapsed_lease_test.cc
@@ -52,6 +52,7 @@
   }
 
   void OnReply(const protocol::HeartbeatReply& reply) {
+    last_reply = reply;
     if (reply.endpoints.version <= endpoints_version)
       return;
     endpoints_version = reply.endpoints.version;
@@ -85,6 +86,7 @@
   std::uint64_t sequence = 0;
   std::uint64_t endpoints_version = 0;
   bool is_draining = false;
+  protocol::HeartbeatReply last_reply;
 };
 
 constexpr std::uint64_t kSeeds = 40;
@@ -143,4 +145,26 @@
   CHECK(lapsed >= kMinLapsed);
 }
 
+// Guards against an entry that takes its settings for the newest on the word of
+// a leader that may have been replaced.
+TEST_CASE("A leader whose lease has lapsed vouches for no settings") {
+  int lapsed = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    BusyLeader busy(seed);
+    if (!busy.HasLapsed())
+      continue;
+    ++lapsed;
+    protocol::Heartbeat heartbeat;
+    heartbeat.status.id = kEntry;
+    heartbeat.status.incarnation = 1;
+    heartbeat.sequence = 99;
+    busy.cluster.InjectEvent(busy.leader, MessageReceived{kEntry, heartbeat});
+    REQUIRE(busy.last_reply.sequence == 99);
+    CHECK_FALSE(busy.last_reply.leader);
+    CHECK(busy.last_reply.settings_piece.bytes.empty());
+  }
+  CHECK(lapsed >= kMinLapsed);
+}
+
 }  // namespace jacinth::control
--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -44,8 +44,10 @@
   next_reading_.resize(kReplicas, cluster_.now());
   cluster_.on_admin_reply = [this](const control::AdminReply& reply) {
     const auto* accepted = std::get_if<control::ChangeAccepted>(&reply.body);
-    if (accepted != nullptr)
-      revision_ = accepted->revision;
+    if (accepted == nullptr)
+      return;
+    revision_ = accepted->revision;
+    acknowledged_[revision_] = cluster_.now();
   };
   Run(2s);
   Change({{"service/s", {{"ttl_ms", "500"}}}});
@@ -120,6 +122,23 @@
   }
 }
 
+void ListingFleet::Heal() {
+  cluster_.UnblockLinks();
+  for (std::size_t machine = 0; machine < kReplicas; ++machine)
+    cluster_.Restart(machine);
+}
+
+std::string ListingFleet::FindOverconfident() const {
+  for (const Entry& entry : entries_) {
+    const entry::ControlSession& session = entry.driver->node.session();
+    const auto newer = acknowledged_.upper_bound(session.self().revision);
+    if (newer != acknowledged_.end() &&
+        session.settings_confirmed_at() > newer->second)
+      return session.self().id;
+  }
+  return "";
+}
+
 bool ListingFleet::AllKnow(bool draining) const {
   return std::all_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
     const auto& endpoints = entry.driver->node.session().endpoints();
--- a/source/unit_tests/support/listing_fleet.h
+++ b/source/unit_tests/support/listing_fleet.h
@@ -59,8 +59,12 @@
   void FreezeLeader(Duration duration) { cluster_.Freeze(Leader(), duration); }
   void CrashLeader() { cluster_.Crash(Leader()); }
   void Crash(std::size_t machine) { cluster_.Crash(machine); }
-  /// Keeps a replica from hearing the others.
+  /// Keeps a replica from hearing the others, and the others from hearing it.
   void CutReplica(std::size_t machine);
+  /// Makes the replicas' disks slow.
+  void SetSyncTime(Duration time) { cluster_.sync_time = time; }
+  /// Ends cuts and restarts the replicas that are down.
+  void Heal();
   void DrainEndpoint() { draining_ = true; }
   /// Passes a change of the settings to the leader, and runs until it is
   /// acknowledged.
@@ -71,6 +75,9 @@
   bool AllHoldSettings() const;
   /// Runs until that is so, at most for `limit`, and returns the time.
   Duration RunUntilSettings(Duration limit);
+  /// Returns an entry that counts its settings as the newest at a time when a
+  /// newer revision had been acknowledged; empty if there is none.
+  std::string FindOverconfident() const;
   /// Adds an endpoint to the list that drains and has no start time.
   void ListUnidentifiedDrain() { lists_unidentified_drain_ = true; }
 
@@ -119,6 +126,8 @@
   bool draining_ = false;
   int changes_ = 0;
   std::uint64_t revision_ = 0;
+  /// Time at which each revision was acknowledged.
+  std::map<std::uint64_t, Time> acknowledged_;
   bool lists_unidentified_drain_ = false;
   int readings_ = 0;
   int readings_by_others_ = 0;
