--- a/source/unit_tests/entry/settings_refusal_test.cc
+++ b/source/unit_tests/entry/settings_refusal_test.cc
@@ -53,6 +53,29 @@
   NarrowFleet fleet{8, kPropagation};
 };
 
+// Returns the time after which a large change is in force at all entries, while
+// small ones follow at an interval, if that isn't zero.
+Duration TimeOfLargeChange(Duration link_delay, Duration interval) {
+  SlowFleet test(link_delay);
+  test.Change(6'000);
+  const std::uint64_t large = test.fleet.revision();
+  const auto holds_large = [&](const NarrowEntry& entry) {
+    return entry.session().self().revision >= large;
+  };
+  Duration passed{0};
+  Duration next = interval;
+  while (!std::all_of(test.fleet.entries().begin(), test.fleet.entries().end(),
+                      holds_large)) {
+    test.fleet.Run(NarrowFleet::kStep);
+    passed += NarrowFleet::kStep;
+    if (interval == Duration{0} || passed < next)
+      continue;
+    next += interval;
+    test.fleet.Change({RouteChange(1, passed / interval % 2 == 0 ? "s" : "t")});
+  }
+  return passed;
+}
+
 // Returns true if the entry waits for newer settings before it decides requests
 // of the route.
 bool WaitsForSettings(NarrowEntry& entry, int route) {
@@ -146,4 +169,14 @@
   CHECK(WaitsForSettings(entry, 1));
 }
 
+// Guards against a large change that begins anew at entries whose links delay
+// messages, because the leader sends it again together with later changes.
+TEST_CASE("Small changes delay no large one before them") {
+  const Duration link_delay = GENERATE(400ms, 800ms);
+  const Duration alone = TimeOfLargeChange(link_delay, Duration{0});
+  const Duration followed = TimeOfLargeChange(link_delay, 800ms);
+  CAPTURE(ToMillis(link_delay), ToMillis(alone), ToMillis(followed));
+  CHECK(followed <= alone + 200ms);
+}
+
 }  // namespace jacinth::entry
