--- a/source/unit_tests/support/control_cluster.h
+++ b/source/unit_tests/support/control_cluster.h
@@ -49,6 +49,7 @@
     Duration replace_after = kReplaceAfter;
     /// Tells where a machine stands; nullptr if the machines have no locations.
     protocol::Location (*locate)(std::size_t machine) = nullptr;
+    Duration listing_interval{0};
   };
 
   explicit ControlCluster(std::uint64_t seed);
