Entry: Send nothing by a route that changed while connecting

A request could still leave for the old service of its route, and a hand-over with a digest of settings that had been replaced, if the change arrived while the connection was opened.

MaySend() also compares the service with the newest route, and the digest of a hand-over with the settings in force. The request is then moved, or handed over by the newest ones.

--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -132,6 +132,7 @@
   if (entry == nullptr)
     return false;
   record.relay_entry = entry->id;
+  record.relay_decision = DecisionOn(record.arrival);
   record.tried_entries.insert(entry->id);
   record.attempt_started = now;
   ++record.attempts;
@@ -141,7 +142,7 @@
   relay.incarnation = entry->incarnation;
   relay.address = entry->address;
   relay.revision = session_.fleet()->revision;
-  relay.decision = DecisionOn(record.arrival);
+  relay.decision = record.relay_decision;
   relay.execution = record.kind.execution;
   relay.timeout = record.deadline - now;
   relay.connect_timeout = std::min(
--- a/source/core/entry/entry_sends.cc
+++ b/source/core/entry/entry_sends.cc
@@ -13,8 +13,12 @@
     return false;
   const RequestRecord& record = found->second;
   const std::vector<std::string>& regions = AllowedRegions(record);
-  if (!record.relay_entry.empty())
-    return MayHandOverTo(record.relay_entry, regions);
+  if (!record.relay_entry.empty()) {
+    return record.relay_decision == DecisionOn(record.arrival) &&
+           MayHandOverTo(record.relay_entry, regions);
+  }
+  if (HasMoved(record))
+    return false;
   const forwarding::EndpointTable& endpoints =
       services_.at(record.service).endpoints;
   const settings::EndpointSettings* endpoint = endpoints.Find(record.endpoint);
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -48,6 +48,8 @@
   Time attempt_started{};
   /// Entry that the request is handed to; empty if there is none.
   std::string relay_entry;
+  /// Digest of the settings that decided the request then; see StartRelay.
+  std::uint64_t relay_decision = 0;
   /// Entries that the request was handed to.
   std::set<std::string> tried_entries;
   /// Endpoints that the next attempt must not use.
