Control: Tell directories which starting entries failed before

A directory knows of entries that failed from the lists it has seen itself. One that failed with them, such as all of a region that lost power, took them for planned work when it had started again, and kept callers of hosts with regions with the few that were ready.

The leader's registry sees whether an entry announced its stop before it vanished or started anew, and marks it in the member list as lost until it serves (EntryStatus::lost, an optional field that earlier builds skip; the registry remembers removed entries for a minute). A new leader knows nothing of what was before its term; then only a restart of most of the fleet counts.

New: entry_registry_test, "An entry that starts after it failed is listed as lost", "An entry that was lost long ago is not listed as lost".

--- a/source/core/control/entry_registry.h
+++ b/source/core/control/entry_registry.h
@@ -56,12 +56,20 @@
     std::uint64_t changed = 0;
   };
 
+  /// Returns the status that the list shows: that of the heartbeat, and whether
+  /// the entry was lost before.
+  protocol::EntryStatus Listed(const protocol::EntryStatus& status,
+                               const EntryRecord* previous);
+
   Duration timeout_;
   Time term_start_{};
   std::uint64_t version_ = 0;
   /// Oldest version from which ChangesSince() can give the changes.
   std::uint64_t first_version_ = 0;
   std::map<std::string, EntryRecord> entries_;
+  /// Time of removal of the entries that were removed without having announced
+  /// a stop, by id.
+  std::map<std::string, Time> lost_;
   /// Version of each removal and the id of the removed entry, oldest first.
   std::deque<std::pair<std::uint64_t, std::string>> removed_;
 };
--- a/source/core/steering/absent_entries.cc
+++ b/source/core/steering/absent_entries.cc
@@ -39,7 +39,7 @@
   const bool fleet_restarted = HasFleetRestarted(members);
   for (const protocol::EntryStatus& member : members) {
     if (IsStarting(member)) {
-      if (fleet_restarted) {
+      if (fleet_restarted || member.lost) {
         entries_.try_emplace(member.id,
                              AbsentEntry{member.region, Absence::kLost, now});
       }
--- a/source/core/wire/convert_heartbeat.cc
+++ b/source/core/wire/convert_heartbeat.cc
@@ -20,6 +20,8 @@
   out.isolated = status.isolated;
   if (status.starting)
     out.__set_starting(true);
+  if (status.lost)
+    out.__set_lost(true);
   return out;
 }
 
@@ -34,6 +36,7 @@
   out.draining = status.draining;
   out.isolated = status.isolated;
   out.starting = status.__isset.starting && status.starting;
+  out.lost = status.__isset.lost && status.lost;
   return out;
 }
 
--- a/source/core/wire/jacinth.thrift
+++ b/source/core/wire/jacinth.thrift
@@ -16,7 +16,7 @@
 struct EntryStatus {
   1: string id, 2: i64 incarnation, 3: string region, 4: string failure_domain,
   5: string address, 6: i64 revision, 7: bool draining,
-  8: bool isolated, 9: optional bool starting
+  8: bool isolated, 9: optional bool starting, 10: optional bool lost
 }
 struct SliceOwner { 1: string service_name, 2: i32 slice, 3: string endpoint }
 struct SliceClaim { 1: SliceOwner owner, 2: i32 reason }
--- a/source/unit_tests/control/entry_registry_test.cc
+++ b/source/unit_tests/control/entry_registry_test.cc
@@ -59,4 +59,53 @@
   CHECK(registry.Members(kStart + 2s).version > before);
 }
 
+// Guards against entries that failed and are taken for planned work by those
+// that start after them.
+TEST_CASE("An entry that starts after it failed is listed as lost") {
+  EntryRegistry registry(kTimeout);
+  registry.Reset(1, kStart);
+  protocol::EntryStatus status = Entry("e1");
+  status.incarnation = 1;
+  Time now = kStart + kTimeout;
+  registry.OnHeartbeat(status, now);
+  const bool announced = GENERATE(false, true);
+  const bool removed = GENERATE(false, true);
+  CAPTURE(announced, removed);
+  if (announced) {
+    status.draining = true;
+    registry.OnHeartbeat(status, now);
+  }
+  if (removed) {
+    now += 3s;
+    registry.Expire(now);
+    REQUIRE(registry.size() == 0);
+  }
+  status.incarnation = 2;
+  status.draining = false;
+  status.starting = true;
+  registry.OnHeartbeat(status, now);
+  CHECK(registry.Statuses().front().lost == !announced);
+  // It fails once more before it has served anybody.
+  status.incarnation = 3;
+  registry.OnHeartbeat(status, now);
+  registry.OnHeartbeat(status, now);
+  CHECK(registry.Statuses().front().lost == !announced);
+  status.starting = false;
+  registry.OnHeartbeat(status, now);
+  CHECK_FALSE(registry.Statuses().front().lost);
+}
+
+// Guards against a list of lost entries that grows.
+TEST_CASE("An entry that was lost long ago is not listed as lost") {
+  EntryRegistry registry(kTimeout);
+  registry.Reset(1, kStart);
+  registry.OnHeartbeat(Entry("e1"), kStart);
+  registry.Expire(kStart + 3s);
+  registry.Expire(kStart + 63s);
+  protocol::EntryStatus status = Entry("e1");
+  status.starting = true;
+  registry.OnHeartbeat(status, kStart + 64s);
+  CHECK_FALSE(registry.Statuses().front().lost);
+}
+
 }  // namespace jacinth::control
