Steering: Let others stand in only as far as they are better off

If all regions lacked as many entries, as after a power loss of half of the fleet, the callers of each were sent to the others, which bore as much more as they got rid of, and all crossed regions for nothing.

The usable entries of the other regions are compared with all of theirs, and others stand in for what the caller's region lacks compared with them. Two entries are still named where some were lost.

--- a/source/core/steering/nearest_entries.cc
+++ b/source/core/steering/nearest_entries.cc
@@ -1,6 +1,7 @@
 #include "core/steering/nearest_entries.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <set>
 #include <string_view>
@@ -30,26 +31,29 @@
          !IsDrained(snapshot, entry.id);
 }
 
+// Returns the number of absent entries in the regions that `in_scope` accepts.
+template <typename Scope>
 std::size_t CountAbsent(const SteeringSnapshot& snapshot,
-                        std::string_view region,
+                        const Scope& in_scope,
                         Absence absence) {
   const auto& absent = snapshot.absent_entries;
   return static_cast<std::size_t>(
       std::count_if(absent.begin(), absent.end(), [&](const auto& entry) {
-        return entry.second.region == region &&
+        return in_scope(entry.second.region) &&
                entry.second.absence == absence &&
                !IsDrained(snapshot, entry.first);
       }));
 }
 
-// Returns the number of a region's entries that stop or start as planned.
+// Returns the number of entries that stop or start as planned.
+template <typename Scope>
 std::size_t CountRestarting(const SteeringSnapshot& snapshot,
-                            std::string_view region) {
-  std::size_t count = CountAbsent(snapshot, region, Absence::kGone);
+                            const Scope& in_scope) {
+  std::size_t count = CountAbsent(snapshot, in_scope, Absence::kGone);
   for (const EntryStatus& member : snapshot.members) {
     const EntryStatus& status = LatestStatus(snapshot, member);
     const bool restarts = (status.draining || status.starting) &&
-                          member.region == region &&
+                          in_scope(member.region) &&
                           !IsDrained(snapshot, member.id) &&
                           snapshot.absent_entries.count(member.id) == 0;
     count += restarts ? 1 : 0;
@@ -57,6 +61,27 @@
   return count;
 }
 
+// Returns the numbers of entries in the regions that `in_scope` accepts, other
+// than that of the usable ones.
+template <typename Scope>
+RegionEntries CountEntries(const SteeringSnapshot& snapshot,
+                           const std::vector<const EntryStatus*>& available,
+                           RegionRule rule,
+                           const Scope& in_scope) {
+  RegionEntries entries;
+  entries.lost = CountAbsent(snapshot, in_scope, Absence::kLost);
+  entries.members =
+      entries.lost +
+      static_cast<std::size_t>(std::count_if(
+          available.begin(), available.end(), [&](const EntryStatus* entry) {
+            return in_scope(entry->region) &&
+                   !LatestStatus(snapshot, *entry).starting;
+          }));
+  if (rule == RegionRule::kPrefer)
+    entries.members += CountRestarting(snapshot, in_scope);
+  return entries;
+}
+
 std::vector<const EntryStatus*> UsableEntries(
     const SteeringSnapshot& snapshot) {
   std::vector<const EntryStatus*> usable;
@@ -115,27 +140,37 @@
               entries.end());
 }
 
+// Returns the number of usable entries that a region would have if it were as
+// well off as the others.
+std::size_t CountFairShare(const RegionEntries& entries,
+                           const RegionEntries& others) {
+  if (others.usable >= others.members)
+    return entries.members;
+  return entries.members * others.usable / others.members;
+}
+
 // Returns the number of entries of other regions that stand in for those that
 // the caller's region lacks.
 std::size_t CountStandIns(const RegionEntries& entries,
-                          std::size_t others,
+                          const RegionEntries& others,
                           const DomainPosition& position) {
   // Nothing is known of a region without members.
   if (entries.members == 0)
-    return others;
+    return others.usable;
   // With more, some entries would stand in for several failure domains, and
   // others for none.
   const std::size_t even_share =
-      position.PartStart(others, 1) - position.PartStart(others);
+      position.PartStart(others.usable, 1) - position.PartStart(others.usable);
+  const std::size_t fair_share = CountFairShare(entries, others);
   // If no entry is left, the callers of those that stop or start are without
   // one as well.
   const std::size_t lacking =
-      entries.usable == 0
-          ? even_share
-          : entries.members - std::min(entries.members, entries.usable);
+      entries.usable == 0 ? even_share
+                          : fair_share - std::min(fair_share, entries.usable);
   const std::size_t least =
       kMinEntriesInRegion - std::min(kMinEntriesInRegion, entries.usable);
-  return std::min(others, std::max(least, std::min(lacking, even_share)));
+  return std::min(others.usable,
+                  std::max(least, std::min(lacking, even_share)));
 }
 
 }  // namespace
@@ -146,17 +181,10 @@
                                                std::size_t limit,
                                                RegionRule rule) {
   std::vector<const EntryStatus*> available = UsableEntries(snapshot);
-  RegionEntries entries;
-  entries.lost = CountAbsent(snapshot, region, Absence::kLost);
-  entries.members =
-      entries.lost +
-      static_cast<std::size_t>(std::count_if(
-          available.begin(), available.end(), [&](const EntryStatus* entry) {
-            return entry->region == region &&
-                   !LatestStatus(snapshot, *entry).starting;
-          }));
-  if (rule == RegionRule::kPrefer)
-    entries.members += CountRestarting(snapshot, region);
+  const auto is_own = [&](const std::string& other) { return other == region; };
+  RegionEntries entries = CountEntries(snapshot, available, rule, is_own);
+  RegionEntries other_entries =
+      CountEntries(snapshot, available, rule, std::not_fn(is_own));
   DropIsolated(snapshot, available);
   std::vector<const EntryStatus*> chosen;
   std::vector<const EntryStatus*> in_region;
@@ -180,7 +208,8 @@
   chosen.insert(chosen.end(), in_region.begin(), in_region.end());
   if (!suffices) {
     SpreadOver(position, others);
-    others.resize(CountStandIns(entries, others.size(), position));
+    other_entries.usable = others.size();
+    others.resize(CountStandIns(entries, other_entries, position));
     chosen.insert(chosen.end(), others.begin(), others.end());
   }
   if (chosen.size() > limit)
--- a/source/unit_tests/steering/nearest_entries_test.cc
+++ b/source/unit_tests/steering/nearest_entries_test.cc
@@ -126,6 +126,21 @@
   CHECK(MaxLoad(snapshot) <= kMaxLoad);
 }
 
+// Guards against callers who cross regions for nothing: those of all regions
+// change places if all lack as much.
+TEST_CASE("Callers stay if all regions have lost as many entries") {
+  const int entries = GENERATE(6, 60);
+  SteeringSnapshot snapshot = MakeSnapshot(entries);
+  for (const std::string region : {"east", "north", "west"})
+    Isolate(snapshot, region, entries * 2 / 3);
+  CAPTURE(entries);
+  CHECK(ShareInRegion(snapshot, "west", "west-1") == 1);
+  // The others stand in as far as they are better off.
+  for (EntryStatus& entry : snapshot.members)
+    entry.isolated = entry.isolated && entry.region == "west";
+  CHECK(ShareInRegion(snapshot, "west", "west-1") <= 0.4);
+}
+
 // Guards against entries of a large region that no answer names.
 TEST_CASE("All entries of a region with more than an answer names are used") {
   const SteeringSnapshot snapshot = MakeSnapshot(71);
