--- a/source/core/protocol/entry_status.h
+++ b/source/core/protocol/entry_status.h
@@ -25,8 +25,8 @@
   /// True if the instance has started lately and has known no endpoints since.
   /// It is isolated then, but no callers have lost it.
   bool starting = false;
-  /// True if the instance is starting after it vanished without having announced
-  /// a stop. Set by the control role.
+  /// True if the instance is starting after it vanished without having
+  /// announced a stop. Set by the control role.
   bool lost = false;
 
   bool operator==(const EntryStatus&) const = default;
