--- a/source/unit_tests/quarantine/request_quarantine_test.cc
+++ b/source/unit_tests/quarantine/request_quarantine_test.cc
@@ -99,6 +99,23 @@
   CHECK(quarantine.TakeReports(5, now).size() == 2);
 }
 
+// Guards against crashes that a leader learns of a second late, or never if
+// this entry restarts meanwhile, because one heartbeat was lost.
+TEST_CASE(
+    "News of a lost heartbeat go with the next once a later is answered") {
+  RequestQuarantine quarantine;
+  const Time now = Crash(quarantine, 2, Time{100s});
+  REQUIRE(quarantine.TakeReports(1, now).size() == 2);
+  CHECK(quarantine.TakeReports(2, now + 100ms).empty());
+  quarantine.ApplyUpdate({kTerm1 + 1, false, {}}, 2, now + 150ms);
+  CHECK(quarantine.TakeReports(3, now + 200ms).size() == 2);
+  quarantine.OnAnswer(kRequest, now + 210ms);
+  REQUIRE(quarantine.TakeAcquittals(4, now + 220ms).size() == 1);
+  CHECK(quarantine.TakeAcquittals(5, now + 300ms).empty());
+  quarantine.ApplyUpdate({kTerm1 + 1, true, {}}, 5, now + 350ms);
+  CHECK(quarantine.TakeAcquittals(6, now + 400ms).size() == 1);
+}
+
 // Guards against requests that are blamed for endpoints which end by themselves
 // (docs/incidents/deadly.md).
 TEST_CASE("Endpoints that end at the same time accuse no request") {
