Quarantine: Repeat news of a lost heartbeat once a later one is answered

A request could crash a fourth endpoint: if the heartbeat with the report of a crash was lost, the leader learned of it a second later, or never if the entry started again meanwhile.

Reports and acquittals go with the next heartbeat as soon as a later one was answered.

"News of a lost heartbeat go with the next once a later is answered" printed "0 == 2" for reports and "0 == 1" for acquittals, and passes now.

--- a/source/core/quarantine/request_quarantine.cc
+++ b/source/core/quarantine/request_quarantine.cc
@@ -83,12 +83,12 @@
   const bool new_term = update.version >> kTermShift != version_ >> kTermShift;
   for (Report& report : reports_) {
     report.delivery.received &= !new_term;
-    report.delivery.received |=
-        sequence != 0 && report.delivery.sequence == sequence;
+    OnAnswered(report.delivery, sequence);
   }
-  std::erase_if(acquittals_, [&](const auto& item) {
-    return sequence != 0 && item.second.delivery.sequence == sequence;
-  });
+  for (auto& [fingerprint, acquittal] : acquittals_)
+    OnAnswered(acquittal.delivery, sequence);
+  std::erase_if(acquittals_,
+                [](const auto& item) { return item.second.delivery.received; });
   if (update.unchanged || update.version == version_)
     return;
   // Changes apply to what this entry holds, or begin earlier.
@@ -152,6 +152,17 @@
   return fingerprints;
 }
 
+// Applies that a leader has answered the heartbeat `sequence`, if it isn't 0.
+void RequestQuarantine::OnAnswered(Delivery& delivery, std::uint64_t sequence) {
+  if (delivery.sequence == 0 || sequence < delivery.sequence)
+    return;
+  // What went with an earlier heartbeat is lost: it goes with the next one.
+  if (sequence > delivery.sequence && !delivery.received)
+    delivery.sequence = 0;
+  else
+    delivery.received = true;
+}
+
 // Returns true if the message is due, and marks it as sent.
 bool RequestQuarantine::TakeTurn(Delivery& delivery,
                                  std::uint64_t sequence,
--- a/source/core/quarantine/request_quarantine.h
+++ b/source/core/quarantine/request_quarantine.h
@@ -91,6 +91,7 @@
     Delivery delivery;
   };
 
+  static void OnAnswered(Delivery& delivery, std::uint64_t sequence);
   static bool TakeTurn(Delivery& delivery, std::uint64_t sequence, Time now);
   void MakeRoom();
   void LogVerdict(std::string_view event,
