--- a/source/unit_tests/entry/entry_quarantine_test.cc
+++ b/source/unit_tests/entry/entry_quarantine_test.cc
@@ -1,7 +1,10 @@
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "core/quarantine/crash_history.h"
 #include "unit_tests/support/entry_driver.h"
 
 namespace jacinth::entry {
@@ -75,6 +78,40 @@
   CHECK(refusal->retry_after > Duration{0});
 }
 
+// Guards against a crash that is counted for the process that has started
+// meanwhile, so that its own crash by the same request counts for nothing.
+TEST_CASE("A crash is that of the process that the request was sent to") {
+  EntryDriver driver;
+  driver.ApplySettings(
+      "[service/s]\nprobe_interval_ms = 600000\n"
+      "request_timeout_ms = 2000\nmax_attempts = 1\n"
+      "[service/s/kind/read]\npath_prefix = /\nmethod = GET\n"
+      "repeatable = true\nrank = urgent\n");
+  const auto list = [&](std::int64_t started_ms) {
+    protocol::HeartbeatReply reply;
+    reply.leader = true;
+    reply.leader_hint = "c1";
+    reply.endpoints.version = static_cast<std::uint64_t>(started_ms);
+    reply.endpoints.changed = {
+        {"i-1", started_ms, "s", "127.0.0.1:10", "west-a", 4, false, 0}};
+    driver.Step(MessageReceived{"c1", reply});
+  };
+  list(1);
+  Send(driver, kDeadly);
+  REQUIRE(driver.attempts.size() == 1);
+  list(2);
+  driver.EndAttempt(driver.attempts.back(), AttemptEnd::kConnectionLost);
+  driver.messages.clear();
+  driver.AdvanceTime(200ms);
+  std::vector<std::uint64_t> crashed;
+  for (const auto& heartbeat : driver.TakeMessages<protocol::Heartbeat>()) {
+    for (const protocol::CrashReport& report : heartbeat.crashes)
+      crashed.push_back(report.endpoint);
+  }
+  REQUIRE_FALSE(crashed.empty());
+  CHECK(crashed.front() == quarantine::EndpointHash("s", "i-1", 1));
+}
+
 // Guards against an attempt after the second crash of one request.
 TEST_CASE("A request is not sent to a third endpoint after two crashed") {
   EntryDriver driver;
