Entry: Count a crash for the process that the request was sent to

A request could crash a fourth endpoint: if the list showed the endpoint's next process before the attempt at the last one had ended, the crash was counted for the new process, under the same id. When the request then crashed that one, whoever sent it reported a crash that was counted already.

The process known when the attempt started is reported now. The request's record had it for other ends.

"A crash is that of the process that the request was sent to" failed on the hash of the process, and passes now, as all of entry_test.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -120,7 +120,7 @@
   service_state.endpoints.OnAttemptEnd(record.endpoint, event.end, event.load,
                                        now);
   TrackLinks(record, event, now);
-  UpdateQuarantine(record, service_state, event.end, now);
+  UpdateQuarantine(record, event.end, now);
   if (event.rate_limit)
     OnRateLimitNotice(record, service_state, *event.rate_limit, now);
   RecordSliceUse(record, now);
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -149,7 +149,6 @@
   static std::uint64_t SuspectId(const RequestArrived& event);
   std::optional<Error> CheckQuarantine(const RequestRecord& record) const;
   void UpdateQuarantine(const RequestRecord& record,
-                        const ServiceState& service_state,
                         forwarding::AttemptEnd end,
                         Time now);
   void AddQuarantineReports(protocol::Heartbeat& heartbeat, Time now);
--- a/source/core/entry/entry_quarantine.cc
+++ b/source/core/entry/entry_quarantine.cc
@@ -28,23 +28,22 @@
 // Counts an attempt that may have crashed its endpoint, or clears the request
 // if the endpoint has answered it.
 void EntryNode::UpdateQuarantine(const RequestRecord& record,
-                                 const ServiceState& service_state,
                                  forwarding::AttemptEnd end,
                                  Time now) {
   const bool answered = forwarding::OutcomeOf(end) == Outcome::kRan;
   if (answered)
     quarantine_.OnAnswer(record.suspect_id, now);
-  const settings::EndpointSettings* endpoint =
-      service_state.endpoints.Find(record.endpoint);
-  if (end == forwarding::AttemptEnd::kConnectionLost && endpoint != nullptr) {
+  if (end == forwarding::AttemptEnd::kConnectionLost) {
+    // The list may show a later process by now.
+    const std::int64_t started_ms = record.process.started_ms;
     quarantine_.OnLost({record.suspect_id, record.service, record.endpoint,
-                        endpoint->started_ms, record.attempt_started},
+                        started_ms, record.attempt_started},
                        now);
     AddLogRecord("endpoint_lost_request")
         .With("request", record.arrival.request_id)
         .With("fingerprint", quarantine::FormatFingerprint(record.suspect_id))
         .With("endpoint", record.endpoint)
-        .With("started_ms", endpoint->started_ms)
+        .With("started_ms", started_ms)
         .With("took_ms", ToMillis(now - record.attempt_started))
         .With("crashes", quarantine_.CountCrashes(record.suspect_id));
   }
