--- a/source/core/quarantine/request_quarantine.h
+++ b/source/core/quarantine/request_quarantine.h
@@ -100,6 +100,7 @@
   };
   using Acquittals = std::map<std::uint64_t, Acquittal>;
 
+  static void OnAnswered(Delivery& delivery, std::uint64_t sequence);
   static bool TakeTurn(Delivery& delivery, std::uint64_t sequence, Time now);
   void Count(std::uint64_t fingerprint, CountedCrashes crashes, Time now);
   Acquittals::iterator Forget(Acquittals::iterator acquittal, Time now);
