Consensus: Replace voters whose disks stand still

Cause: who answers heartbeats counted as sound, and heartbeats are answered without the disk. A leader whose own disk stood still led on as well. Change: a voter is lost if it is silent, or if it has confirmed none of the entries that it lacks, for replace_after; the latter also for four times the wait of the median voter. A leader whose own disk stands still hands over to a voter that isn't lost, if a quorum has what it lacks and the others' disks need no longer than an election timeout. No voter that raises the quorum is added while nothing is committed. Weighed: replace_after alone. What remains: with three of five disks at a stand nothing is committed until one of them goes on, as no majority holds the log. No test that existed is changed.

--- a/source/core/consensus/replica.h
+++ b/source/core/consensus/replica.h
@@ -10,6 +10,7 @@
 
 #include "core/common/error.h"
 #include "core/common/time.h"
+#include "core/consensus/confirmation_watch.h"
 #include "core/consensus/leader_lease.h"
 #include "core/consensus/replica_actions.h"
 #include "core/consensus/replica_log.h"
@@ -64,14 +65,15 @@
   /// up what has all that was committed a short time ago: it never has all
   /// entries while more are appended during each of its syncs. It replaces any
   /// other replica of the same instance. If the group is full, it is added only
-  /// while a voter is silent for `replace_after`, or if the group then bears
-  /// the loss of a region or failure domain better; DropSurplusVoter() then
-  /// removes a voter. Takes one step of this per call, so it must be called
+  /// while a voter is lost, or if the group then bears the loss of a region or
+  /// failure domain better; DropSurplusVoter() then removes a voter. Lost is
+  /// who has been silent, or has confirmed none of the entries that it lacks,
+  /// for `replace_after`. Takes one step of this per call, so it must be called
   /// repeatedly.
   void AdmitReplica(const std::string& id, Time now);
 
   /// Removes a voter from a group that has more than `target_voters`: the one
-  /// that has been silent for longest or, if all answer, the one without which
+  /// that has been lost for longest or, if none is, the one without which
   /// the voters stand furthest apart.
   void DropSurplusVoter(Time now);
 
@@ -79,7 +81,8 @@
   /// requests admission again when it returns.
   void DropSilentLearner(Time now);
 
-  /// Starts the transfer of the leadership to the most advanced voter.
+  /// Starts the transfer of the leadership to the most advanced voter that
+  /// isn't lost.
   void TransferLeadership(Time now);
 
   /// Replaces the log up to `index` by a snapshot of the state machine's state
@@ -139,6 +142,7 @@
     /// Time since which no reply has confirmed further entries, while some are
     /// sent and unconfirmed.
     Time waiting_since{};
+    ConfirmationWatch confirmations{Time{}};
     /// Where this replica stands, once it has told.
     protocol::Location location;
     /// Set while a snapshot is in flight.
@@ -191,19 +195,28 @@
   std::string PreviousIncarnation(const std::string& learner) const;
   bool NeedsVoter(Time now) const;
   bool MayBecomeVoter(const std::string& learner, Time now) const;
+  bool MayAddVoter(Time now) const;
+  bool HasCaughtUp(const std::string& learner, Time now) const;
+  void ChangeConfiguration(const protocol::Configuration& configuration,
+                           Time now);
+
+  // replica_spread.cc
   bool IsBestSuccessor(const std::string& learner, Time now) const;
   bool SpreadsVoters(const std::string& learner, Time now) const;
   bool IsCalm(Time now) const;
   VoterSpread SpreadWith(const std::string& learner,
                          const std::string& dropped) const;
   VoterSpread BestSpreadWith(const std::string& learner) const;
-  std::string VoterToSpare() const;
+  std::string VoterToSpare(Time now) const;
   protocol::Location LocationOf(const std::string& id) const;
-  bool HasCaughtUp(const std::string& learner, Time now) const;
-  std::string LongestSilentVoter() const;
+
+  // replica_watch.cc
+  void WatchConfirmations(Time now);
+  Duration MedianWait() const;
+  std::string WeakestVoter(Time now) const;
+  Duration Overdue(const std::string& id, Time now) const;
+  bool IsLost(const std::string& id, Time now) const;
   bool IsSilent(const std::string& id, Duration duration, Time now) const;
-  void ChangeConfiguration(const protocol::Configuration& configuration,
-                           Time now);
 
   // replica_follower.cc
   void OnAppend(const protocol::PeerMessage& message, Time now);
@@ -249,6 +262,12 @@
 
   std::optional<LeaderLease> lease_;
   std::map<std::string, Progress> progress_;
+  /// Watches this leader's own disk.
+  ConfirmationWatch own_confirmations_{Time{}};
+  /// Time without a confirmation after which a disk is taken to stand still.
+  Duration max_wait_{0};
+  /// Watches whether this leader commits its entries.
+  ConfirmationWatch commits_{Time{}};
   Time heartbeat_due_{};
   std::uint64_t first_index_of_term_ = 0;
   /// Index of the last entry of this term that changes the voters; 0 if there
--- a/source/core/consensus/replica_leader.cc
+++ b/source/core/consensus/replica_leader.cc
@@ -26,7 +26,8 @@
   std::string target;
   std::uint64_t best_match = 0;
   for (const auto& [id, progress] : progress_) {
-    if (!configuration_.IsVoter(id) || progress.match < best_match)
+    if (!configuration_.IsVoter(id) || progress.match < best_match ||
+        IsLost(id, now))
       continue;
     best_match = progress.match;
     target = id;
@@ -49,6 +50,9 @@
   first_index_of_term_ = AppendLocally(LogEntryKind::kNoop, "");
   last_voter_change_ = 0;
   voters_changed_ = now;
+  own_confirmations_ = ConfirmationWatch(now);
+  commits_ = ConfirmationWatch(now);
+  max_wait_ = options_.replace_after;
   Broadcast(now);
   heartbeat_due_ = now + options_.heartbeat;
 }
@@ -81,6 +85,7 @@
     progress.next = log_.last_index() + 1;
     progress.waiting_since = now;
     progress.added = now;
+    progress.confirmations = ConfirmationWatch(now);
     progress.goal = commit_index_;
     progress.goal_set = now;
     even_if_empty = true;
@@ -164,6 +169,7 @@
   }
   if (message.index > progress.match) {
     progress.match = message.index;
+    progress.confirmations.Update(progress.match, log_.last_index(), now);
     progress.waiting_since = now;
     progress.next = std::max(progress.next, progress.match + 1);
     if (progress.match + 1 >= log_.first_index())
@@ -220,6 +226,7 @@
     BecomeFollower(hard_state_.term, "", now);
     return;
   }
+  WatchConfirmations(now);
   const auto send_heartbeat = [&](const std::string& id) {
     const auto found = progress_.find(id);
     if (found != progress_.end()) {
--- a/source/core/consensus/replica_membership.cc
+++ b/source/core/consensus/replica_membership.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <optional>
 
 #include "core/consensus/replica.h"
 #include "core/wire/state_codec.h"
@@ -58,7 +57,7 @@
 
 bool Replica::HasCaughtUp(const std::string& learner, Time now) const {
   const auto found = progress_.find(learner);
-  if (found == progress_.end() ||
+  if (found == progress_.end() || IsLost(learner, now) ||
       IsSilent(learner, options_.election_timeout, now))
     return false;
   const Progress& progress = found->second;
@@ -82,139 +81,26 @@
   const std::size_t size = configuration_.voters.size();
   if (options_.target_voters == 0 || size < options_.target_voters)
     return true;
-  return size == options_.target_voters &&
-         IsSilent(LongestSilentVoter(), options_.replace_after, now);
+  return size == options_.target_voters && IsLost(WeakestVoter(now), now);
 }
 
 // Returns true if the group gains from a learner that has caught up, and from
 // no other one more.
 bool Replica::MayBecomeVoter(const std::string& learner, Time now) const {
+  if (!MayAddVoter(now))
+    return false;
   return NeedsVoter(now) ? IsBestSuccessor(learner, now)
                          : SpreadsVoters(learner, now);
 }
 
-// Returns true if no other learner that has caught up stands further from the
-// voters that stay.
-bool Replica::IsBestSuccessor(const std::string& learner, Time now) const {
-  const std::string longest_silent = LongestSilentVoter();
-  const std::string lost =
-      options_.target_voters != 0 &&
-              IsSilent(longest_silent, options_.replace_after, now)
-          ? longest_silent
-          : "";
-  const VoterSpread spread = SpreadWith(learner, lost);
-  return std::none_of(
-      configuration_.learners.begin(), configuration_.learners.end(),
-      [&](const std::string& other) {
-        return other != learner && SpreadWith(other, lost) < spread &&
-               PreviousIncarnation(other).empty() && HasCaughtUp(other, now);
-      });
-}
-
-// Returns true if the group bears the loss of a region or failure domain better
-// once `learner` has replaced another voter.
-bool Replica::SpreadsVoters(const std::string& learner, Time now) const {
-  if (configuration_.voters.size() != options_.target_voters)
-    return false;
-  const std::size_t excess = SpreadWith("", "").excess;
-  if (excess == 0 || !IsCalm(now))
-    return false;
-  // One whose link comes and goes would make the voters come and go.
-  if (now < progress_.at(learner).added + options_.replace_after)
-    return false;
-  const VoterSpread spread = BestSpreadWith(learner);
-  if (spread.excess >= excess)
-    return false;
-  return std::none_of(
-      configuration_.learners.begin(), configuration_.learners.end(),
-      [&](const std::string& other) {
-        return other != learner && BestSpreadWith(other) < spread &&
-               PreviousIncarnation(other).empty() && HasCaughtUp(other, now);
-      });
-}
-
-// Returns true if all voters have answered lately, and none was added or
-// removed for a while.
-bool Replica::IsCalm(Time now) const {
-  return now >= voters_changed_ + options_.replace_after &&
-         std::all_of(
-             configuration_.voters.begin(), configuration_.voters.end(),
-             [&](const std::string& voter) {
-               return LocationOf(voter).IsKnown() &&
-                      (voter == options_.id ||
-                       !IsSilent(voter, options_.election_timeout, now));
-             });
-}
-
-// Returns the spread of the voters with `learner` and without `dropped`, both
-// of which may be empty.
-VoterSpread Replica::SpreadWith(const std::string& learner,
-                                const std::string& dropped) const {
-  std::vector<protocol::Location> locations;
-  for (const std::string& voter : configuration_.voters) {
-    if (voter != dropped)
-      locations.push_back(LocationOf(voter));
-  }
-  if (!learner.empty())
-    locations.push_back(LocationOf(learner));
-  return MeasureSpread(locations);
-}
-
-// Returns the spread of the voters once `learner` has replaced one of them.
-VoterSpread Replica::BestSpreadWith(const std::string& learner) const {
-  VoterSpread best = SpreadWith("", "");
-  for (const std::string& voter : configuration_.voters) {
-    if (voter != options_.id)
-      best = std::min(best, SpreadWith(learner, voter));
-  }
-  return best;
-}
-
-// Returns the other voter without which the voters stand furthest apart. Of
-// several, returns the one whose last reply is oldest.
-std::string Replica::VoterToSpare() const {
-  std::string spare;
-  std::optional<VoterSpread> least;
-  for (const std::string& voter : configuration_.voters) {
-    if (voter == options_.id)
-      continue;
-    const VoterSpread spread = SpreadWith("", voter);
-    const bool is_better = !least || spread < *least ||
-                           (spread == *least && lease_->LastContact(voter) <
-                                                    lease_->LastContact(spare));
-    if (!is_better)
-      continue;
-    least = spread;
-    spare = voter;
-  }
-  return spare;
-}
-
-protocol::Location Replica::LocationOf(const std::string& id) const {
-  if (id == options_.id)
-    return options_.location;
-  const auto found = progress_.find(id);
-  return found == progress_.end() ? protocol::Location{}
-                                  : found->second.location;
-}
-
-// Returns the other voter whose last reply is oldest; empty if there is none.
-std::string Replica::LongestSilentVoter() const {
-  std::string longest_silent;
-  for (const std::string& voter : configuration_.voters) {
-    if (voter == options_.id)
-      continue;
-    if (longest_silent.empty() ||
-        lease_->LastContact(voter) < lease_->LastContact(longest_silent))
-      longest_silent = voter;
-  }
-  return longest_silent;
-}
-
-bool Replica::IsSilent(const std::string& id,
-                       Duration duration,
-                       Time now) const {
-  return !id.empty() && now > lease_->LastContact(id) + duration;
+// Returns true unless one more voter would raise the quorum of a group that
+// commits nothing at this moment.
+bool Replica::MayAddVoter(Time now) const {
+  Configuration next = configuration_;
+  next.voters.emplace_back();
+  return next.QuorumSize() == configuration_.QuorumSize() ||
+         options_.replace_after == Duration{0} ||
+         now <= commits_.last_progress() + options_.replace_after / 2;
 }
 
 void Replica::DropSurplusVoter(Time now) {
@@ -233,13 +119,19 @@
                   });
   if (!knows_all)
     return;
-  const std::string longest_silent = LongestSilentVoter();
-  const bool is_lost = IsSilent(longest_silent, options_.replace_after, now);
-  // Waits while it may still be a busy one that falls silent.
-  if (IsSilent(longest_silent, options_.election_timeout, now) && !is_lost)
+  const std::string weakest = WeakestVoter(now);
+  const bool is_lost = IsLost(weakest, now);
+  // Waits while one may still be busy that falls silent.
+  const bool may_be_lost =
+      std::any_of(configuration_.voters.begin(), configuration_.voters.end(),
+                  [&](const std::string& voter) {
+                    return voter != options_.id &&
+                           IsSilent(voter, options_.election_timeout, now);
+                  });
+  if (may_be_lost && !is_lost)
     return;
   Configuration next = configuration_;
-  std::erase(next.voters, is_lost ? longest_silent : VoterToSpare());
+  std::erase(next.voters, is_lost ? weakest : VoterToSpare(now));
   ChangeConfiguration(next, now);
 }
 
--- a/source/core/consensus/replica_options.h
+++ b/source/core/consensus/replica_options.h
@@ -22,8 +22,10 @@
   /// Number of voters up to which the group grows; further replicas only
   /// replace silent voters. 0 for no limit.
   std::size_t target_voters = 0;
-  /// Time without a reply after which a voter can be replaced by a caught-up
-  /// learner, and after which a learner is removed.
+  /// Time without a reply, or without the confirmation of an entry while some
+  /// are owed, after which a voter can be replaced by a caught-up learner. A
+  /// learner is removed after such a time without a reply, and a leader whose
+  /// own disk stands still for so long hands over.
   Duration replace_after{0};
   /// Maximum number of entries in one message.
   std::size_t max_entries_per_message = 512;
--- a/source/unit_tests/control/stalled_disk_test.cc
+++ b/source/unit_tests/control/stalled_disk_test.cc
@@ -1,4 +1,6 @@
+#include <chrono>
 #include <cstdint>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -124,4 +126,24 @@
   }
 }
 
+// Guards against a leader that hands over, or replaces voters, as one disk was
+// slower than the others for a while.
+TEST_CASE("Voters with disks of different speeds stay") {
+  const int max_ms = GENERATE(1'900, 3'000);
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(max_ms, seed);
+    LargeGroup group = MakeGroup(seed);
+    std::mt19937 random(static_cast<std::uint32_t>(seed));
+    std::uniform_int_distribution<int> sync_ms(max_ms / 4, max_ms);
+    const std::set<std::string> voters = group.Voters();
+    const std::size_t leader = group.cluster.Leader().value();
+    for (int i = 0; i < 400; ++i) {
+      group.cluster.sync_time = std::chrono::milliseconds(sync_ms(random));
+      group.RunWithClaims(100ms);
+      CHECK(group.Voters() == voters);
+      CHECK(group.cluster.Leader() == leader);
+    }
+  }
+}
+
 }  // namespace jacinth::control
