Control: Log slow syncs

Change: sync_was_slow at the end of a sync of 0.25 s or more, sync_runs once per second while one has run for a second or more; with the number of writes and the wait of the oldest one. Cost: two readings of the clock a write.

--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -148,6 +148,7 @@
 void ControlHost::OnStorageFailure(const Error& error) {
   log::Failure(log::Category::kStorage, error.detail + ".");
   Step(control::StorageFailed{});
+  sync_monitor_ = {};
   reopen_timer_.expires_after(kReopenInterval);
   reopen_timer_.async_wait([this](asio::error_code timer_error) {
     if (!timer_error)
@@ -267,6 +268,12 @@
   if (std::holds_alternative<control::Tick>(event)) {
     if (const auto record = monitor_.OnTick(tick_due_, clock.now))
       log::Write(*record);
+    if (const auto record = sync_monitor_.OnTick(clock.now))
+      log::Write(*record);
+  }
+  if (const auto* synced = std::get_if<control::WritesSynced>(&event)) {
+    if (const auto record = sync_monitor_.OnSynced(synced->id, clock.now))
+      log::Write(*record);
   }
   control::ControlActions actions = node_->Step(event, clock);
   const Time decided = MonotonicNow();
@@ -279,8 +286,10 @@
 }
 
 void ControlHost::CarryOut(control::ControlActions& actions) {
-  for (consensus::WriteRequest& write : actions.writes)
+  for (consensus::WriteRequest& write : actions.writes) {
+    sync_monitor_.OnWrite(write.id, MonotonicNow());
     writer_->Add(std::move(write));
+  }
   for (const control::OutgoingMessage& message : actions.messages)
     hub_.Send(message.to_instance, message.envelope);
   for (const control::Broadcast& broadcast : actions.broadcasts)
--- a/source/jacinthroute/control_host.h
+++ b/source/jacinthroute/control_host.h
@@ -25,6 +25,7 @@
 #include "jacinthroute/interface_components.h"
 #include "jacinthroute/step_monitor.h"
 #include "jacinthroute/storage_writer.h"
+#include "jacinthroute/sync_monitor.h"
 #include "jacinthroute/tick_timer.h"
 
 namespace jacinth {
@@ -93,6 +94,7 @@
   trace::SpanWriter& spans_;
   TickTimer timer_;
   StepMonitor monitor_;
+  SyncMonitor sync_monitor_;
   /// Time at which the next tick is due.
   Time tick_due_ = Time::max();
   std::optional<storage::DataFolder> folder_;
