--- a/source/unit_tests/support/listing_fleet.cc
+++ b/source/unit_tests/support/listing_fleet.cc
@@ -17,8 +17,14 @@
 
 ListingFleet::ListingFleet(std::uint64_t seed, Duration list_interval)
     : cluster_(seed,
-               {kReplicas, kReplicas, 0, 500ms, 120ms,
-                ControlCluster::kReplaceAfter, list_interval}),
+               {.machines = kReplicas,
+                .contacts = kReplicas,
+                .target_voters = 0,
+                .election_timeout = 500ms,
+                .heartbeat = 120ms,
+                .replace_after = ControlCluster::kReplaceAfter,
+                .locate = nullptr,
+                .listing_interval = list_interval}),
       list_interval_(list_interval) {
   cluster_.loss_percent = 0;
   cluster_.duplicate_percent = 0;
