Control: Send a large change again from where it began

A leader takes a piece for lost after 1 s. If a heartbeat that was sent before the first piece arrived came later than that, as on links that delay messages by 0.4 s, the leader sent the first piece again, of an update up to the newest revision: with changes in series a large one began anew, as the entry dropped what it had.

The leader now goes on with an update of several pieces that it has begun to send, and an entry ignores its first piece if it has it already. Smaller updates still lead to the newest revision when they are sent again.

Test "Small changes delay no large one before them", 6,000 routes, a small change each 0.8 s, links that delay messages by 0.4 and 0.8 s: in force after 3,870 and 5,980 ms before, 2,890 and 4,670 ms after, as without small changes.

--- a/source/core/control/settings_sender.cc
+++ b/source/core/control/settings_sender.cc
@@ -85,11 +85,12 @@
     AddPiece(state, current, make_update, reply);
 }
 
-void SettingsSender::AddPiece(const EntryState& state,
+void SettingsSender::AddPiece(EntryState& state,
                               std::uint64_t current,
                               const MakeUpdate& make_update,
                               protocol::HeartbeatReply& reply) {
   const PackedUpdate& packed = FindOrPack(state, current, make_update);
+  state.sending = packed.position.checksum;
   protocol::SettingsPiece& piece = reply.settings_piece;
   piece.position = packed.position;
   const bool continues = state.position->checksum == packed.position.checksum &&
@@ -115,6 +116,12 @@
            packed.position.checksum == state.position->checksum &&
            state.position->offset < packed.bytes.size();
   };
+  // The first of several pieces may have arrived since the entry's heartbeat.
+  const auto is_begun = [&](const PackedUpdate& packed) {
+    return packed.position.base_revision == state.held_revision &&
+           packed.position.checksum == state.sending &&
+           packed.bytes.size() > kPieceBytes;
+  };
   const auto leads_to_current = [&](const PackedUpdate& packed) {
     return packed.position.base_revision == state.held_revision &&
            packed.position.revision == current;
@@ -123,6 +130,9 @@
       std::find_if(packed_.begin(), packed_.end(), continues);
   if (continued != packed_.end())
     return *continued;
+  const auto begun = std::find_if(packed_.begin(), packed_.end(), is_begun);
+  if (begun != packed_.end())
+    return *begun;
   auto whole = std::find_if(packed_.begin(), packed_.end(), leads_to_current);
   if (whole == packed_.end()) {
     DropUnused();
@@ -152,6 +162,7 @@
   for (const auto& [entry, state] : entries_) {
     if (state.position)
       used.insert(state.position->checksum);
+    used.insert(state.sending);
   }
   std::size_t unused = 0;
   for (auto packed = packed_.end(); packed != packed_.begin();) {
--- a/source/core/control/settings_sender.h
+++ b/source/core/control/settings_sender.h
@@ -66,9 +66,12 @@
     std::optional<protocol::SettingsPosition> position;
     /// Time of the last message that no heartbeat has confirmed yet.
     std::optional<Time> sent;
+    /// Checksum of the last update of which a piece was sent; 0 if there is
+    /// none.
+    std::uint64_t sending = 0;
   };
 
-  void AddPiece(const EntryState& state,
+  void AddPiece(EntryState& state,
                 std::uint64_t current,
                 const MakeUpdate& make_update,
                 protocol::HeartbeatReply& reply);
--- a/source/core/entry/settings_receiver.cc
+++ b/source/core/entry/settings_receiver.cc
@@ -21,7 +21,9 @@
   if (!applies || start.revision <= held_revision ||
       piece.total_bytes > kMaxPackedBytes)
     return false;
-  if (start.offset == 0) {
+  protocol::SettingsPosition begun = position_;
+  begun.offset = 0;
+  if (start.offset == 0 && start != begun) {
     bytes_.clear();
     position_ = start;
     scope_ = protocol::ChangeScope::FromBytes(piece.scope);
