--- a/source/unit_tests/entry/rate_share_traffic_test.cc
+++ b/source/unit_tests/entry/rate_share_traffic_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -163,6 +164,25 @@
   CHECK(test.CountReports(0, 1s) >= 1);
 }
 
+// Guards against limits that a new leader lifts, as nobody who knows of them
+// has reported them to it before it tells the entries its shares.
+TEST_CASE("A new leader learns of limits that concern no requests") {
+  Fleet test;
+  test.fleet.Run(4s);
+  test.fleet.ReplaceLeader();
+  const Time end = test.fleet.entries().front().driver->now + 6s;
+  int fewest = kEntries;
+  while (test.fleet.entries().front().driver->now < end) {
+    test.fleet.Run(NarrowFleet::kStep);
+    fewest = std::min(fewest, test.CountKnowing("i-0", kLimit));
+  }
+  const std::uint64_t term = test.fleet.node().replica()->term();
+  CHECK(test.fleet.entries().back().session().rate_shares().version >> 32U ==
+        term);
+  CHECK(fewest == kEntries);
+  CHECK(test.AllHoldSameShares());
+}
+
 // Guards against entries that keep a limit that has changed or ended, because
 // the message with the change was lost.
 TEST_CASE("Entries know the limits although messages with changes were lost") {
