Entry: Report all limits to a new leader as soon as its term is known

A new leader divides the limits that it knows of one control timeout after its term began. Entries repeated all of their reports only once shares of the new term had arrived, which lacked what only entries without requests knew; these shares then lifted the limits at all entries, and callers could send an endpoint more than it takes.

Entries now repeat all reports with the first heartbeat after they have learned of the term, which any answer of the leader tells.

"A new leader learns of limits that concern no requests" failed before (0 of 40 entries knew the limit at some time) and passes.

--- a/source/core/entry/control_session.h
+++ b/source/core/entry/control_session.h
@@ -180,6 +180,8 @@
   }
   std::uint64_t members_version() const { return members_.version; }
   const protocol::EntryStatus& self() const { return self_; }
+  /// Highest term of a leader that has answered; 0 if none has told its term.
+  std::uint64_t leader_term() const { return leader_term_; }
   /// Instance id of the leader; empty if none is known.
   const std::string& leader() const { return leader_; }
   /// Interval between heartbeats, which grows with the fleet.
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -272,6 +272,8 @@
   /// Entries that send to cold endpoints.
   forwarding::SenderHistory warmup_senders_;
   std::uint64_t rate_shares_version_ = 0;
+  /// Term of the leader that was told of all limits.
+  std::uint64_t reported_term_ = 0;
   /// Time of the first event.
   std::optional<Time> started_;
   Time next_endpoint_list_{};
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -39,15 +39,11 @@
   const std::uint64_t version = session_.rate_shares().version;
   if (version == 0 || reply.rate_shares.version != version)
     return;
-  const bool new_leader =
-      version >> kTermShift != rate_shares_version_ >> kTermShift;
   const bool new_shares = version != rate_shares_version_;
   rate_shares_version_ = version;
   for (auto& [name, service_state] : services_) {
     if (new_shares)
       service_state.endpoints.SetRateShares(RateSharesOf(name), now);
-    if (new_leader)
-      service_state.endpoints.RepeatRateLimitReports();
     service_state.endpoints.OnRateLimitReportsReceived(reply.sequence, now);
     DispatchRequests(service_state, now);
   }
@@ -66,8 +62,14 @@
 std::vector<protocol::RateLimitReport> EntryNode::TakeRateLimitReports(
     std::uint64_t sequence,
     Time now) {
+  // A new leader divides the limits that it knows of after one control timeout.
+  const std::uint64_t term = std::max(
+      session_.leader_term(), session_.rate_shares().version >> kTermShift);
+  const bool new_leader = std::exchange(reported_term_, term) != term;
   std::vector<protocol::RateLimitReport> reports;
   for (auto& [name, service_state] : services_) {
+    if (new_leader)
+      service_state.endpoints.RepeatRateLimitReports();
     for (protocol::RateLimitReport& report :
          service_state.endpoints.TakeRateLimitReports(sequence, now)) {
       report.key.service = name;
