HTTP tests: Close the list's server before its context

What was seen: http_test ran into its time limit under ctest, twice of two runs, and stood still in 3 of 3 runs from ctest's working folder: a crash in malloc, and then Catch's handler of that signal waiting for malloc's lock. Cause, shown by valgrind: the paged list of endpoint_lister_test is declared before the reader, whose io_context it uses, and closes its sockets when that is gone: 23 invalid accesses in three tests. Change: the reader closes the list's server before its context. No check is changed. Evidence: no invalid access in four of these tests; http_test passes under ctest.

--- a/source/unit_tests/http/endpoint_lister_test.cc
+++ b/source/unit_tests/http/endpoint_lister_test.cc
@@ -57,6 +57,12 @@
     REQUIRE(server_->Listen(address_));
   }
 
+  /// Must be called while the context of Serve() exists.
+  void Close() {
+    stalled_.reset();
+    server_.reset();
+  }
+
   static http::Request MakeRequest(const std::string& domain,
                                    const std::string& token) {
     http::Request request;
@@ -101,17 +107,21 @@
 };
 
 struct Reader {
-  explicit Reader(PagedList& list)
-      : client(context, 8),
+  explicit Reader(PagedList& served)
+      : list(served),
+        client(context, 8),
         lister(client,
                list.address(),
                list.domains(),
                PagedList::MakeRequest,
-               [&list](const http::Response& response) {
+               [this](const http::Response& response) {
                  return list.Parse(response);
                }) {
     list.Serve(context);
   }
+  ~Reader() { list.Close(); }
+  Reader(const Reader&) = delete;
+  Reader& operator=(const Reader&) = delete;
 
   /// Reads the list once and returns the number of its endpoints; nothing if it
   /// can't be read.
@@ -128,6 +138,7 @@
     return count;
   }
 
+  PagedList& list;
   asio::io_context context;
   http::EventClient client;
   EndpointLister lister;
