Entry: Hand requests over in the newest regions of a route that has moved

Found by a review, by reading.

Entries to hand a request to are now chosen by the regions of its route in force, whatever service that leads to.

"A hand-over follows the regions of a route that has moved" failed before (e3 in place of e4) and passes.

--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -168,6 +168,8 @@
   bool IsDecidedElsewhere(const RequestArrived& event, Time now) const;
   bool StartRelay(RequestRecord& record, Time now);
   void On(const RelayEnded& event, Time now);
+  const std::vector<std::string>& HandOverRegions(
+      const RequestRecord& record) const;
   bool MayHandOverTo(const std::string& id,
                      const std::vector<std::string>& regions) const;
   void RelayWaitingRequests(Time now);
--- a/source/core/entry/entry_relays.cc
+++ b/source/core/entry/entry_relays.cc
@@ -71,7 +71,7 @@
   std::vector<const EntryStatus*> all;
   // The region has lost this instance at least.
   steering::RegionEntries in_own_region{.lost = 1};
-  const std::vector<std::string>& regions = AllowedRegions(record);
+  const std::vector<std::string>& regions = HandOverRegions(record);
   for (const EntryStatus& entry : session_.members()) {
     const bool in_region = entry.region == options_.self.region;
     in_own_region.members += in_region && !entry.starting ? 1 : 0;
--- a/source/core/entry/entry_sends.cc
+++ b/source/core/entry/entry_sends.cc
@@ -12,10 +12,9 @@
   if (found == requests_.end())
     return false;
   const RequestRecord& record = found->second;
-  const std::vector<std::string>& regions = AllowedRegions(record);
   if (!record.relay_entry.empty()) {
     return record.relay_decision == DecisionOn(record.arrival) &&
-           MayHandOverTo(record.relay_entry, regions);
+           MayHandOverTo(record.relay_entry, HandOverRegions(record));
   }
   if (HasMoved(record))
     return false;
@@ -24,7 +23,18 @@
   const settings::EndpointSettings* endpoint = endpoints.Find(record.endpoint);
   return endpoint != nullptr && !endpoint->drained &&
          endpoints.ProcessOf(record.endpoint) == record.process &&
-         IsAllowedRegion(regions, endpoint->region);
+         IsAllowedRegion(AllowedRegions(record), endpoint->region);
+}
+
+// Returns the regions whose entries the request may be handed to: those of its
+// route by the settings in force, by which the other entry decides, even if it
+// leads to other services by now.
+const std::vector<std::string>& EntryNode::HandOverRegions(
+    const RequestRecord& record) const {
+  if (record.revision == session_.fleet()->revision)
+    return record.kind.regions;
+  const settings::RouteSettings* route = RouteOf(record);
+  return route == nullptr ? record.kind.regions : route->kind.regions;
 }
 
 // Returns true if the entry is still listed, isn't drained, and is in one of
--- a/source/unit_tests/entry/entry_sends_test.cc
+++ b/source/unit_tests/entry/entry_sends_test.cc
@@ -159,6 +159,37 @@
   CHECK(driver.node.MaySend(ticket));
 }
 
+// Guards against bodies that are sent to an entry in a region which their route
+// doesn't allow any more, as it leads to another service too
+// (docs/incidents/home.md).
+TEST_CASE("A hand-over follows the regions of a route that has moved") {
+  const std::vector<protocol::EntryStatus> members = {
+      MakeMember("e1", "west"), MakeMember("e2", "west"),
+      MakeMember("e3", "west"), MakeMember("e4", "east")};
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText("west"));
+  SetMembers(driver, members);
+  const RequestTicket ticket = SendRequest(driver);
+  for (std::size_t i = 0; i < driver.attempts.size(); ++i) {
+    AttemptEnded ended;
+    ended.ticket = ticket;
+    ended.end = AttemptEnd::kNotConnected;
+    ended.connection_refused = true;
+    driver.Step(ended);
+  }
+  REQUIRE(driver.relays.size() == 1);
+  REQUIRE(driver.relays[0].entry != "e4");
+  std::string moved = SettingsText("east");
+  moved.replace(moved.find("service = s"), 11, "service = t");
+  driver.ApplySettings(moved + "[service/t]\nslots = 9\nttl_ms = 1000\n");
+  SetMembers(driver, members);
+  CHECK_FALSE(driver.node.MaySend(ticket));
+  driver.Step(RelayEnded{ticket, AttemptEnd::kWithdrawn});
+  REQUIRE(driver.relays.size() == 2);
+  CHECK(driver.relays[1].entry == "e4");
+  CHECK(driver.node.MaySend(ticket));
+}
+
 // Guards against hand-overs that tell of settings which were replaced while a
 // connection was opened.
 TEST_CASE("A hand-over doesn't leave by a decision that was replaced") {
