--- a/review/stand-ins-2/theatre.h
+++ b/review/stand-ins-2/theatre.h
@@ -682,6 +682,11 @@
     const std::lock_guard lock(mutex_);
     entries_[entry.id] = entry;
   }
+  /// Adds an entry of another writer to a zone, as it was written.
+  void SetForeign(const std::string& zone, const std::string& bytes) {
+    const std::lock_guard lock(mutex_);
+    foreign_ = {zone, bytes};
+  }
 
  private:
   void Serve(int socket, const std::atomic<bool>& stop) {
@@ -717,6 +722,10 @@
              "\",\"warmup_left_ms\":0,\"id\":\"" + entry.id +
              "\",\"born\":" + std::to_string(entry.born) + "}";
     }
+    if (!foreign_.second.empty() && (zone.empty() || zone == foreign_.first)) {
+      std::string& row = rows[foreign_.first];
+      row += (row.empty() ? "" : ",") + foreign_.second;
+    }
     std::string out = "{\"instances\":{";
     bool first = true;
     for (const auto& [name, row] : rows) {
@@ -728,6 +737,7 @@
 
   std::mutex mutex_;
   std::map<std::string, Listed> entries_;
+  std::pair<std::string, std::string> foreign_;
   Listener listener_;
 };
 
