--- a/review/stand-ins-2/slow_link.cc
+++ b/review/stand-ins-2/slow_link.cc
@@ -84,7 +84,7 @@
     return kCouldNotRun;
   Sleep(4);
   const std::string front = deployment.Front(0);
-  constexpr int kClients = 4;
+  constexpr int kClients = 5;
   std::atomic<int> kept = 0;
   std::atomic<int> whole = 0;
   std::atomic<int> cut = 0;
@@ -112,6 +112,9 @@
       kept += how == "whole" ? 1 : 0;
       while (!go)
         Sleep(0.01);
+      // One after the other, so that no two answers arrive at the machine at
+      // the same moment.
+      Sleep(0.6 * i);
       const std::string id = "large-" + std::to_string(i);
       const double began = Now();
       send(id);
