Entry: Take all requests that move off their queues before moving any

Cause: MoveWaitingRequests() listed the tickets of the requests to move, and moved one after the other. Admitting the first one to its new service dispatched that service's queue, in which others of the list still waited by their old routes. Those were sent to the service that their route had left, and then moved as well, or refused, and then looked up by a ticket that was gone.

Change: all of them leave their queues and are taken out of the node first; then each is admitted anew. What an admission dispatches is then only what belongs in that queue. A test of whether the listed request still waits would end the abort and the second attempt, but not the one to the old service.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -138,7 +138,7 @@
                            HasMoved(record);
   if (should_move) {
     LogAttemptEnd(record, event.end, /*will_retry=*/true, now);
-    MoveRequest(event.ticket, now);
+    MoveRequest(TakeRequest(event.ticket, now), now);
     DispatchRequests(service_state, now);
     return;
   }
--- a/source/core/entry/entry_moves.cc
+++ b/source/core/entry/entry_moves.cc
@@ -36,18 +36,20 @@
 }
 
 // Moves the queued requests whose routes lead to other services by now, and
-// ends those that an endpoint may have run.
+// ends those that an endpoint may have run. All leave their queues first, as
+// admitting one may send or end others that are queued.
 void EntryNode::MoveWaitingRequests(Time now) {
-  std::vector<RequestTicket> moved;
+  std::vector<RequestTicket> tickets;
   for (const auto& [ticket, record] : requests_) {
     if (record.phase == RequestPhase::kWaiting && HasMoved(record))
-      moved.push_back(ticket);
+      tickets.push_back(ticket);
   }
-  for (const RequestTicket ticket : moved) {
+  std::vector<RequestRecord> moved;
+  for (const RequestTicket ticket : tickets) {
     const RequestRecord& record = requests_.at(ticket);
     services_.at(record.service).queue.Remove(ticket);
     if (!record.may_have_run) {
-      MoveRequest(ticket, now);
+      moved.push_back(TakeRequest(ticket, now));
       continue;
     }
     Refuse(ticket,
@@ -55,16 +57,25 @@
             "an attempt was lost, and the route leads to another service now"},
            now);
   }
+  for (RequestRecord& record : moved)
+    MoveRequest(std::move(record), now);
 }
 
-// Admits a request, which is neither queued nor at an endpoint and hasn't run,
-// anew to a service of its route.
-void EntryNode::MoveRequest(RequestTicket ticket, Time now) {
+// Removes a request, which is neither queued nor at an endpoint, and releases
+// what was reserved for it.
+RequestRecord EntryNode::TakeRequest(RequestTicket ticket, Time now) {
   RequestRecord record = std::move(requests_.extract(ticket).mapped());
   services_.at(record.service)
       .queue.Release(record.kind.name, record.phase == RequestPhase::kRunning);
   ceilings_.Release(record.kind.rank);
   SettleBandwidth(record, now);
+  return record;
+}
+
+// Admits a request that was taken, and hasn't run, anew to a service of its
+// route.
+void EntryNode::MoveRequest(RequestRecord record, Time now) {
+  const RequestTicket ticket = record.arrival.ticket;
   auto resolved = Resolve(record.arrival);
   std::optional<Error> error;
   if (resolved)
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -200,7 +200,8 @@
                       const std::string& service);
   bool HasMoved(const RequestRecord& record) const;
   void MoveWaitingRequests(Time now);
-  void MoveRequest(RequestTicket ticket, Time now);
+  RequestRecord TakeRequest(RequestTicket ticket, Time now);
+  void MoveRequest(RequestRecord record, Time now);
 
   // Attempts of requests.
   void On(const AttemptEnded& event, Time now);
