Entry: Dispatch only after what an event brings is in force

A message of the leader may bring new settings and shares of rate limits together. A request that waited in the entry was then sent to the service that its route led to before, or to an endpoint that the message drains, with newer settings in force. Found by reading, and shown by the new test; not seen in a process.

Cause: On(MessageReceived) called ControlSession::OnReply(), ApplyRateShares() and ApplyFleetSettings() in this order, and the second one dispatched all queues: after the session held the new settings, before services and queues followed them.

Change: handlers no longer dispatch, move or relay queued requests, but mark a service as due. RunDueWork() runs after each handler. It puts in force what the session holds, then moves queued requests, acts on changed links, and dispatches the services that are due. So nothing is sent between the arrival of settings and their application, whatever the order of calls in a handler.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -139,7 +139,7 @@
   if (should_move) {
     LogAttemptEnd(record, event.end, /*will_retry=*/true, now);
     MoveRequest(TakeRequest(event.ticket, now), now);
-    DispatchRequests(service_state, now);
+    service_state.dispatch_due = true;
     return;
   }
   const bool should_requeue =
@@ -148,7 +148,7 @@
        (refused && !options_.limits.count_refusals_as_retries));
   if (should_requeue) {
     LogAttemptEnd(record, event.end, /*will_retry=*/true, now);
-    RequeueRequest(record, service_state, now);
+    RequeueRequest(record, service_state);
     return;
   }
   const bool may_retry = event.end != AttemptEnd::kAnswered &&
@@ -168,7 +168,7 @@
                                     static_cast<double>(event.answer_bytes));
     FinishClaim(record, Outcome::kRan, event.answer, now);
     EndRequest(event.ticket, ForwardAnswer{}, now);
-    DispatchRequests(service_state, now);
+    service_state.dispatch_due = true;
     return;
   }
   // Other entries may reach an endpoint although this one doesn't, before its
@@ -189,7 +189,7 @@
   if (overall_outcome == Outcome::kNotRun)
     refusal.retry_after = ScheduleReturn(record, now);
   EndRequest(event.ticket, std::move(refusal), now);
-  DispatchRequests(service_state, now);
+  service_state.dispatch_due = true;
 }
 
 // Sets the object's slice and its owner. If the slice has no usable owner,
@@ -251,15 +251,14 @@
 // Requeues a refused request ahead of those that arrived after it. The refusal
 // does not count as an attempt, as the endpoint ran nothing.
 void EntryNode::RequeueRequest(RequestRecord& record,
-                               ServiceState& service_state,
-                               Time now) {
+                               ServiceState& service_state) {
   --record.attempts;
   // A request that excludes no endpoint does not block those behind it.
   record.excluded_endpoints.clear();
   record.phase = RequestPhase::kWaiting;
   service_state.queue.Requeue(record.arrival.ticket, record.kind.name,
                               record.wait_until);
-  DispatchRequests(service_state, now);
+  service_state.dispatch_due = true;
 }
 
 // Returns true if the request may be retried after `end`. The retry is then
--- a/source/core/entry/entry_completion.cc
+++ b/source/core/entry/entry_completion.cc
@@ -26,7 +26,7 @@
       may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
       {}};
   EndRequest(event.ticket, std::move(cancellation), now);
-  DispatchRequests(service_state, now);
+  service_state.dispatch_due = true;
 }
 
 // Cancels the attempt or relay of a request, if there is one. Returns true if
--- a/source/core/entry/entry_links.cc
+++ b/source/core/entry/entry_links.cc
@@ -29,13 +29,11 @@
     if (event.opened_connection)
       links_.OnConnected(record.attempt_started, now);
   }
-  OnLinkStateChange(now);
 }
 
 // Suspects links that carry no responses, and probes those under suspicion.
 void EntryNode::CheckLinks(Time now) {
   links_.CheckSilence(now);
-  OnLinkStateChange(now);
   ProbeLinks(now);
 }
 
--- a/source/core/entry/entry_node.cc
+++ b/source/core/entry/entry_node.cc
@@ -121,6 +121,7 @@
   if (!started_)
     started_ = now;
   std::visit([&](const auto& body) { On(body, now); }, event);
+  RunDueWork(now);
   AnnounceIsolation(now);
   LogStateChanges(now);
   for (protocol::Envelope& message : claim_client_.CollectDueMessages(now))
@@ -129,6 +130,20 @@
   return std::exchange(actions_, {});
 }
 
+// Puts what was received in force, and then moves, relays and dispatches queued
+// requests. Handlers only make this due: within them, it would send by settings
+// that have been replaced, or end requests whose records they use.
+void EntryNode::RunDueWork(Time now) {
+  ApplyFleetSettings(now);
+  if (std::exchange(moved_revision_, fleet_revision_) != fleet_revision_)
+    MoveWaitingRequests(now);
+  OnLinkStateChange(now);
+  for (auto& [name, service_state] : services_) {
+    if (std::exchange(service_state.dispatch_due, false))
+      DispatchRequests(service_state, now);
+  }
+}
+
 void EntryNode::On(const MessageReceived& event, Time now) {
   if (const auto* reply =
           std::get_if<protocol::HeartbeatReply>(&event.envelope)) {
@@ -178,7 +193,7 @@
            /*tests_links=*/false, descriptor->started_ms});
     }
     RefuseUnservable(service_state, now);
-    DispatchRequests(service_state, now);
+    service_state.dispatch_due = true;
   }
   CheckLinks(now);
   AdvanceStop(now);
@@ -192,19 +207,17 @@
   }
   if (event.tests_links) {
     links_.OnProbeEnd(event.link_end, now);
-    OnLinkStateChange(now);
     return;
   }
   if (service_state == services_.end())
     return;
   service_state->second.endpoints.OnProbeEnd(event.endpoint, event.end, now);
-  DispatchRequests(service_state->second, now);
+  service_state->second.dispatch_due = true;
 }
 
 void EntryNode::On(const EndpointsListed& event, Time now) {
   if (!event.is_complete) {
-    if (session_.ApplyDrains(protocol::ListedDrains(event.endpoints)))
-      ApplyFleetSettings(now);
+    session_.ApplyDrains(protocol::ListedDrains(event.endpoints));
     return;
   }
   // An up-to-date list from the control role takes precedence.
@@ -215,7 +228,6 @@
   if (is_older || leader_is_fresh)
     return;
   session_.ApplyEndpointList(event.endpoints, event.took, now);
-  ApplyFleetSettings(now);
 }
 
 void EntryNode::On(const ContactsChanged& event, Time /*now*/) {
@@ -344,10 +356,8 @@
     if (fleet->services.count(name) == 0)
       service_state.MarkRemoved(now);
   }
-  if (is_new_revision)
-    MoveWaitingRequests(now);
   for (const auto& [name, service] : fleet->services)
-    DispatchRequests(services_.at(name), now);
+    services_.at(name).dispatch_due = true;
 }
 
 // Returns the service's settings with the kinds of the routes that target it
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -192,6 +192,9 @@
   void Admit(RequestRecord record, ServiceState& service_state, Time now);
   void StartClaim(RequestRecord& record, Time now);
   void OnClaimReply(const protocol::ClaimReply& reply, Time now);
+
+  // Work that events make due.
+  void RunDueWork(Time now);
   void DispatchRequests(ServiceState& service_state, Time now);
 
   // Requests whose routes move to other services.
@@ -215,9 +218,8 @@
                   Time now);
   void RecordSliceUse(const RequestRecord& record, Time now);
   bool TryAttempt(RequestRecord& record, ServiceState& service_state, Time now);
-  void RequeueRequest(RequestRecord& record,
-                      ServiceState& service_state,
-                      Time now);
+  static void RequeueRequest(RequestRecord& record,
+                             ServiceState& service_state);
   bool TryAcquireRetry(const RequestRecord& record,
                        ServiceState& service_state,
                        forwarding::AttemptEnd end,
@@ -270,6 +272,8 @@
   forwarding::LinkState applied_links_ = forwarding::LinkState::kConnected;
   /// Versions of the session's state that are applied to `services_`.
   std::uint64_t fleet_revision_ = 0;
+  /// Revision of the settings that queued requests were last moved by.
+  std::uint64_t moved_revision_ = 0;
   std::uint64_t endpoint_changes_ = 0;
   std::uint64_t members_version_ = 0;
   /// Entries that send to cold endpoints.
--- a/source/core/entry/entry_rates.cc
+++ b/source/core/entry/entry_rates.cc
@@ -45,7 +45,7 @@
     if (new_shares)
       service_state.endpoints.SetRateShares(RateSharesOf(name), now);
     service_state.endpoints.OnRateLimitReportsReceived(reply.sequence, now);
-    DispatchRequests(service_state, now);
+    service_state.dispatch_due = true;
   }
 }
 
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -274,7 +274,7 @@
     return;
   }
   service_state.queue.Enqueue(ticket, stored.kind.name, stored.wait_until);
-  DispatchRequests(service_state, now);
+  service_state.dispatch_due = true;
 }
 
 void EntryNode::StartClaim(RequestRecord& record, Time now) {
@@ -302,7 +302,7 @@
     ServiceState& service_state = services_.at(record->service);
     record->phase = RequestPhase::kWaiting;
     service_state.queue.Enqueue(ticket, record->kind.name, record->wait_until);
-    DispatchRequests(service_state, now);
+    service_state.dispatch_due = true;
     return;
   }
   if (reply.verdict == ClaimVerdict::kRan) {
--- a/source/core/entry/service_state.h
+++ b/source/core/entry/service_state.h
@@ -29,6 +29,9 @@
   /// True if the service was removed from the settings. Its state is kept for
   /// the requests that have not ended.
   bool removed = false;
+  /// True if queued requests may be sent or refused now; see
+  /// EntryNode::RunDueWork().
+  bool dispatch_due = false;
 
   /// Applies new settings.
   void Update(settings::ServiceSettings service, Time now);
--- a/source/unit_tests/entry/entry_swap_test.cc
+++ b/source/unit_tests/entry/entry_swap_test.cc
@@ -146,4 +146,41 @@
   CHECK(driver.node.active_requests() == 0);
 }
 
+// Guards against a request that is sent to the old service of its route as a
+// message that moves the route also brings its endpoints' rate limits.
+TEST_CASE("A message with shares and settings sends by the new settings") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText("s", "t", /*slots=*/1));
+  const RequestTicket first = SendRequest(driver, "a");
+  REQUIRE(driver.attempts.size() == 1);
+  AttemptEnded ended;
+  ended.ticket = first;
+  ended.end = AttemptEnd::kAnswered;
+  ended.rate_limit = forwarding::RateLimitNotice{2.0};
+  driver.Step(ended);
+  driver.AdvanceTime(100ms);
+  REQUIRE(driver.last_heartbeat.rate_limits.size() == 1);
+  const protocol::RateLimitReport report =
+      driver.last_heartbeat.rate_limits.front();
+  const RequestTicket waiting = SendRequest(driver, "a");
+  REQUIRE(driver.attempts.size() == 1);
+  REQUIRE(driver.answers.count(waiting) == 0);
+  // The limit leaves room for the next request by then.
+  driver.now += 5s;
+  protocol::HeartbeatReply reply;
+  reply.sequence = driver.last_heartbeat.sequence;
+  reply.leader = true;
+  reply.leader_hint = "c1";
+  reply.revision = ++driver.revision;
+  driver.settings_text = SettingsText("t", "s", /*slots=*/1);
+  reply.update = {
+      driver.revision, driver.settings_text, Hash64(driver.settings_text), {}};
+  reply.members.version = driver.revision;
+  reply.members.entries = {driver.last_heartbeat.status};
+  reply.rate_shares.version = (1ULL << 32U) + 1;
+  reply.rate_shares.shares = {{report.key, report.started_ms, 2.0, 1.0}};
+  driver.Step(MessageReceived{"c1", reply});
+  CHECK(EndpointsTried(driver, waiting, 1) == std::vector<std::string>{"t1"});
+}
+
 }  // namespace jacinth::entry
