Entry: Remember that a route has moved when it is removed

A request for which a connection was being opened was sent to a service that its route had left, if the route moved to another service and was then removed meanwhile.

Cause: a request whose route is gone is completed by its old one, as nothing newer says how to serve it. HasMoved() compared the request with the settings in force alone, so that a revision that had said so was forgotten by the next one.

Change: each new revision is compared with the routes of all requests that are held, and a request remembers that its route has moved until the route leads to its service again. Such a request is withdrawn and refused as not run. A request whose route was removed without having moved is completed as before.

--- a/source/core/entry/entry_moves.cc
+++ b/source/core/entry/entry_moves.cc
@@ -25,14 +25,16 @@
                      });
 }
 
-// Returns true if the route of the request leads to other services by now. A
-// request whose route is gone is completed by its old one, as nothing newer
-// says how to serve it. Claims belong to a service.
+// Returns true if the route of the request leads to other services by now, or
+// did before it was removed. Otherwise, a request whose route is gone is
+// completed by its old one, as nothing newer says how to serve it. Claims
+// belong to a service.
 bool EntryNode::HasMoved(const RequestRecord& record) const {
   if (record.revision == session_.fleet()->revision || !record.claim_id.empty())
     return false;
   const settings::RouteSettings* route = RouteOf(record);
-  return route != nullptr && !LeadsTo(*route, record.service);
+  return route == nullptr ? record.route_moved
+                          : !LeadsTo(*route, record.service);
 }
 
 // Moves the queued requests whose routes lead to other services by now, and
@@ -40,8 +42,9 @@
 // admitting one may send or end others that are queued.
 void EntryNode::MoveWaitingRequests(Time now) {
   std::vector<RequestTicket> tickets;
-  for (const auto& [ticket, record] : requests_) {
-    if (record.phase == RequestPhase::kWaiting && HasMoved(record))
+  for (auto& [ticket, record] : requests_) {
+    record.route_moved = HasMoved(record);
+    if (record.route_moved && record.phase == RequestPhase::kWaiting)
       tickets.push_back(ticket);
   }
   std::vector<RequestRecord> moved;
--- a/source/core/entry/request_record.h
+++ b/source/core/entry/request_record.h
@@ -33,6 +33,9 @@
   std::uint64_t revision = 0;
   /// Service that the request was assigned to; for a route, one of its shares.
   std::string service;
+  /// The settings applied last moved the route to other services, or removed it
+  /// after earlier ones had.
+  bool route_moved = false;
   Time arrived{};
   Time deadline{};
   /// Time until which the request may wait for an endpoint.
--- a/source/unit_tests/entry/entry_moves_test.cc
+++ b/source/unit_tests/entry/entry_moves_test.cc
@@ -144,6 +144,30 @@
   CHECK(driver.node.active_requests() == 0);
 }
 
+// Guards against a request that a connection is opened for and that reaches the
+// old service of its route, which has moved and then been removed meanwhile
+// (docs/incidents/removed-route.md).
+TEST_CASE("A request isn't sent to a service that its removed route had left") {
+  EntryDriver driver;
+  driver.ApplySettings(SettingsText("s"));
+  const RequestTicket ticket = SendRequest(driver);
+  REQUIRE(driver.attempts.size() == 1);
+  const bool has_moved = GENERATE(true, false);
+  CAPTURE(has_moved);
+  if (has_moved)
+    driver.ApplySettings(SettingsText("t"));
+  const std::string text = SettingsText("s");
+  driver.ApplySettings(text.substr(0, text.find("[route/a]")));
+  CHECK(driver.node.MaySend(ticket) == !has_moved);
+  if (!has_moved)
+    return;
+  driver.EndAttempt(driver.attempts[0], AttemptEnd::kWithdrawn);
+  CHECK(driver.attempts.size() == 1);
+  REQUIRE(driver.FindRefusal(ticket) != nullptr);
+  CHECK(driver.FindRefusal(ticket)->outcome == Outcome::kNotRun);
+  CHECK(driver.node.active_requests() == 0);
+}
+
 TEST_CASE("A request that can't move with its route is refused as not run") {
   EntryDriver driver;
   driver.ApplySettings(SettingsText("s"));
