Entry: Don't start a second exchange of a request

Change: DispatchRequests() doesn't send a request that is at an endpoint or at another entry, and the host starts no exchange for a request that has one. The exchange under way goes on and decides the request. Both log exchange_prevented as an error.

entry_exchange_test "A request that is at an endpoint isn't sent to another one" fails without the guard of the node. The guard of the host can't be reached in a test now.

--- a/source/core/entry/entry_attempts.cc
+++ b/source/core/entry/entry_attempts.cc
@@ -44,6 +44,11 @@
 
 }  // namespace
 
+// Returns true if an attempt or a relay of the request is in progress.
+bool EntryNode::HasExchange(const RequestRecord& record) {
+  return !record.endpoint.empty() || !record.relay_entry.empty();
+}
+
 // Chooses an endpoint and starts an attempt. Returns false if no endpoint has a
 // free slot for the request.
 bool EntryNode::TryAttempt(RequestRecord& record,
--- a/source/core/entry/entry_logging.cc
+++ b/source/core/entry/entry_logging.cc
@@ -24,6 +24,16 @@
   return actions_.log_records.back();
 }
 
+void EntryNode::LogPreventedExchange(const RequestRecord& record) {
+  log::Record& log_record = AddLogRecord("exchange_prevented");
+  log_record.level = log::Level::kError;
+  log_record.With("request", record.arrival.request_id)
+      .With("ticket", record.arrival.ticket)
+      .With("service", record.service)
+      .With("endpoint", record.endpoint)
+      .With("entry", record.relay_entry);
+}
+
 void EntryNode::LogAttemptStart(
     const RequestRecord& record,
     const ServiceState& service_state,
--- a/source/core/entry/entry_node.h
+++ b/source/core/entry/entry_node.h
@@ -75,6 +75,8 @@
   const ControlSession& session() const { return session_; }
 
  private:
+  friend class EntryNodePeer;
+
   // Messages, timers and settings.
   void On(const MessageReceived& event, Time now);
   void On(const Tick& event, Time now);
@@ -208,6 +210,7 @@
 
   // Attempts of requests.
   void On(const AttemptEnded& event, Time now);
+  static bool HasExchange(const RequestRecord& record);
   void SetObjectPlacement(const RequestRecord& record,
                           const ServiceState& service_state,
                           forwarding::EndpointCriteria& endpoint_criteria,
@@ -242,6 +245,7 @@
 
   // Log records.
   log::Record& AddLogRecord(std::string_view event);
+  void LogPreventedExchange(const RequestRecord& record);
   void LogAttemptStart(const RequestRecord& record,
                        const ServiceState& service_state,
                        const forwarding::EndpointCriteria& endpoint_criteria,
--- a/source/core/entry/entry_requests.cc
+++ b/source/core/entry/entry_requests.cc
@@ -324,6 +324,13 @@
     if (!ticket)
       break;
     RequestRecord& record = requests_.at(*ticket);
+    if (HasExchange(record)) {
+      LogPreventedExchange(record);
+      // Takes back what TakeNext() has counted.
+      service_state.queue.Requeue(*ticket, record.kind.name, record.wait_until);
+      service_state.queue.Remove(*ticket);
+      continue;
+    }
     record.phase = RequestPhase::kRunning;
     if (IsTooLate(record, service_state, now)) {
       Refuse(*ticket,
--- a/source/jacinthroute/entry_host_impl.h
+++ b/source/jacinthroute/entry_host_impl.h
@@ -102,6 +102,9 @@
   void BeginRequest(const TransactionPtr& transaction,
                     ForwardedRequest&& forwarded);
   void BeginSpan(const http::Request& request, PendingRequest& pending);
+  /// Returns a request for which an exchange may be started; null if it has
+  /// ended, or has an exchange in progress.
+  PendingRequest* FindWithoutExchange(entry::RequestTicket ticket);
   void StartAttempt(const entry::StartAttempt& attempt);
   void StartRelay(const entry::StartRelay& relay);
   void OnRelayEnd(const entry::StartRelay& relay, http::ExchangeResult result);
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -196,11 +196,28 @@
 }
 
 template <InterfaceAdapter Adapter>
-void EntryHostImpl<Adapter>::StartAttempt(const entry::StartAttempt& attempt) {
-  const auto found = pending_requests_.find(attempt.ticket);
+typename EntryHostImpl<Adapter>::PendingRequest*
+EntryHostImpl<Adapter>::FindWithoutExchange(entry::RequestTicket ticket) {
+  const auto found = pending_requests_.find(ticket);
   if (found == pending_requests_.end())
-    return;
+    return nullptr;
   PendingRequest& pending = found->second;
+  if (pending.exchange == 0)
+    return &pending;
+  log::Record record{
+      log::Level::kError, log::Category::kEntry, "exchange_prevented", {}};
+  record.With("request", pending.forwarded.arrival.request_id)
+      .With("ticket", ticket);
+  log::Write(record);
+  return nullptr;
+}
+
+template <InterfaceAdapter Adapter>
+void EntryHostImpl<Adapter>::StartAttempt(const entry::StartAttempt& attempt) {
+  PendingRequest* const found = FindWithoutExchange(attempt.ticket);
+  if (found == nullptr)
+    return;
+  PendingRequest& pending = *found;
   http::ClientCall client_call;
   client_call.address = attempt.address;
   client_call.request = adapter_.MakeAttemptRequest(pending.forwarded, attempt);
@@ -253,10 +270,10 @@
 
 template <InterfaceAdapter Adapter>
 void EntryHostImpl<Adapter>::StartRelay(const entry::StartRelay& relay) {
-  const auto found = pending_requests_.find(relay.ticket);
-  if (found == pending_requests_.end())
+  PendingRequest* const found = FindWithoutExchange(relay.ticket);
+  if (found == nullptr)
     return;
-  PendingRequest& pending = found->second;
+  PendingRequest& pending = *found;
   http::ClientCall client_call;
   client_call.address = relay.address;
   client_call.request = adapter_.MakeRelayRequest(pending.forwarded, relay);
