--- a/source/jacinthroute/control_host.cc
+++ b/source/jacinthroute/control_host.cc
@@ -183,6 +183,7 @@
 
 void ControlHost::ReadEndpointList() {
   endpoint_lister_.Start([this](EndpointListing listing) {
+    CountListing(listing, metrics_);
     Step(control::EndpointsListed{std::move(listing.endpoints),
                                   listing.is_complete, listing.took});
   });
--- a/source/jacinthroute/endpoint_lister.cc
+++ b/source/jacinthroute/endpoint_lister.cc
@@ -47,6 +47,16 @@
 
 }  // namespace
 
+void CountListing(const EndpointListing& listing, metrics::Registry& metrics) {
+  metrics.Count(
+      metrics::FormatSeries("jacinth_list_reads_total", "end",
+                            listing.is_complete ? "complete" : "incomplete"));
+  if (listing.is_complete) {
+    metrics.SetGauge("jacinth_skipped_list_entries",
+                     static_cast<double>(listing.skipped_entries));
+  }
+}
+
 EndpointLister::EndpointLister(http::EventClient& client,
                                std::string address,
                                std::vector<std::string> failure_domains,
@@ -76,6 +86,7 @@
   began_ = now;
   requested_pages_ = 0;
   skipped_endpoints_ = 0;
+  first_skipped_.clear();
   failure_.clear();
   endpoints_.clear();
   if (!reads_by_domain_) {
@@ -138,6 +149,8 @@
   for (protocol::ListedEndpoint& endpoint : page->endpoints)
     endpoints_.push_back(std::move(endpoint));
   skipped_endpoints_ += page->skipped_endpoints;
+  if (first_skipped_.empty())
+    first_skipped_ = page->first_skipped;
   if (page->next_page_token.empty())
     return {};
   if (requested_pages_ >= kMaxPages)
@@ -151,7 +164,7 @@
     log::Write(*record);
   LogOutcome();
   EndpointListing listing{std::move(endpoints_), failure_.empty(),
-                          now - began_};
+                          skipped_endpoints_, now - began_};
   if (listing.is_complete) {
     const auto domains = static_cast<int>(failure_domains_.size());
     reads_by_domain_ = domains != 0 && requested_pages_ > domains;
@@ -174,7 +187,8 @@
     log::Warning(log::Category::kEntry,
                  std::to_string(skipped_endpoints_) +
                      " entries of the endpoint list are malformed and name no "
-                     "endpoint.");
+                     "endpoint. The first: " +
+                     first_skipped_ + ".");
   }
   if (std::exchange(last_read_failed_, false))
     log::Info(log::Category::kEntry, "The endpoint list can be read again.");
--- a/source/jacinthroute/endpoint_lister.h
+++ b/source/jacinthroute/endpoint_lister.h
@@ -7,6 +7,7 @@
 #include "core/common/error.h"
 #include "core/common/time.h"
 #include "core/http/event_client.h"
+#include "core/metrics/registry.h"
 #include "core/protocol/endpoint_list.h"
 #include "jacinthroute/endpoint_read_monitor.h"
 #include "jacinthroute/interface_adapter.h"
@@ -18,10 +19,15 @@
   std::vector<protocol::ListedEndpoint> endpoints;
   /// False if pages could not be read.
   bool is_complete = false;
+  /// Number of entries that name no usable endpoint.
+  std::size_t skipped_entries = 0;
   /// Time since the reading began.
   Duration took{0};
 };
 
+/// Counts the reading, and sets the number of entries that were skipped.
+void CountListing(const EndpointListing& listing, metrics::Registry& metrics);
+
 /// Reads the platform's endpoint list page by page.
 ///
 /// A list of more pages than there are failure domains is read by failure
@@ -84,6 +90,7 @@
   bool last_read_failed_ = false;
   std::size_t skipped_endpoints_ = 0;
   std::size_t last_skipped_endpoints_ = 0;
+  std::string first_skipped_;
   std::vector<protocol::ListedEndpoint> endpoints_;
 };
 
--- a/source/jacinthroute/entry_host_impl_inl.h
+++ b/source/jacinthroute/entry_host_impl_inl.h
@@ -497,6 +497,7 @@
     server_.RecycleConnections(actions.recycled_connections);
   if (actions.list_endpoints) {
     endpoint_lister_.Start([this](EndpointListing listing) {
+      CountListing(listing, metrics_);
       Step(entry::EndpointsListed{std::move(listing.endpoints),
                                   listing.is_complete, listing.took});
     });
--- a/source/jacinthroute/interface_adapter.h
+++ b/source/jacinthroute/interface_adapter.h
@@ -62,6 +62,8 @@
   std::string next_page_token;
   /// Number of entries of the page that name no usable endpoint.
   std::size_t skipped_endpoints = 0;
+  /// Place of the first of them, and why it names none.
+  std::string first_skipped;
 };
 
 /// Translates between EntryNode and the HTTP interface to callers and
--- a/source/unit_tests/http/endpoint_lister_test.cc
+++ b/source/unit_tests/http/endpoint_lister_test.cc
@@ -76,6 +76,9 @@
     protocol::ListedEndpoint endpoint;
     endpoint.id = response.body;
     page.endpoints.push_back(endpoint);
+    page.skipped_endpoints = skipped_entries;
+    if (skipped_entries != 0)
+      page.first_skipped = "entry 3 of " + response.body;
     const std::string token =
         response.body.substr(response.body.rfind('/') + 1);
     const int number = token.empty() ? 1 : std::stoi(token);
@@ -92,6 +95,8 @@
 
   std::vector<std::string> requests;
   std::string fails_at;
+  /// Number of entries of each page that name no endpoint.
+  std::size_t skipped_entries = 0;
   /// Target of a request that is dropped with its connection.
   std::string drops_once;
   /// The next request for this target isn't answered.
@@ -278,6 +283,46 @@
   }
 }
 
+// Guards against entries of other writers that nobody notices.
+TEST_CASE("Skipped entries are counted, and logged once with their place") {
+  PagedList list({"a"}, /*pages=*/2);
+  Reader reader(list);
+  list.skipped_entries = 2;
+  std::string text;
+  metrics::Registry metrics;
+  {
+    test::CapturedOutput output;
+    log::Start("info", "c1");
+    for (int read = 0; read < 2; ++read) {
+      reader.lister.Start([&](const EndpointListing& listing) {
+        CHECK(listing.skipped_entries == 4);
+        CountListing(listing, metrics);
+      });
+      reader.context.restart();
+      reader.context.run_for(std::chrono::milliseconds(300));
+    }
+    log::Stop();
+    text = output.ReadAvailable();
+  }
+  const std::string place =
+      "4 entries of the endpoint list are malformed and "
+      "name no endpoint. The first: entry 3 of /a/.";
+  CHECK(text.find(place) != std::string::npos);
+  CHECK(text.find(place) == text.rfind(place));
+  CHECK(metrics.ToText().find("jacinth_skipped_list_entries 4") !=
+        std::string::npos);
+  CHECK(metrics.ToText().find("jacinth_list_reads_total{end=\"complete\"} 2") !=
+        std::string::npos);
+  list.fails_at = "/a/2";
+  reader.lister.Start(
+      [&](const EndpointListing& listing) { CountListing(listing, metrics); });
+  reader.context.restart();
+  reader.context.run_for(std::chrono::milliseconds(300));
+  CHECK(
+      metrics.ToText().find("jacinth_list_reads_total{end=\"incomplete\"} 1") !=
+      std::string::npos);
+}
+
 TEST_CASE("The log of a failed read tells its duration and its first failure") {
   const Time start(100s);
   EndpointReadMonitor monitor;
