--- a/source/core/common/json_lists.h
+++ b/source/core/common/json_lists.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <vector>
 
+#include "core/common/json_members.h"
+
 namespace jacinth {
 
 /// An entry of a list in a JSON text.
@@ -20,12 +21,6 @@
   std::vector<JsonEntryText> entries;
 };
 
-/// A member of a JSON object. `name` includes its quotes.
-struct JsonMemberText {
-  std::string_view name;
-  std::string_view value;
-};
-
 /// The parts of a JSON object one of whose members holds named lists.
 struct JsonListsText {
   std::vector<JsonListText> lists;
