--- a/source/core/entry/entry_moves.cc
+++ b/source/core/entry/entry_moves.cc
@@ -38,8 +38,8 @@
 }
 
 // Moves the queued requests whose routes lead to other services by now, and
-// ends those that an endpoint may have run. All leave their queues first, as
-// admitting one may send or end others that are queued.
+// ends those that an endpoint may have run. All are taken out before the first
+// one is admitted anew, so that no list of tickets is held across that.
 void EntryNode::MoveWaitingRequests(Time now) {
   std::vector<RequestTicket> tickets;
   for (auto& [ticket, record] : requests_) {
