Common: Limit the memory that the splitting of lists takes

Cause: each bracket and comma in an unreadable part is a place where it may end, and a node of about 72 bytes, or two.

Change: a page with more than 2^18 nodes is unreadable, as any was before that isn't JSON. Pages that name endpoints stay below that by far.

--- a/source/core/common/json_list_splitter.cc
+++ b/source/core/common/json_list_splitter.cc
@@ -10,6 +10,9 @@
 /// Cost of an unreadable part beside its bytes: more than the name of a list,
 /// which an entry may seem to hold, and less than a sound entry.
 constexpr std::size_t kPartCost = 64;
+/// Limit on the nodes of a page, which bounds the memory that reading it takes.
+/// Only pages that are mostly brackets or commas have more.
+constexpr std::size_t kMaxNodes = 1UL << 18U;
 
 }  // namespace
 
@@ -20,8 +23,11 @@
   else
     ReadListStart(start, 0);
   for (std::size_t position = NextPosition(start); position < text_.size();
-       position = NextPosition(position + 1))
+       position = NextPosition(position + 1)) {
     VisitAll(position);
+    if (nodes_.size() > kMaxNodes)
+      return std::nullopt;
+  }
   if (!last_)
     return std::nullopt;
   return JsonListsText{CollectLists(), std::move(last_members_)};
--- a/source/core/common/json_lists.h
+++ b/source/core/common/json_lists.h
@@ -33,8 +33,9 @@
 /// JSON are found although they may hide where they end: of all ways to split
 /// the text, the one that leaves the fewest bytes unread is taken; see
 /// docs/design/unreadable-entries.md. Members of the object of lists that
-/// aren't lists are left out. Returns nullopt if there is no such member, or if
-/// the text is malformed outside of the entries.
+/// aren't lists are left out. Returns nullopt if there is no such member, if
+/// the text is malformed outside of the entries, or if reading it would take
+/// too much memory.
 std::optional<JsonListsText> SplitJsonLists(std::string_view text,
                                             std::string_view member);
 
