--- a/review/stand-ins-3/stage.h
+++ b/review/stand-ins-3/stage.h
@@ -432,13 +432,23 @@
                 const std::string& body,
                 const std::string& base,
                 int controls,
-                std::int64_t until_ms,
-                int first = 0) {
+                std::int64_t until_ms) {
+    std::vector<int> all;
+    for (int i = 0; i < controls; ++i)
+      all.push_back(i);
+    return Order(call, body, base, all, until_ms);
+  }
+  // The same with the nodes on the operator's list.
+  Message Order(const std::string& call,
+                const std::string& body,
+                const std::string& base,
+                const std::vector<int>& controls,
+                std::int64_t until_ms) {
     Message answer;
-    int next = first;
+    std::size_t next = 0;
     std::int64_t pause = 100;
     while (NowMs() < until_ms) {
-      std::string ip = ControlIp(next++ % controls);
+      std::string ip = ControlIp(controls[next++ % controls.size()]);
       int port = control_port();
       std::string target = "/-/rpc?call=" + call;
       for (int hop = 0; hop <= 2; ++hop) {
