--- a/review/stand-ins-3/upstreams.h
+++ b/review/stand-ins-3/upstreams.h
@@ -4,6 +4,8 @@
 
 #include "stage.h"
 
+#include <functional>
+
 namespace stage {
 
 struct Run {
@@ -40,6 +42,14 @@
     const std::lock_guard lock(mutex_);
     return runs_[attempt];
   }
+  // While set, an upstream resets the connection in place of the answer to a
+  // request that it has run, if this returns true.
+  void SetLosesAnswer(
+      std::function<bool(const std::string& upstream, const std::string& attempt)>
+          loses) {
+    const std::lock_guard lock(mutex_);
+    loses_answer_ = std::move(loses);
+  }
   static std::string SignatureFor(const std::string& attempt) {
     return "s." + attempt;
   }
@@ -69,6 +79,17 @@
       record_.Line("upstream " + id + " of " + service + " runs " + attempt +
                    ": " + request->method + " " + request->target);
       SleepMs(work_ms_);
+      bool loses = false;
+      {
+        const std::lock_guard lock(mutex_);
+        loses = loses_answer_ && loses_answer_(id, attempt);
+      }
+      if (loses) {
+        record_.Line("upstream " + id + " loses its answer to " + attempt);
+        const linger at_once{1, 0};
+        setsockopt(wire.fd(), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        return;
+      }
       if (!wire.Write(Answer(
               200, {{"X-Attempt-Id", attempt},
                     {"X-Response-Signature", SignatureFor(attempt)},
@@ -82,6 +103,7 @@
   Record& record_;
   int work_ms_;
   std::mutex mutex_;
+  std::function<bool(const std::string&, const std::string&)> loses_answer_;
   std::map<std::string, std::vector<Run>> runs_;
   std::vector<Listed> listed_;
   std::vector<std::unique_ptr<Server>> servers_;
