Settings: Compare the hosts of routes in one form

Cause: the platform's adapter turned a request's host into lower case, but routes were looked up among the hosts as the operator had written them.

Routes of one host are sorted by prefix over all ways of writing it, those with the same prefix by name.

--- a/source/core/protocol/change_scope.cc
+++ b/source/core/protocol/change_scope.cc
@@ -4,6 +4,7 @@
 #include <bit>
 
 #include "core/common/hash.h"
+#include "core/common/host_name.h"
 
 namespace jacinth::protocol {
 namespace {
@@ -64,7 +65,7 @@
       continue;
     const std::string_view prefix =
         path == change.values.end() ? std::string_view{} : path->second;
-    Add(HashPath(Hash64(host->second), prefix));
+    Add(HashPath(Hash64(NormalizeHost(host->second)), prefix));
     lengths_.set(std::min(prefix.size(), lengths_.size() - 1));
   }
 }
--- a/source/core/protocol/change_scope.h
+++ b/source/core/protocol/change_scope.h
@@ -26,7 +26,7 @@
 
   /// Returns true if the change may concern requests to `path` at `host`, which
   /// the route `route` matches by the settings before it; that is empty if none
-  /// does.
+  /// does. `host` is normalized.
   bool MayInclude(std::string_view host,
                   std::string_view path,
                   std::string_view route) const;
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/common/host_name.h"
 #include "core/common/split.h"
 #include "core/settings/tree_table.h"
 
@@ -134,7 +135,7 @@
   RouteSettings BuildRoute(const std::string& name) const {
     const std::string branch = "route/" + name;
     RouteSettings route;
-    route.host = GetText(branch, "host");
+    route.host = NormalizeHost(GetText(branch, "host"));
     route.kind = BuildCommonSettings(branch, name);
     route.kind.execution = ExecutionFromName(GetText(branch, "execution"))
                                .value_or(Execution::kSingleAttempt);
--- a/source/core/settings/fleet_settings.h
+++ b/source/core/settings/fleet_settings.h
@@ -19,7 +19,8 @@
 struct FleetSettings {
   std::uint64_t revision = 0;
   std::map<std::string, ServiceSettings> services;
-  /// Routes by host, longest path prefix first.
+  /// Routes by normalized host, longest path prefix first; those with the same
+  /// prefix by name.
   std::map<std::string, std::vector<RouteSettings>, std::less<>> routes;
   std::int64_t max_body_bytes = 0;
   std::int64_t max_header_bytes = 0;
@@ -33,7 +34,8 @@
   /// Failure domains that an operator drains.
   std::set<std::string> drained_failure_domains;
 
-  /// Returns the route of a request, or nullptr if none matches.
+  /// Returns the route of a request, or nullptr if none matches. `host` is
+  /// normalized.
   const RouteSettings* FindRoute(std::string_view host,
                                  std::string_view path) const;
 
--- a/source/core/settings/route_settings.h
+++ b/source/core/settings/route_settings.h
@@ -18,6 +18,7 @@
 /// Settings of one route: which requests it matches and which services serve
 /// them.
 struct RouteSettings {
+  /// As NormalizeHost() returns it.
   std::string host;
   KindSettings kind;
   /// At least one service. Each gets a share of the requests in proportion to
--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -255,7 +255,8 @@
                     SettingType::kText,
                     {},
                     "",
-                    "Host of the requests that the route matches."},
+                    "Host of the requests that the route matches, compared "
+                    "without regard to case, port and final dot."},
     TreeSettingSpec{
         "execution",
         kOnlyRoute,
--- a/source/core/steering/region_rule.h
+++ b/source/core/steering/region_rule.h
@@ -17,7 +17,8 @@
 };
 
 /// Returns the rule for the callers of a host: they are kept in their region if
-/// one of its routes has regions, or if the host isn't known here.
+/// one of its routes has regions, or if the host isn't known here. `host` is
+/// normalized.
 RegionRule RegionRuleOf(const settings::FleetSettings* fleet,
                         std::string_view host);
 
--- a/source/unit_tests/protocol/change_scope_test.cc
+++ b/source/unit_tests/protocol/change_scope_test.cc
@@ -30,6 +30,13 @@
   CHECK_FALSE(scope.MayInclude("h", "/a/b", ""));
 }
 
+// Guards against 404 for the requests of a route that an entry is about to get
+// (docs/incidents/host-case.md).
+TEST_CASE("A scope has the requests of a route whose host has capitals") {
+  const ChangeScope scope({RouteChange("added", "Rota.Example", "/a/")});
+  CHECK(scope.MayInclude("rota.example", "/a/b", ""));
+}
+
 TEST_CASE("A route without a path prefix has all requests of its host") {
   const ChangeScope scope({{"route/r", {{"host", "h"}}}});
   CHECK(scope.MayInclude("h", "/any", ""));
--- a/source/unit_tests/settings/fleet_settings_test.cc
+++ b/source/unit_tests/settings/fleet_settings_test.cc
@@ -21,6 +21,7 @@
   return {{{"host", "h"}, {"path_prefix", "/"}, {"service", "s"}},
           {{"host", "h"}, {"path_prefix", "/a/"}, {"service", "t"}},
           {{"host", "h"}, {"path_prefix", "/b/"}, {"split", "s:1,t:2"}},
+          {{"host", "H."}, {"path_prefix", "/a/"}, {"service", "s"}},
           {{"host", "i"},
            {"path_prefix", "/a/"},
            {"service", "s"},
@@ -88,4 +89,27 @@
   }));
 }
 
+// Guards against routes that no request finds (docs/incidents/host-case.md).
+TEST_CASE("Hosts that differ in case alone are one host") {
+  const auto route = [](const char* host, const char* prefix) {
+    return Tree::Values{
+        {"host", host}, {"path_prefix", prefix}, {"service", "s"}};
+  };
+  Tree tree;
+  tree.Replace("service/s", {{"ttl_ms", "700"}});
+  tree.Replace("route/a", route("Rota.Example", "/"));
+  tree.Replace("route/b", route("rota.example", "/x/"));
+  tree.Replace("route/c", route("ROTA.example", "/x/"));
+  const auto fleet = BuildFleetSettings(tree, 1);
+  REQUIRE(fleet->FindRoute("rota.example", "/y/") != nullptr);
+  CHECK(fleet->FindRoute("rota.example", "/y/")->kind.name == "a");
+  // Routes with the same prefix apply in the order of their names.
+  CHECK(fleet->FindRoute("rota.example", "/x/1")->kind.name == "b");
+
+  tree.Replace("route/b", {});
+  const std::vector<std::string> removed = {"route/b"};
+  const auto without_b = UpdateFleetSettings(*fleet, tree, removed, 2);
+  CHECK(without_b->FindRoute("rota.example", "/x/1")->kind.name == "c");
+}
+
 }  // namespace jacinth::settings
