Settings: Serve splits in the proportions of any weights

Typed weights have 64 bits, for stored trees with larger ones; credits of the round robin are floating-point numbers. A split whose weights are all 0 refuses its requests at once, as it did; the settings page says so now.

--- a/source/core/entry/weighted_round_robin.cc
+++ b/source/core/entry/weighted_round_robin.cc
@@ -11,13 +11,14 @@
     for (const settings::RouteShare& share : shares)
       candidates_.push_back({share.service, share.weight, 0});
   }
-  long total = 0;
+  double total = 0;
   Candidate* best = nullptr;
   for (Candidate& candidate : candidates_) {
     if (candidate.weight <= 0)
       continue;
-    total += candidate.weight;
-    candidate.credit += candidate.weight;
+    const auto weight = static_cast<double>(candidate.weight);
+    total += weight;
+    candidate.credit += weight;
     if (best == nullptr || candidate.credit > best->credit)
       best = &candidate;
   }
--- a/source/core/entry/weighted_round_robin.h
+++ b/source/core/entry/weighted_round_robin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -19,10 +20,11 @@
  private:
   struct Candidate {
     std::string service;
-    int weight = 0;
+    std::int64_t weight = 0;
     /// Weight accumulated since the service was last selected; the service with
-    /// the highest credit is selected next.
-    long credit = 0;
+    /// the highest credit is selected next. The sum of 64-bit weights may need
+    /// more than 64 bits.
+    double credit = 0;
   };
 
   bool HasSameShares(const std::vector<settings::RouteShare>& shares) const;
--- a/source/core/settings/fleet_settings.cc
+++ b/source/core/settings/fleet_settings.cc
@@ -149,8 +149,7 @@
     for (const std::string& part : SplitList(GetText(branch, "split"))) {
       const std::size_t colon = part.rfind(':');
       const auto weight = ParseInteger(part.substr(colon + 1));
-      route.shares.push_back(
-          {part.substr(0, colon), static_cast<int>(weight.value_or(0))});
+      route.shares.push_back({part.substr(0, colon), weight.value_or(0)});
     }
     return route;
   }
--- a/source/core/settings/route_settings.h
+++ b/source/core/settings/route_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -10,7 +11,8 @@
 /// A service to which a route sends part of its requests.
 struct RouteShare {
   std::string service;
-  int weight = 1;
+  /// Not negative; only the proportions of the weights of a route matter.
+  std::int64_t weight = 1;
 
   bool operator==(const RouteShare&) const = default;
 };
@@ -22,7 +24,7 @@
   std::string host;
   KindSettings kind;
   /// At least one service. Each gets a share of the requests in proportion to
-  /// its weight.
+  /// its weight. If all weights are 0, every request is refused.
   std::vector<RouteShare> shares;
 
   bool operator==(const RouteSettings&) const = default;
--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -271,13 +271,14 @@
                     {},
                     "",
                     "Service to which the route sends its requests."},
-    TreeSettingSpec{
-        "split",
-        kOnlyRoute,
-        SettingType::kList,
-        {},
-        "",
-        "Services with their weights, `name:weight`, in place of service."},
+    TreeSettingSpec{"split",
+                    kOnlyRoute,
+                    SettingType::kList,
+                    {},
+                    "",
+                    "Services with their weights, `name:weight`, in place of "
+                    "service. If all "
+                    "weights are 0, the requests of the route are refused."},
     TreeSettingSpec{"objective_ms",
                     kRouteAndAbove,
                     SettingType::kInteger,
--- a/source/core/settings/tree_validation.cc
+++ b/source/core/settings/tree_validation.cc
@@ -14,7 +14,6 @@
 
 // Branch paths are INI section names, which inih limits to 49 characters.
 constexpr std::size_t kMaxBranchLength = 49;
-constexpr std::size_t kMaxValueLength = 160;
 
 class TreeValidator {
  public:
--- a/source/core/settings/tree_validation.h
+++ b/source/core/settings/tree_validation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 #include "core/settings/setting_fault.h"
@@ -7,6 +8,9 @@
 
 namespace jacinth::settings {
 
+/// Longest value of a setting, in characters.
+inline constexpr std::size_t kMaxValueLength = 160;
+
 /// Result of parsing a settings tree; `tree` is valid only without faults.
 struct ParsedTree {
   Tree tree;
--- a/source/unit_tests/entry/entry_routes_test.cc
+++ b/source/unit_tests/entry/entry_routes_test.cc
@@ -303,6 +303,21 @@
   CHECK(to_other == 10);
 }
 
+TEST_CASE("A route whose weights are all 0 refuses its requests at once") {
+  EntryDriver driver(MakeOptions());
+  driver.ApplySettings(
+      "[route/r]\nhost = h\npath_prefix = /\nsplit = s:0,t:0\n"
+      "[service/s]\nprobe_interval_ms = 0\n[service/t]\nprobe_interval_ms = "
+      "0\n");
+  SendEndpointList(driver, 1, {MakeListedEndpoint("a")});
+  SendRequest(driver, "/x");
+  CHECK(driver.attempts.empty());
+  REQUIRE(driver.answers.size() == 1);
+  const auto& refusal =
+      std::get<entry::RefuseRequest>(driver.answers.begin()->second.body);
+  CHECK(refusal.outcome == Outcome::kNotRun);
+}
+
 // Guards against hundreds of entries that start together and all read the list
 // from the platform, which the leader sends them with the settings.
 TEST_CASE(
--- a/source/unit_tests/entry/weighted_round_robin_test.cc
+++ b/source/unit_tests/entry/weighted_round_robin_test.cc
@@ -1,8 +1,12 @@
 #include "core/entry/weighted_round_robin.h"
 
 #include <cmath>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <rapidcheck.h>
+#include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -37,4 +41,33 @@
   }));
 }
 
+// Guards against weights that are too large for the sum of credits, and against
+// a share that is lost beside one a billion times larger
+// (docs/incidents/large-weights.md).
+TEST_CASE("Weights of any size get their shares") {
+  constexpr std::int64_t kLargest = std::numeric_limits<std::int64_t>::max();
+  const std::vector<settings::RouteShare> shares = GENERATE(
+      std::vector<settings::RouteShare>{{"a", 3'000'000'000},
+                                        {"b", 1'000'000'000}},
+      std::vector<settings::RouteShare>{
+          {"a", kLargest}, {"a", kLargest}, {"a", kLargest}, {"b", kLargest}},
+      std::vector<settings::RouteShare>{
+          {"c", 1}, {"a", 750'000'000}, {"b", 250'000'000}});
+  WeightedRoundRobin round_robin;
+  std::map<std::string, int> assigned;
+  for (int i = 0; i < 400; ++i)
+    ++assigned[round_robin.Next(shares)];
+  CHECK(std::abs(assigned["a"] - 300) <= 1);
+  CHECK(std::abs(assigned["b"] - 100) <= 1);
+}
+
+TEST_CASE("A small share is served beside one a million times larger") {
+  const std::vector<settings::RouteShare> shares = {{"a", 1'000'000}, {"b", 1}};
+  WeightedRoundRobin round_robin;
+  int assigned = 0;
+  for (int i = 0; i < 3'000'003; ++i)
+    assigned += round_robin.Next(shares) == "b" ? 1 : 0;
+  CHECK(assigned == 3);
+}
+
 }  // namespace jacinth::entry
--- a/source/unit_tests/settings/fleet_settings_test.cc
+++ b/source/unit_tests/settings/fleet_settings_test.cc
@@ -112,4 +112,18 @@
   CHECK(without_b->FindRoute("rota.example", "/x/1")->kind.name == "c");
 }
 
+// Guards against weights that become negative, so that their services get no
+// requests (docs/incidents/large-weights.md).
+TEST_CASE("Weights that need more than 32 bits keep their values") {
+  Tree tree;
+  tree.Replace("route/r", {{"host", "h"},
+                           {"path_prefix", "/"},
+                           {"split", "s:3000000000,t:1000000000000000"}});
+  const auto fleet = BuildFleetSettings(tree, 1);
+  const RouteSettings* route = fleet->FindRoute("h", "/");
+  REQUIRE(route != nullptr);
+  CHECK(route->shares == std::vector<RouteShare>{{"s", 3'000'000'000},
+                                                 {"t", 1'000'000'000'000'000}});
+}
+
 }  // namespace jacinth::settings
