--- a/source/core/settings/tree_table.cc
+++ b/source/core/settings/tree_table.cc
@@ -277,8 +277,8 @@
                     {},
                     "",
                     "Services with their weights, `name:weight`, in place of "
-                    "service. If all "
-                    "weights are 0, the requests of the route are refused."},
+                    "service. If all weights are 0, the requests of the route "
+                    "are refused."},
     TreeSettingSpec{"objective_ms",
                     kRouteAndAbove,
                     SettingType::kInteger,
